Thin whole path: entries, owners, stand-ins, command line

Change: a workspace of four areas. api holds the protocols (platform store and directory, upstream leases and starts, QUIC and CBOR between entries, callers' and operators' HTTP). decide holds placement, the ledger of units and the queue, apart from network and clock. entry holds settings, the copy of the agreement, membership, the shard owner, and the HTTP servers. standin holds the platform and the upstreams. One owner a failure domain was chosen instead of one a rack: all-at-once jobs then need no reservation across owners, and a fence at the workers is also the fence of the jobs.

No test yet; separate processes and failures come next.

--- /dev/null
+++ b/cmd/citronbay/main.go
@@ -0,0 +1,41 @@
+// Command citronbay runs an entry of the cluster scheduler, and is the client
+// with which operators and callers use it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/citronbay/citronbay/internal/command/entry"
+	"github.com/citronbay/citronbay/internal/command/operator"
+	"github.com/citronbay/citronbay/internal/command/standin"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:]))
+}
+
+// run executes the command line and returns the exit code.
+func run(ctx context.Context, args []string) int {
+	app := kingpin.New("citronbay", "A cluster scheduler for services, batch work, all-at-once jobs and quick requests.")
+	app.Terminate(nil)
+	entry.Register(ctx, app)
+	standin.Register(ctx, app)
+	operator.Register(ctx, app, os.Stdout)
+	if _, err := app.ParseContext(args); err != nil {
+		fmt.Fprintln(os.Stderr, "citronbay:", err)
+		return operator.ExitUsage
+	}
+	if _, err := app.Parse(args); err != nil {
+		fmt.Fprintln(os.Stderr, "citronbay:", err)
+		return operator.ExitCode(err)
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/command/entry/dev.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/citronbay/citronbay/internal/api/caller"
+	"github.com/citronbay/citronbay/internal/api/operator"
+	apiplatform "github.com/citronbay/citronbay/internal/api/platform"
+	apiupstream "github.com/citronbay/citronbay/internal/api/upstream"
+	"github.com/citronbay/citronbay/internal/command/standin"
+	"github.com/citronbay/citronbay/internal/entry/node"
+	"github.com/citronbay/citronbay/internal/entry/settings"
+	"github.com/citronbay/citronbay/internal/standin/platform"
+	"github.com/citronbay/citronbay/internal/standin/upstream"
+)
+
+// The development cell.
+const (
+	devDomain   = "dev-a"
+	devRegion   = "dev"
+	devService  = "echo"
+	devTeam     = "demo"
+	devOperator = "dev"
+	devWorkers  = 3
+	devRunners  = 2
+	devShare    = 1
+	devCap      = 100
+	devReady    = 20 * time.Second
+	demoTimeout = 60 * time.Second
+)
+
+func registerDev(ctx context.Context, app *kingpin.Application) {
+	command := app.Command("dev", "Run a whole small cell in this process: in-memory platform, simulated workers and runners, one entry.")
+	demo := command.Flag("demo", "Submit one piece of work of each kind, print each one's fate, and stop.").Bool()
+	command.Action(func(*kingpin.ParseContext) error {
+		return runDev(ctx, *demo)
+	})
+}
+
+// devCell is what a newcomer needs to use the development cell.
+type devCell struct {
+	address     string
+	platform    string
+	operatorKey string
+	teamKey     string
+}
+
+func runDev(ctx context.Context, demo bool) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	cell, ended, cleanUp, err := startDev(ctx)
+	if err != nil {
+		return err
+	}
+	defer cleanUp()
+	fmt.Printf("entry      %s\nplatform   %s\noperator   %s\nteam       %s\nkey        %s\n\n", cell.address, cell.platform, cell.operatorKey, devTeam, cell.teamKey)
+	fmt.Printf("citronbay job submit --address %s --key %s --kind batch --tasks 3 --run 100ms --wait\n\n", cell.address, cell.teamKey)
+	if !demo {
+		return <-ended
+	}
+	err = runDemo(ctx, cell)
+	stop()
+	return errors.Join(err, <-ended)
+}
+
+// startDev starts the parts and returns when the cell takes work.
+func startDev(ctx context.Context) (cell devCell, ended <-chan error, cleanUp func(), err error) {
+	server := platform.NewServer()
+	platformAddress, closePlatform, err := standin.Serve("127.0.0.1:0", server.Handler())
+	if err != nil {
+		return cell, nil, nil, err
+	}
+	closers := []func(){closePlatform}
+	cleanUp = func() {
+		for _, c := range closers {
+			c()
+		}
+	}
+	for _, vm := range devVMs() {
+		address, closeUpstream, err := standin.Serve("127.0.0.1:0", upstream.New(devCapacity(vm.Role)).Handler())
+		if err != nil {
+			return cell, nil, cleanUp, err
+		}
+		closers = append(closers, closeUpstream)
+		vm.Address = address
+		server.SetVM(vm)
+	}
+	cell = devCell{
+		platform:    platformAddress,
+		operatorKey: randomHex(),
+	}
+	loaded, err := devSettings(&cell)
+	if err != nil {
+		return cell, nil, cleanUp, err
+	}
+	n, closeNode, err := node.New(loaded, newLog(os.Stderr, "warn"))
+	if err != nil {
+		return cell, nil, cleanUp, err
+	}
+	closers = append(closers, closeNode)
+	result := make(chan error, 1)
+	go func() { result <- n.Run(ctx) }()
+	cell.teamKey, err = prepareTeam(ctx, cell)
+	return cell, result, cleanUp, err
+}
+
+func devVMs() []apiplatform.VM {
+	var vms []apiplatform.VM
+	for i := range devWorkers + devRunners {
+		vm := apiplatform.VM{
+			Name:   fmt.Sprintf("worker-%d", i+1),
+			Role:   apiplatform.RoleWorker,
+			Domain: devDomain,
+			Region: devRegion,
+			Rack:   "rack-1",
+			State:  apiplatform.StateLive,
+		}
+		if i >= devWorkers {
+			vm.Name = fmt.Sprintf("runner-%d", i-devWorkers+1)
+			vm.Role = apiplatform.RoleRunner
+			vm.Service = devService
+		}
+		vms = append(vms, vm)
+	}
+	return vms
+}
+
+func devCapacity(role string) apiupstream.Resources {
+	return standin.CapacityOf(role, apiupstream.Resources{
+		MilliProcessors: 4000,
+		MemoryBytes:     8 << 30,
+		Slots:           8,
+	})
+}
+
+func randomHex() string {
+	raw := make([]byte, 24)
+	_, _ = rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
+
+// devSettings chooses free ports and fills in the entry's settings.
+func devSettings(cell *devCell) (settings.Entry, error) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return settings.Entry{}, err
+	}
+	defer func() { _ = tcp.Close() }()
+	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return settings.Entry{}, err
+	}
+	defer func() { _ = udp.Close() }()
+	cell.address = tcp.Addr().String()
+	sum := sha256.Sum256([]byte(cell.operatorKey))
+	loaded := settings.Default()
+	loaded.Name = "entry-1"
+	loaded.Domain = devDomain
+	loaded.Region = devRegion
+	loaded.CallerAddress = cell.address
+	loaded.PeerAddress = udp.LocalAddr().String()
+	loaded.PlatformAddress = cell.platform
+	loaded.PeerSecret = randomHex()
+	loaded.Operators = []settings.Operator{{
+		Name:    devOperator,
+		KeyHash: hex.EncodeToString(sum[:]),
+	}}
+	return loaded, nil
+}
+
+// prepareTeam creates a team with a key and waits until the entry takes work.
+func prepareTeam(ctx context.Context, cell devCell) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, devReady)
+	defer cancel()
+	client, closeClient := caller.NewClient(cell.address, cell.operatorKey)
+	defer closeClient()
+	share, teamCap := int64(devShare), int64(devCap)
+	request := operator.TeamRequest{
+		Name:  devTeam,
+		Share: &share,
+		Cap:   &teamCap,
+	}
+	var response operator.ChangeResponse
+	err := until(ctx, func() error {
+		return client.Do(ctx, http.MethodPost, "/v1/operator/teams", request, &response)
+	})
+	if err != nil {
+		return "", err
+	}
+	if err := client.Do(ctx, http.MethodPost, "/v1/operator/teams/"+devTeam+"/keys", nil, &response); err != nil {
+		return "", err
+	}
+	return response.Secret, until(ctx, func() error { return ready(ctx, cell) })
+}
+
+// ready reports an error until the shard has an owner with all its upstreams.
+func ready(ctx context.Context, cell devCell) error {
+	client, closeClient := caller.NewClient(cell.address, cell.operatorKey)
+	defer closeClient()
+	var status operator.CellStatus
+	if err := client.Do(ctx, http.MethodGet, "/v1/operator/cell", nil, &status); err != nil {
+		return err
+	}
+	leased := 0
+	for _, s := range status.Shards {
+		for _, u := range s.Upstreams {
+			if u.Leased {
+				leased++
+			}
+		}
+	}
+	if leased < devWorkers+devRunners {
+		return fmt.Errorf("%d of %d upstreams are leased", leased, devWorkers+devRunners)
+	}
+	return nil
+}
+
+func until(ctx context.Context, try func() error) error {
+	for {
+		err := try()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), err)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/internal/command/standin/standin.go
@@ -0,0 +1,157 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/goccy/go-yaml"
+
+	apiplatform "github.com/citronbay/citronbay/internal/api/platform"
+	apiupstream "github.com/citronbay/citronbay/internal/api/upstream"
+	"github.com/citronbay/citronbay/internal/standin/platform"
+	"github.com/citronbay/citronbay/internal/standin/upstream"
+)
+
+// closeTimeout bounds the closing of a stand-in.
+const closeTimeout = time.Second
+
+// Serve serves the handler on the address until the clean-up function is
+// called; it returns the address that it has.
+func Serve(address string, handler http.Handler) (string, func(), error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", nil, fmt.Errorf("standin: listen on %s: %w", address, err)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: closeTimeout,
+	}
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), func() { _ = server.Close() }, nil
+}
+
+// directoryFile is the YAML list of VMs that a platform begins with.
+type directoryFile struct {
+	VMs []apiplatform.VM `yaml:"vms"`
+}
+
+// Register adds the stand-ins' commands; run is called with the context that
+// ends with the process.
+func Register(ctx context.Context, app *kingpin.Application) {
+	command := app.Command("standin", "Run a stand-in for the platform or an upstream.")
+	registerPlatform(ctx, command)
+	registerUpstream(ctx, command)
+}
+
+func registerPlatform(ctx context.Context, parent *kingpin.CmdClause) {
+	command := parent.Command("platform", "Run a stand-in for the platform: store and directory.")
+	address := command.Flag("address", "IP address and port to serve on.").Default("127.0.0.1:7000").String()
+	directory := command.Flag("directory", "YAML file with the list vms to begin with.").String()
+	command.Action(func(*kingpin.ParseContext) error {
+		server := platform.NewServer()
+		if *directory != "" {
+			if err := readDirectory(server, *directory); err != nil {
+				return err
+			}
+		}
+		return serveUntilDone(ctx, *address, server.Handler())
+	})
+}
+
+func readDirectory(server *platform.Server, file string) error {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("standin: read directory: %w", err)
+	}
+	var list directoryFile
+	if err := yaml.UnmarshalWithOptions(content, &list, yaml.Strict(), yaml.UseJSONUnmarshaler()); err != nil {
+		return fmt.Errorf("standin: directory %s: %w", file, err)
+	}
+	for _, vm := range list.VMs {
+		server.SetVM(vm)
+	}
+	return nil
+}
+
+func registerUpstream(ctx context.Context, parent *kingpin.CmdClause) {
+	command := parent.Command("upstream", "Run a stand-in for a worker or a runner.")
+	vm := apiplatform.VM{State: apiplatform.StateLive}
+	command.Flag("name", "Name of the VM.").Required().StringVar(&vm.Name)
+	command.Flag("role", "worker or runner.").Default(apiplatform.RoleWorker).EnumVar(&vm.Role, apiplatform.RoleWorker, apiplatform.RoleRunner)
+	command.Flag("address", "IP address and port to serve on.").Default("127.0.0.1:0").StringVar(&vm.Address)
+	command.Flag("domain", "Failure domain.").Required().StringVar(&vm.Domain)
+	command.Flag("region", "Region.").Required().StringVar(&vm.Region)
+	command.Flag("rack", "Rack.").StringVar(&vm.Rack)
+	command.Flag("service", "Service that a runner offers.").StringVar(&vm.Service)
+	var capacity apiupstream.Resources
+	command.Flag("processors-milli", "Thousandths of processors.").Default("64000").Int64Var(&capacity.MilliProcessors)
+	command.Flag("memory-bytes", "Memory in bytes.").Default("274877906944").Int64Var(&capacity.MemoryBytes)
+	command.Flag("accelerators", "Accelerators.").Default("0").Int64Var(&capacity.Accelerators)
+	command.Flag("slots", "Slots of a runner.").Default("8").Int64Var(&capacity.Slots)
+	platformAddress := command.Flag("platform", "Address of a stand-in platform whose directory is to list this VM.").String()
+	command.Action(func(*kingpin.ParseContext) error {
+		address, closeServer, err := Serve(vm.Address, upstream.New(CapacityOf(vm.Role, capacity)).Handler())
+		if err != nil {
+			return err
+		}
+		defer closeServer()
+		vm.Address = address
+		if *platformAddress != "" {
+			if err := Announce(*platformAddress, vm); err != nil {
+				return err
+			}
+		}
+		<-ctx.Done()
+		return nil
+	})
+}
+
+// CapacityOf returns what an upstream of the role offers of the capacity: a
+// runner its slots, a worker all else.
+func CapacityOf(role string, capacity apiupstream.Resources) apiupstream.Resources {
+	if role == apiplatform.RoleRunner {
+		return apiupstream.Resources{Slots: capacity.Slots}
+	}
+	capacity.Slots = 0
+	return capacity
+}
+
+// Announce puts the VM on the directory of the stand-in platform.
+func Announce(platformAddress string, vm apiplatform.VM) error {
+	return Post(platformAddress, "/standin/vms", vm)
+}
+
+// Post sends a control message to a stand-in.
+func Post(address, path string, message any) error {
+	encoded, err := json.Marshal(message)
+	if err != nil {
+		return err
+	}
+	response, err := http.Post("http://"+address+path, "application/json", bytes.NewReader(encoded))
+	if err != nil {
+		return fmt.Errorf("standin %s: %s: %w", address, path, err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("standin %s: %s: %w", address, path, errors.New(response.Status))
+	}
+	return nil
+}
+
+func serveUntilDone(ctx context.Context, address string, handler http.Handler) error {
+	_, closeServer, err := Serve(address, handler)
+	if err != nil {
+		return err
+	}
+	defer closeServer()
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/internal/entry/peer/messages.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	apiplatform "github.com/citronbay/citronbay/internal/api/platform"
+	"github.com/citronbay/citronbay/internal/entry/platform"
+)
+
+// Methods that entries serve to one another.
+const (
+	MethodHeartbeat = "heartbeat"
+	MethodSync      = "sync"
+	MethodWithdraw  = "withdraw"
+)
+
+// Member names an entry and one run of its process.
+type Member struct {
+	Name        string `json:"name"`
+	Domain      string `json:"domain"`
+	Region      string `json:"region"`
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Heartbeat is what an entry tells of itself.
+type Heartbeat struct {
+	Member Member `json:"member"`
+	// Owns tells whether the entry owns its domain's shard.
+	Owns     bool            `json:"owns"`
+	Draining bool            `json:"draining"`
+	Digest   platform.Digest `json:"digest"`
+	Preset   string          `json:"preset"`
+	// Wants holds, by team, how many more units the owned shard could use.
+	Wants map[string]int64 `json:"wants,omitempty"`
+}
+
+// SyncRequest asks for what the peer holds at higher revisions.
+type SyncRequest struct {
+	Revisions map[string]int64 `json:"revisions"`
+	Withdrawn []string         `json:"withdrawn,omitempty"`
+}
+
+// SyncResponse brings the entries asked for and the peer's withdrawn keys.
+type SyncResponse struct {
+	Entries   []apiplatform.Entry `json:"entries"`
+	Withdrawn []string            `json:"withdrawn,omitempty"`
+}
+
+// WithdrawRequest hands on keys that have been withdrawn.
+type WithdrawRequest struct {
+	Keys []string `json:"keys"`
+}
+
+// WithdrawResponse confirms that the peer refuses the keys.
+type WithdrawResponse struct {
+	Entry string `json:"entry"`
+}
--- /dev/null
+++ b/internal/entry/platform/registry.go
@@ -0,0 +1,251 @@
+package platform
+
+import (
+	"encoding/binary"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/citronbay/citronbay/internal/api/operator"
+	"github.com/citronbay/citronbay/internal/api/platform"
+)
+
+// Digest sums up which revisions a registry holds, so that two entries can
+// tell whether they agree.
+type Digest struct {
+	// Config covers teams, keys and presets.
+	Config uint64 `json:"config"`
+	// Units covers the units of the teams' caps.
+	Units uint64 `json:"units"`
+	// Withdrawn is the number of keys known to be withdrawn.
+	Withdrawn int `json:"withdrawn"`
+	// Revision is the highest revision held.
+	Revision int64 `json:"revision"`
+}
+
+// Registry is an entry's copy of the agreement. It only ever moves to higher
+// revisions. Create it with NewRegistry.
+type Registry struct {
+	mu        sync.RWMutex
+	entries   map[string]platform.Entry
+	teams     map[string]operator.Team
+	units     map[string]operator.Units
+	cell      operator.Cell
+	withdrawn map[string]bool
+	digest    Digest
+	listeners []func()
+}
+
+// NewRegistry returns a registry that holds the default presets and no team.
+func NewRegistry() *Registry {
+	return &Registry{
+		entries:   map[string]platform.Entry{},
+		teams:     map[string]operator.Team{},
+		units:     map[string]operator.Units{},
+		cell:      operator.DefaultCell(),
+		withdrawn: map[string]bool{},
+	}
+}
+
+// OnChange registers a function that is called after each change; it must be
+// called before the registry is shared.
+func (r *Registry) OnChange(listener func()) {
+	r.listeners = append(r.listeners, listener)
+}
+
+// Apply takes the entries of higher revision than those held and returns how
+// many they were; entries that cannot be decoded are passed over.
+func (r *Registry) Apply(entries ...platform.Entry) int {
+	taken := 0
+	r.mu.Lock()
+	for _, entry := range entries {
+		if r.apply(entry) {
+			taken++
+		}
+	}
+	r.mu.Unlock()
+	if taken > 0 {
+		r.notify()
+	}
+	return taken
+}
+
+func (r *Registry) notify() {
+	for _, listener := range r.listeners {
+		listener()
+	}
+}
+
+func (r *Registry) apply(entry platform.Entry) bool {
+	held, known := r.entries[entry.Key]
+	if known && entry.Revision <= held.Revision {
+		return false
+	}
+	if !r.decode(entry) {
+		return false
+	}
+	r.entries[entry.Key] = entry
+	sum := &r.digest.Config
+	if strings.HasPrefix(entry.Key, operator.UnitsPrefix) {
+		sum = &r.digest.Units
+	}
+	if known {
+		*sum -= hash(held)
+	}
+	*sum += hash(entry)
+	r.digest.Revision = max(r.digest.Revision, entry.Revision)
+	return true
+}
+
+func (r *Registry) decode(entry platform.Entry) bool {
+	switch {
+	case entry.Key == operator.CellKey:
+		document, err := platform.Decode[operator.Cell](entry)
+		if err != nil {
+			return false
+		}
+		r.cell = document.Body
+	case strings.HasPrefix(entry.Key, operator.TeamPrefix):
+		return r.decodeTeam(entry)
+	case strings.HasPrefix(entry.Key, operator.UnitsPrefix):
+		document, err := platform.Decode[operator.Units](entry)
+		if err != nil {
+			return false
+		}
+		r.units[strings.TrimPrefix(entry.Key, operator.UnitsPrefix)] = document.Body
+	default:
+		return false
+	}
+	return true
+}
+
+func (r *Registry) decodeTeam(entry platform.Entry) bool {
+	document, err := platform.Decode[operator.Team](entry)
+	if err != nil {
+		return false
+	}
+	r.teams[strings.TrimPrefix(entry.Key, operator.TeamPrefix)] = document.Body
+	for _, key := range document.Body.Keys {
+		if key.Withdrawn {
+			r.withdrawn[key.ID] = true
+		}
+	}
+	r.digest.Withdrawn = len(r.withdrawn)
+	return true
+}
+
+func hash(entry platform.Entry) uint64 {
+	return xxhash.Sum64(binary.AppendVarint([]byte(entry.Key), entry.Revision))
+}
+
+// Withdraw adds keys to those known to be withdrawn, which only grow, and
+// returns how many were new.
+func (r *Registry) Withdraw(ids ...string) int {
+	r.mu.Lock()
+	before := len(r.withdrawn)
+	for _, id := range ids {
+		r.withdrawn[id] = true
+	}
+	r.digest.Withdrawn = len(r.withdrawn)
+	added := len(r.withdrawn) - before
+	r.mu.Unlock()
+	if added > 0 {
+		r.notify()
+	}
+	return added
+}
+
+// Withdrawn returns the ids of all keys known to be withdrawn.
+func (r *Registry) Withdrawn() []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	ids := make([]string, 0, len(r.withdrawn))
+	for id := range r.withdrawn {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// IsWithdrawn reports whether the key is known to be withdrawn.
+func (r *Registry) IsWithdrawn(id string) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.withdrawn[id]
+}
+
+// Digest returns the summary of what is held.
+func (r *Registry) Digest() Digest {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.digest
+}
+
+// Revisions returns the revision held of each key.
+func (r *Registry) Revisions() map[string]int64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	revisions := make(map[string]int64, len(r.entries))
+	for key, entry := range r.entries {
+		revisions[key] = entry.Revision
+	}
+	return revisions
+}
+
+// Newer returns the entries held at higher revisions than the given ones.
+func (r *Registry) Newer(revisions map[string]int64) []platform.Entry {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var newer []platform.Entry
+	for key, entry := range r.entries {
+		if entry.Revision > revisions[key] {
+			newer = append(newer, entry)
+		}
+	}
+	return newer
+}
+
+// Entries returns all entries held.
+func (r *Registry) Entries() []platform.Entry {
+	return r.Newer(nil)
+}
+
+// Team returns the team of the name.
+func (r *Registry) Team(name string) (operator.Team, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	team, ok := r.teams[name]
+	return team, ok
+}
+
+// Teams returns all teams by name; the map must not be changed.
+func (r *Registry) Teams() map[string]operator.Team {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	teams := make(map[string]operator.Team, len(r.teams))
+	for name, team := range r.teams {
+		teams[name] = team
+	}
+	return teams
+}
+
+// Units returns how the team's cap is divided among the shards.
+func (r *Registry) Units(team string) operator.Units {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.units[team]
+}
+
+// Cell returns the presets.
+func (r *Registry) Cell() operator.Cell {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.cell
+}
+
+// Preset returns the parameters of the preset in force.
+func (r *Registry) Preset() operator.Preset {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.cell.Presets[r.cell.InForce]
+}
--- /dev/null
+++ b/internal/entry/upstream/job.go
@@ -0,0 +1,506 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/citronbay/citronbay/internal/api/caller"
+	"github.com/citronbay/citronbay/internal/api/upstream"
+	"github.com/citronbay/citronbay/internal/decide/task"
+	"github.com/citronbay/citronbay/internal/decide/worker"
+)
+
+// States of one task in a job's record, a byte each.
+const (
+	taskWaiting    = 'w'
+	taskDispatched = 'd'
+	taskCompleted  = 'c'
+	taskFailed     = 'f'
+	taskUnknown    = 'u'
+)
+
+const (
+	// maxTaskAttempts is how often a task may fail, on different upstreams,
+	// before the job is held to be at fault.
+	maxTaskAttempts = 3
+	// keptPlacements is how many placements an explanation names.
+	keptPlacements = 20
+	// serviceBackoff is the wait before a service's task is started again.
+	serviceBackoff = time.Second
+)
+
+// Record is what the platform's store keeps of a job.
+type Record struct {
+	JobID     string      `json:"jobId"`
+	Team      string      `json:"team"`
+	Spec      caller.Job  `json:"spec"`
+	States    string      `json:"states"`
+	Fate      caller.Fate `json:"fate"`
+	Reason    string      `json:"reason,omitempty"`
+	Cancelled bool        `json:"cancelled,omitempty"`
+	Submitted time.Time   `json:"submitted"`
+	// Writer and Version name the write, so that a lost answer is recognised.
+	Writer  string `json:"writer"`
+	Version int64  `json:"version"`
+}
+
+// job is a job with what its owner knows beyond the record. Its fields are
+// guarded by the shard's lock, but for those of saving.
+type job struct {
+	record     Record
+	states     []byte
+	runs       map[int]*run
+	failures   map[int]int
+	failedOn   map[string]bool
+	racks      map[string]int
+	placements []string
+	admitted   bool
+	dirty      bool
+	version    int64
+
+	saving   sync.Mutex
+	saved    int64
+	revision int64
+	durable  bool
+}
+
+// pending is a waiting task of a job, or all of them when they start at once.
+type pending struct {
+	job   *job
+	index int
+	all   bool
+}
+
+func newJob(record Record) *job {
+	return &job{
+		record:   record,
+		states:   []byte(record.States),
+		runs:     map[int]*run{},
+		failures: map[int]int{},
+		failedOn: map[string]bool{},
+		racks:    map[string]int{},
+	}
+}
+
+// touch marks the job as changed since it was last saved.
+func (j *job) touch() {
+	j.version++
+	j.dirty = true
+}
+
+func (j *job) count(state byte) int {
+	n := 0
+	for _, s := range j.states {
+		if s == state {
+			n++
+		}
+	}
+	return n
+}
+
+// status tells how far the job is. The shard's lock is held.
+func (j *job) status() caller.JobStatus {
+	running := len(j.runs)
+	return caller.JobStatus{
+		JobID:     j.record.JobID,
+		Team:      j.record.Team,
+		Kind:      j.record.Spec.Kind,
+		Name:      j.record.Spec.Name,
+		Fate:      j.record.Fate,
+		Reason:    j.record.Reason,
+		Tasks:     len(j.states),
+		Waiting:   max(0, j.count(taskWaiting)+j.count(taskDispatched)-running),
+		Running:   running,
+		Completed: j.count(taskCompleted),
+		Failed:    j.count(taskFailed),
+		Unknown:   j.count(taskUnknown),
+		Durable:   j.durable,
+	}
+}
+
+// SubmitRequest asks the owner to take a job for a team.
+type SubmitRequest struct {
+	Job  caller.Job `json:"job"`
+	Team string     `json:"team"`
+}
+
+// Submit takes a job and returns its status. A job that no upstream could ever
+// hold, or that the preset does not admit, is given the fate notRun at once.
+func (s *Shard) Submit(ctx context.Context, request SubmitRequest) caller.JobStatus {
+	j := newJob(Record{
+		JobID:     s.Name + "." + uuid.NewString(),
+		Team:      request.Team,
+		Spec:      request.Job,
+		States:    strings.Repeat(string(taskWaiting), request.Job.Tasks),
+		Submitted: time.Now(),
+	})
+	if reason := s.admit(j); reason != "" {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		status := j.status()
+		status.Fate = caller.FateNotRun
+		status.Reason = reason
+		return status
+	}
+	// Nothing starts before the job is saved, or is known not to be.
+	err := s.save(ctx, j)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.Log.Warn("job is not durable", "job", j.record.JobID, "error", err)
+	}
+	j.admitted = true
+	s.enqueueJob(j)
+	s.pump()
+	return j.status()
+}
+
+func (s *Shard) admit(j *job) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	preset := s.Registry.Preset()
+	spec := j.record.Spec
+	switch {
+	case s.released:
+		return "the entry hands over its upstreams"
+	case !preset.AdmitJobs:
+		return "the preset in force admits no new jobs"
+	case spec.Urgency == caller.Low && !preset.AdmitLow:
+		return "the preset in force admits no work of low urgency"
+	case s.tasks.Len()+spec.Tasks > preset.MaxQueue:
+		return "the queue is full"
+	}
+	if err := s.feasible(j.record.Team, spec); err != nil {
+		return err.Error()
+	}
+	j.touch()
+	s.jobs[j.record.JobID] = j
+	return ""
+}
+
+// feasible returns why the job could never run, even in an idle shard.
+func (s *Shard) feasible(teamName string, spec caller.Job) error {
+	atOnce := 1
+	if spec.Kind != caller.KindBatch {
+		atOnce = spec.Tasks
+	}
+	if t, ok := s.Registry.Team(teamName); ok && int64(atOnce) > t.Cap {
+		return fmt.Errorf("%d tasks at once are over the team's cap of %d", atOnce, t.Cap)
+	}
+	return s.workers.CheckFeasible(worker.Demand{Size: spec.Size}, atOnce)
+}
+
+// enqueueJob lets the job's waiting tasks wait for room.
+func (s *Shard) enqueueJob(j *job) {
+	if j.record.Fate != caller.FateInProgress {
+		return
+	}
+	if j.record.Spec.Kind == caller.KindAllAtOnce {
+		if len(j.runs) == 0 {
+			s.push(j, 0, true)
+		}
+		return
+	}
+	for index, state := range j.states {
+		if state == taskWaiting && j.runs[index] == nil {
+			s.push(j, index, false)
+		}
+	}
+}
+
+func (s *Shard) push(j *job, index int, all bool) {
+	tasks := 1
+	if all {
+		tasks = len(j.states)
+	}
+	s.tasks.Push(task.Item[*pending]{
+		ID:    j.record.JobID + "/" + strconv.Itoa(index),
+		Team:  j.record.Team,
+		Band:  j.record.Spec.Urgency.Band(),
+		Tasks: tasks,
+		Value: &pending{
+			job:   j,
+			index: index,
+			all:   all,
+		},
+	}, false)
+}
+
+// adoptJobs queues what waits of the jobs that an earlier owner left, once all
+// that it may have left running is known. A dispatched task of which nothing is
+// found anywhere has an unknown fate.
+func (s *Shard) adoptJobs() {
+	if !s.jobsRead || !s.allSettled() {
+		return
+	}
+	for _, j := range s.jobs {
+		if j.admitted || j.revision == 0 {
+			continue
+		}
+		j.admitted = true
+		for index, state := range j.states {
+			if state == taskDispatched && j.runs[index] == nil {
+				s.setState(j, index, taskUnknown, "its owner was lost while it may have run")
+			}
+		}
+		if j.record.Spec.Kind == caller.KindAllAtOnce && len(j.runs) > 0 && len(j.runs) < j.count(taskWaiting) {
+			s.stopAll(j)
+			continue
+		}
+		s.enqueueJob(j)
+	}
+}
+
+// attach joins an adopted run to its job.
+func (s *Shard) attach(r *run) {
+	j, ok := s.jobs[r.job]
+	if !ok {
+		return
+	}
+	r.index = indexOf(r.id)
+	if r.index < len(j.states) {
+		j.runs[r.index] = r
+		j.racks[r.link.vm.Rack]++
+	}
+}
+
+// taskID names one attempt at a task; no two attempts have the same name.
+func taskID(job string, index int) string {
+	return job + "/" + strconv.Itoa(index) + "/" + uuid.NewString()
+}
+
+func indexOf(id string) int {
+	parts := strings.Split(id, "/")
+	if len(parts) != 3 {
+		return 0
+	}
+	index, err := strconv.Atoi(parts[1])
+	if err != nil {
+		return 0
+	}
+	return index
+}
+
+// detach takes the run out of its job and returns the job, if this is the run
+// that the job counts.
+func (s *Shard) detach(jobID, taskID string) (*job, int, bool) {
+	j, ok := s.jobs[jobID]
+	if !ok {
+		return nil, 0, false
+	}
+	index := indexOf(taskID)
+	r := j.runs[index]
+	if r == nil || r.id != taskID {
+		return j, index, false
+	}
+	delete(j.runs, index)
+	j.racks[r.link.vm.Rack]--
+	return j, index, true
+}
+
+// taskEnded follows a task's end into its job.
+func (s *Shard) taskEnded(l *link, end upstream.Ended) {
+	j, index, _ := s.detach(end.Job, end.Task)
+	if j == nil || index >= len(j.states) || isTerminal(j.states[index]) {
+		return
+	}
+	switch {
+	case end.Failed == "" && j.record.Spec.Kind != caller.KindService:
+		s.setState(j, index, taskCompleted, "")
+	case end.Failed == upstream.ReasonStopped || j.record.Cancelled:
+		s.taskStopped(j, index, end.Failed)
+	default:
+		s.taskFailed(j, index, l.vm.Name, end.Failed)
+	}
+}
+
+func isTerminal(state byte) bool {
+	return state == taskCompleted || state == taskFailed || state == taskUnknown
+}
+
+// taskFailed tries a failed task again elsewhere, or fails it.
+func (s *Shard) taskFailed(j *job, index int, machine, reason string) {
+	j.failures[index]++
+	j.failedOn[machine] = true
+	spec := j.record.Spec
+	switch {
+	case spec.Kind == caller.KindService:
+		s.restartLater(j, index)
+	case spec.AtMostOnce || spec.Kind == caller.KindAllAtOnce || j.failures[index] >= maxTaskAttempts:
+		s.setState(j, index, taskFailed, reason)
+		if spec.Kind == caller.KindAllAtOnce {
+			s.stopAll(j)
+		}
+	default:
+		s.push(j, index, false)
+	}
+}
+
+func (s *Shard) restartLater(j *job, index int) {
+	wait := serviceBackoff << min(5, j.failures[index]-1)
+	time.AfterFunc(wait, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if j.record.Fate == caller.FateInProgress && j.runs[index] == nil {
+			s.push(j, index, false)
+			s.pump()
+		}
+	})
+}
+
+// taskStopped follows the end of a task that this system stopped.
+func (s *Shard) taskStopped(j *job, index int, reason string) {
+	spec := j.record.Spec
+	switch {
+	case j.record.Cancelled || spec.AtMostOnce:
+		s.setState(j, index, taskFailed, reason)
+	case spec.Kind == caller.KindAllAtOnce:
+		if j.count(taskFailed) > 0 {
+			s.setState(j, index, taskFailed, reason)
+		} else if len(j.runs) == 0 {
+			s.push(j, 0, true)
+		}
+	default:
+		s.push(j, index, false)
+	}
+}
+
+// taskLost follows a run that has certainly stopped without a known result.
+func (s *Shard) taskLost(r *run, reason string) {
+	j, index, current := s.detach(r.job, r.id)
+	if !current || isTerminal(j.states[index]) {
+		return
+	}
+	if j.states[index] == taskDispatched || j.record.Spec.AtMostOnce {
+		s.setState(j, index, taskUnknown, reason)
+		return
+	}
+	if j.record.Spec.Kind == caller.KindAllAtOnce && len(j.runs) > 0 {
+		s.stopAll(j)
+		return
+	}
+	s.taskStopped(j, index, reason)
+}
+
+// setState records a task's state and, with the last one, the job's fate.
+func (s *Shard) setState(j *job, index int, state byte, reason string) {
+	j.states[index] = state
+	if reason != "" {
+		j.record.Reason = reason
+	}
+	j.touch()
+	for _, other := range j.states {
+		if !isTerminal(other) {
+			return
+		}
+	}
+	j.record.Fate = fateOf(j)
+	s.Log.Info("job ended", "job", j.record.JobID, "team", j.record.Team, "fate", string(j.record.Fate), "reason", j.record.Reason)
+	signal(s.flushNow)
+}
+
+func fateOf(j *job) caller.Fate {
+	switch {
+	case j.record.Fate != caller.FateInProgress:
+		return j.record.Fate
+	case j.count(taskUnknown) > 0:
+		return caller.FateUnknown
+	case j.count(taskFailed) > 0:
+		return caller.FateFailed
+	default:
+		return caller.FateCompleted
+	}
+}
+
+// Cancel stops the job and returns its status; ok is false for an unknown job
+// or another team's.
+func (s *Shard) Cancel(team, id string) (status caller.JobStatus, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j, ok := s.jobs[id]
+	if !ok || j.record.Team != team {
+		return status, false
+	}
+	if j.record.Fate != caller.FateInProgress || j.record.Cancelled {
+		return j.status(), true
+	}
+	j.record.Cancelled = true
+	ran := len(j.runs) > 0
+	for index, state := range j.states {
+		s.tasks.Remove(j.record.JobID + "/" + strconv.Itoa(index))
+		ran = ran || state != taskWaiting
+	}
+	if !ran {
+		j.record.Fate = caller.FateNotRun
+	}
+	s.stopAll(j)
+	for index, state := range j.states {
+		if !isTerminal(state) && j.runs[index] == nil {
+			s.setState(j, index, taskFailed, "cancelled")
+		}
+	}
+	return j.status(), true
+}
+
+// JobStatus returns the job's status; ok is false for an unknown job or another
+// team's.
+func (s *Shard) JobStatus(team, id string) (status caller.JobStatus, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j, ok := s.jobs[id]
+	if !ok || j.record.Team != team {
+		return status, false
+	}
+	return j.status(), true
+}
+
+// Explain says why the job waits, or where its tasks were placed.
+func (s *Shard) Explain(id string) (explanation caller.Explanation, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j, ok := s.jobs[id]
+	if !ok {
+		return explanation, false
+	}
+	return caller.Explanation{
+		JobID:      id,
+		Waits:      s.whyWaits(j),
+		Placements: append([]string(nil), j.placements...),
+	}, true
+}
+
+func (s *Shard) whyWaits(j *job) string {
+	status := j.status()
+	name := j.record.Team
+	need := int64(1)
+	if j.record.Spec.Kind == caller.KindAllAtOnce {
+		need = int64(len(j.states))
+	}
+	switch {
+	case status.Fate != caller.FateInProgress:
+		return "it has ended: " + string(status.Fate)
+	case status.Waiting == 0:
+		return ""
+	case !j.admitted:
+		return "an earlier owner may have left tasks at upstreams that have not answered yet"
+	case s.ledger.Room(name) < need:
+		return fmt.Sprintf("team %s runs %d of the %d tasks that its cap allows in this shard", name, s.ledger.Running(name), s.ledger.Limit(name))
+	case s.reserve.blocks(j, time.Now()):
+		return "room is reserved for job " + s.reserve.job + ", whose tasks must start at once"
+	default:
+		return fmt.Sprintf("no worker has room for %d more of its tasks", need)
+	}
+}
+
+func signal(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/entry/upstream/save.go
@@ -0,0 +1,272 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/citronbay/citronbay/internal/api/caller"
+	"github.com/citronbay/citronbay/internal/api/platform"
+)
+
+const (
+	// jobsPrefix holds one record a job, below the name of its shard.
+	jobsPrefix = "jobs/"
+	// jobKept is how long the store keeps the record of an ended job.
+	jobKept = time.Hour
+	// flushEvery is the interval at which changed jobs are saved.
+	flushEvery = 500 * time.Millisecond
+	// flushParallel is how many jobs are saved at the same time.
+	flushParallel = 8
+	// commitTimeout bounds the save before a start that must not be repeated.
+	commitTimeout = 2 * time.Second
+)
+
+func (s *Shard) key(id string) string {
+	return jobsPrefix + s.Name + "/" + id
+}
+
+// readJobs reads the jobs that an earlier owner left in the store.
+func (s *Shard) readJobs(ctx context.Context) {
+	for ctx.Err() == nil {
+		listing, err := s.Store.List(ctx, jobsPrefix+s.Name+"/")
+		if err != nil {
+			s.Log.Warn("jobs cannot be read", "shard", s.Name, "error", err)
+			sleep(ctx, flushEvery)
+			continue
+		}
+		s.mu.Lock()
+		for _, entry := range listing.Entries {
+			s.restore(entry)
+		}
+		s.jobsRead = true
+		s.adoptJobs()
+		s.pump()
+		s.mu.Unlock()
+		return
+	}
+}
+
+// restore takes a job's record from the store and joins its adopted runs.
+func (s *Shard) restore(entry platform.Entry) {
+	var record Record
+	if err := json.Unmarshal(entry.Value, &record); err != nil {
+		s.Log.Warn("job record cannot be read", "key", entry.Key, "error", err)
+		return
+	}
+	if s.jobs[record.JobID] != nil {
+		return
+	}
+	j := newJob(record)
+	j.revision = entry.Revision
+	j.durable = true
+	j.admitted = record.Fate != caller.FateInProgress
+	s.jobs[record.JobID] = j
+	for _, l := range s.links {
+		for _, r := range l.runs {
+			if r.job == record.JobID {
+				s.attach(r)
+			}
+		}
+	}
+}
+
+func (s *Shard) flushLoop(ctx context.Context) {
+	ticker := time.NewTicker(flushEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.flushNow:
+		}
+		s.flush(ctx)
+	}
+}
+
+// flush saves the jobs that have changed, and then lets the upstreams forget
+// the ends that are saved with them.
+func (s *Shard) flush(ctx context.Context) {
+	s.mu.Lock()
+	seen := make(map[*link]int64, len(s.links))
+	for _, l := range s.links {
+		seen[l] = l.seen
+	}
+	var dirty []*job
+	for _, j := range s.jobs {
+		if j.dirty {
+			dirty = append(dirty, j)
+		}
+	}
+	s.mu.Unlock()
+	if !s.saveAll(ctx, dirty) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for l, sequence := range seen {
+		l.acked = max(l.acked, min(sequence, l.seen))
+	}
+}
+
+func (s *Shard) saveAll(ctx context.Context, jobs []*job) bool {
+	var saves sync.WaitGroup
+	var mu sync.Mutex
+	all := true
+	tokens := make(chan struct{}, flushParallel)
+	for _, j := range jobs {
+		tokens <- struct{}{}
+		saves.Go(func() {
+			defer func() { <-tokens }()
+			if err := s.save(ctx, j); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				all = false
+			}
+		})
+	}
+	saves.Wait()
+	return all
+}
+
+// commit saves that the task is about to be dispatched; it reports whether
+// this owner alone may dispatch it.
+func (s *Shard) commit(j *job, r *run) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	err := s.save(ctx, j)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A job that was never saved is known to this owner only.
+	known := err == nil || !j.durable
+	return known && j.states[r.index] == taskDispatched && j.runs[r.index] == r
+}
+
+// save writes the job's record as it is now. Callers that wait for one another
+// share one write.
+func (s *Shard) save(ctx context.Context, j *job) error {
+	s.mu.Lock()
+	needed := j.version
+	s.mu.Unlock()
+	j.saving.Lock()
+	defer j.saving.Unlock()
+	if j.saved >= needed && j.durable {
+		return nil
+	}
+	for range 3 {
+		record := s.snapshot(j)
+		err := s.write(ctx, j, record)
+		if err == nil {
+			s.markSaved(j, record.Version)
+			return nil
+		}
+		if !errors.Is(err, platform.ErrConflict) {
+			return s.readBack(ctx, j, record, err)
+		}
+		if err := s.merge(ctx, j, record); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("save job %s: %w", j.record.JobID, platform.ErrConflict)
+}
+
+func (s *Shard) snapshot(j *job) Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record := j.record
+	record.States = string(j.states)
+	record.Writer = s.holder
+	record.Version = j.version
+	return record
+}
+
+func (s *Shard) markSaved(j *job, version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j.saved = version
+	j.durable = true
+	if j.version == version {
+		j.dirty = false
+	}
+}
+
+func (s *Shard) write(ctx context.Context, j *job, record Record) error {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return err
+	}
+	request := platform.WriteRequest{
+		Key:        s.key(record.JobID),
+		Value:      value,
+		IfRevision: j.revision,
+	}
+	if record.Fate != caller.FateInProgress {
+		request.TTLMillis = jobKept.Milliseconds()
+	}
+	revision, err := s.Store.Write(ctx, request)
+	if err == nil {
+		j.revision = revision
+	}
+	return err
+}
+
+// readBack finds out whether a write whose answer was lost took effect.
+func (s *Shard) readBack(ctx context.Context, j *job, record Record, cause error) error {
+	entry, stored, err := s.read(ctx, record.JobID)
+	if err != nil {
+		return errors.Join(cause, err)
+	}
+	if stored.Writer != record.Writer || stored.Version != record.Version {
+		return cause
+	}
+	j.revision = entry.Revision
+	s.markSaved(j, record.Version)
+	return nil
+}
+
+func (s *Shard) read(ctx context.Context, id string) (platform.Entry, Record, error) {
+	var stored Record
+	entry, err := s.Store.Get(ctx, s.key(id))
+	if err != nil {
+		return entry, stored, err
+	}
+	return entry, stored, json.Unmarshal(entry.Value, &stored)
+}
+
+// merge takes from the stored record what another owner has written: ends, and
+// dispatches that this owner must not repeat.
+func (s *Shard) merge(ctx context.Context, j *job, record Record) error {
+	entry, stored, err := s.read(ctx, record.JobID)
+	if errors.Is(err, platform.ErrNotFound) {
+		j.revision = 0
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	j.revision = entry.Revision
+	if stored.Writer == record.Writer {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for index := range j.states {
+		theirs := stored.States[index]
+		ours := j.states[index]
+		if isTerminal(ours) {
+			continue
+		}
+		if isTerminal(theirs) {
+			j.states[index] = theirs
+		} else if theirs == taskDispatched && j.runs[index] != nil && !j.runs[index].adopted {
+			s.setState(j, index, taskUnknown, "another owner dispatched it too")
+		}
+	}
+	j.record.Cancelled = j.record.Cancelled || stored.Cancelled
+	j.touch()
+	return nil
+}
