--- /dev/null
+++ b/internal/proof/process/cell_test.go
@@ -0,0 +1,469 @@
+package process
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/api/caller"
+	"github.com/citronbay/citronbay/internal/api/operator"
+	apiplatform "github.com/citronbay/citronbay/internal/api/platform"
+	apiupstream "github.com/citronbay/citronbay/internal/api/upstream"
+	"github.com/citronbay/citronbay/internal/command/standin"
+	"github.com/citronbay/citronbay/internal/standin/platform"
+	"github.com/citronbay/citronbay/internal/standin/proxy"
+	"github.com/citronbay/citronbay/internal/standin/upstream"
+)
+
+const (
+	operatorKey = "operator-key-of-the-tests"
+	service     = "lookup"
+	// patience bounds the wait for a condition that has no stated target.
+	patience = 30 * time.Second
+)
+
+// binary is the built program, made once by TestMain.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "citronbay")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "citronbay")
+	build := exec.Command("go", "build", "-o", binary, "github.com/citronbay/citronbay/cmd/citronbay")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, string(output))
+		return 1
+	}
+	return m.Run()
+}
+
+// layout is the size of a cell under test.
+type layout struct {
+	domains   []string
+	regions   map[string]string
+	entries   int
+	workers   int
+	runners   int
+	isolated  string
+	taskLease time.Duration
+}
+
+func oneDomain() layout {
+	return layout{
+		domains: []string{"izmir-a"},
+		entries: 2,
+		workers: 2,
+		runners: 2,
+	}
+}
+
+func threeDomains() layout {
+	return layout{
+		domains: []string{"izmir-a", "manisa-b", "ankara-a"},
+		regions: map[string]string{"ankara-a": "ic-anadolu"},
+		entries: 2,
+		workers: 2,
+		runners: 1,
+	}
+}
+
+// cell is a running cell of real entries.
+type cell struct {
+	t         *testing.T
+	layout    layout
+	dir       string
+	platform  *platform.Server
+	address   string
+	upstreams map[string]*machine
+	entries   map[string]*process
+	order     []string
+	// paths holds the UDP proxies by name of the calling and the called entry.
+	paths map[[2]string]*proxy.UDP
+}
+
+// machine is one simulated upstream behind a proxy.
+type machine struct {
+	vm    apiplatform.VM
+	state *upstream.Upstream
+	proxy *proxy.TCP
+}
+
+// process is one entry.
+type process struct {
+	name    string
+	domain  string
+	region  string
+	http    string
+	udp     string
+	store   *proxy.TCP
+	command *exec.Cmd
+	done    chan struct{}
+	logs    string
+	number  int
+}
+
+func freeAddress(t *testing.T, network string) string {
+	t.Helper()
+	if network == "udp" {
+		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer func() { _ = socket.Close() }()
+		return socket.LocalAddr().String()
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// startCell starts everything and waits until all entries take work.
+func startCell(t *testing.T, l layout) *cell {
+	t.Helper()
+	c := &cell{
+		t:         t,
+		layout:    l,
+		dir:       t.TempDir(),
+		platform:  platform.NewServer(),
+		upstreams: map[string]*machine{},
+		entries:   map[string]*process{},
+		paths:     map[[2]string]*proxy.UDP{},
+	}
+	address, closePlatform, err := standin.Serve("127.0.0.1:0", c.platform.Handler())
+	assert.NilError(t, err)
+	t.Cleanup(closePlatform)
+	c.address = address
+	for _, domain := range l.domains {
+		for i := range l.workers {
+			c.addUpstream(fmt.Sprintf("%s-worker-%d", domain, i), apiplatform.RoleWorker, domain)
+		}
+		for i := range l.runners {
+			c.addUpstream(fmt.Sprintf("%s-runner-%d", domain, i), apiplatform.RoleRunner, domain)
+		}
+		for i := range l.entries {
+			c.planEntry(fmt.Sprintf("%s-entry-%d", domain, i), domain)
+		}
+	}
+	c.connectEntries()
+	for _, name := range c.order {
+		c.start(name)
+	}
+	c.awaitOwners()
+	return c
+}
+
+func (c *cell) region(domain string) string {
+	if region, ok := c.layout.regions[domain]; ok {
+		return region
+	}
+	return "ege"
+}
+
+func (c *cell) addUpstream(name, role, domain string) *machine {
+	state := upstream.New(standin.CapacityOf(role, apiupstream.Resources{
+		MilliProcessors: 4000,
+		MemoryBytes:     8 << 30,
+		Accelerators:    1,
+		Slots:           8,
+	}))
+	address, closeServer, err := standin.Serve("127.0.0.1:0", state.Handler())
+	assert.NilError(c.t, err)
+	c.t.Cleanup(closeServer)
+	path, closePath, err := proxy.NewTCP(address)
+	assert.NilError(c.t, err)
+	c.t.Cleanup(closePath)
+	vm := apiplatform.VM{
+		Name:    name,
+		Role:    role,
+		Address: path.Address(),
+		Domain:  domain,
+		Region:  c.region(domain),
+		Rack:    domain + "-rack",
+		State:   apiplatform.StateLive,
+	}
+	if role == apiplatform.RoleRunner {
+		vm.Service = service
+	}
+	m := &machine{
+		vm:    vm,
+		state: state,
+		proxy: path,
+	}
+	c.upstreams[name] = m
+	c.platform.SetVM(vm)
+	return m
+}
+
+func (c *cell) planEntry(name, domain string) {
+	store, closeStore, err := proxy.NewTCP(c.address)
+	assert.NilError(c.t, err)
+	c.t.Cleanup(closeStore)
+	c.entries[name] = &process{
+		name:   name,
+		domain: domain,
+		region: c.region(domain),
+		http:   freeAddress(c.t, "tcp"),
+		udp:    freeAddress(c.t, "udp"),
+		store:  store,
+	}
+	c.order = append(c.order, name)
+}
+
+// connectEntries puts a proxy of its own on the path of each pair.
+func (c *cell) connectEntries() {
+	for _, from := range c.order {
+		for _, to := range c.order {
+			if from == to {
+				continue
+			}
+			path, closePath, err := proxy.NewUDP(c.entries[to].udp)
+			assert.NilError(c.t, err)
+			c.t.Cleanup(closePath)
+			c.paths[[2]string{from, to}] = path
+		}
+	}
+}
+
+func (c *cell) settings(p *process) []byte {
+	sum := sha256.Sum256([]byte(operatorKey))
+	var peers []map[string]string
+	for _, other := range c.order {
+		if other == p.name {
+			continue
+		}
+		peers = append(peers, map[string]string{
+			"name":    other,
+			"address": c.paths[[2]string{p.name, other}].Address(),
+			"domain":  c.entries[other].domain,
+			"region":  c.entries[other].region,
+		})
+	}
+	fields := map[string]any{
+		"name":            p.name,
+		"domain":          p.domain,
+		"region":          p.region,
+		"callerAddress":   p.http,
+		"peerAddress":     p.udp,
+		"platformAddress": p.store.Address(),
+		"peerSecret":      "a secret that the tests share",
+		"operators": []map[string]string{{
+			"name":    "ayse",
+			"keyHash": hex.EncodeToString(sum[:]),
+		}},
+		"peers":   peers,
+		"timings": map[string]string{"taskLease": c.taskLease().String()},
+	}
+	if c.layout.isolated != "" {
+		fields["isolatedKeys"] = c.layout.isolated
+	}
+	encoded, err := yaml.Marshal(fields)
+	assert.NilError(c.t, err)
+	return encoded
+}
+
+func (c *cell) taskLease() time.Duration {
+	if c.layout.taskLease != 0 {
+		return c.layout.taskLease
+	}
+	return 5 * time.Second
+}
+
+// start starts the entry's process, anew after it has ended.
+func (c *cell) start(name string) {
+	c.t.Helper()
+	p := c.entries[name]
+	file := filepath.Join(c.dir, name+".yaml")
+	assert.NilError(c.t, os.WriteFile(file, c.settings(p), 0o600))
+	p.number++
+	p.logs = filepath.Join(c.dir, fmt.Sprintf("%s-%d.log", name, p.number))
+	logs, err := os.Create(p.logs)
+	assert.NilError(c.t, err)
+	p.command = exec.Command(binary, "entry", "--settings", file)
+	p.command.Stderr = logs
+	assert.NilError(c.t, p.command.Start())
+	done := make(chan struct{})
+	p.done = done
+	command := p.command
+	go func() {
+		_ = command.Wait()
+		_ = logs.Close()
+		close(done)
+	}()
+	c.t.Cleanup(func() {
+		_ = command.Process.Signal(syscall.SIGCONT)
+		_ = command.Process.Kill()
+		<-done
+		if c.t.Failed() {
+			c.printLog(p.logs)
+		}
+	})
+}
+
+func (c *cell) printLog(file string) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return
+	}
+	lines := strings.Split(string(content), "\n")
+	c.t.Logf("%s:\n%s", filepath.Base(file), strings.Join(lines[max(0, len(lines)-40):], "\n"))
+}
+
+func (c *cell) signal(name string, s syscall.Signal) {
+	c.t.Helper()
+	assert.NilError(c.t, c.entries[name].command.Process.Signal(s))
+}
+
+// kill ends the entry's process without warning.
+func (c *cell) kill(name string) {
+	c.t.Helper()
+	c.signal(name, syscall.SIGKILL)
+	<-c.entries[name].done
+}
+
+// status returns the cell as the entry sees it.
+func (c *cell) status(name string) (operator.CellStatus, error) {
+	var status operator.CellStatus
+	err := c.operate(name, http.MethodGet, "/v1/operator/cell", nil, &status)
+	return status, err
+}
+
+func (c *cell) operate(name, method, path string, in, out any) error {
+	client, closeClient := caller.NewClient(c.entries[name].http, operatorKey)
+	defer closeClient()
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	return client.Do(ctx, method, path, in, out)
+}
+
+// eventually waits for a condition, at most for the given time.
+func eventually(t *testing.T, limit time.Duration, what string, condition func() error) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for {
+		err := condition()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not within %s: %v", what, limit, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// awaitOwners waits until each domain has an owner that leases all upstreams.
+func (c *cell) awaitOwners() {
+	c.t.Helper()
+	eventually(c.t, patience, "owners", func() error {
+		status, err := c.status(c.order[0])
+		if err != nil {
+			return err
+		}
+		return c.checkOwners(status)
+	})
+}
+
+func (c *cell) checkOwners(status operator.CellStatus) error {
+	leased := 0
+	for _, s := range status.Shards {
+		for _, u := range s.Upstreams {
+			if u.Leased {
+				leased++
+			}
+		}
+	}
+	if leased != len(c.upstreams) {
+		return fmt.Errorf("%d of %d upstreams are leased", leased, len(c.upstreams))
+	}
+	return nil
+}
+
+// owner returns the entry that owns the domain's shard.
+func (c *cell) owner(domain string) string {
+	c.t.Helper()
+	var owner string
+	eventually(c.t, patience, "owner of "+domain, func() error {
+		for _, name := range c.order {
+			status, err := c.status(name)
+			if err != nil {
+				continue
+			}
+			for _, s := range status.Shards {
+				if s.Shard == domain {
+					owner = s.Owner
+					return nil
+				}
+			}
+		}
+		return fmt.Errorf("none")
+	})
+	return owner
+}
+
+// other returns an entry of the domain besides the named one.
+func (c *cell) other(domain, not string) string {
+	for _, name := range c.order {
+		if name != not && c.entries[name].domain == domain {
+			return name
+		}
+	}
+	c.t.Fatalf("domain %s has no entry besides %s", domain, not)
+	return ""
+}
+
+// team creates a team and returns a key of it that all entries know.
+func (c *cell) team(name string, teamCap int64) (key, keyID string) {
+	c.t.Helper()
+	share := int64(1)
+	var response operator.ChangeResponse
+	assert.NilError(c.t, c.operate(c.order[0], http.MethodPost, "/v1/operator/teams", operator.TeamRequest{
+		Name:  name,
+		Share: &share,
+		Cap:   &teamCap,
+	}, &response))
+	assert.NilError(c.t, c.operate(c.order[0], http.MethodPost, "/v1/operator/teams/"+name+"/keys", nil, &response))
+	assert.Equal(c.t, len(response.Unreached), 0)
+	return response.Secret, response.KeyID
+}
+
+// client returns a caller's client of the entry.
+func (c *cell) client(name, key string) *caller.Client {
+	client, closeClient := caller.NewClient(c.entries[name].http, key)
+	c.t.Cleanup(closeClient)
+	return client
+}
+
+// cutDomain cuts the domain's entries off from all others and, if asked, from
+// the platform.
+func (c *cell) cutDomain(domain string, cut, platformToo bool) {
+	for path, p := range c.paths {
+		if (c.entries[path[0]].domain == domain) != (c.entries[path[1]].domain == domain) {
+			p.SetSilent(cut)
+		}
+	}
+	for _, e := range c.entries {
+		if e.domain == domain && platformToo {
+			e.store.SetCut(cut)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proof/process/path_test.go
@@ -0,0 +1,146 @@
+package process
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/api/caller"
+	apiupstream "github.com/citronbay/citronbay/internal/api/upstream"
+)
+
+var small = apiupstream.Resources{
+	MilliProcessors: 500,
+	MemoryBytes:     64 << 20,
+}
+
+// awaitJob waits until the job has ended.
+func awaitJob(t *testing.T, client *caller.Client, id string, limit time.Duration) caller.JobStatus {
+	t.Helper()
+	var status caller.JobStatus
+	eventually(t, limit, "job "+id, func() error {
+		var err error
+		status, err = client.Job(context.Background(), id)
+		if err != nil {
+			return err
+		}
+		if status.Fate == caller.FateInProgress {
+			return context.DeadlineExceeded
+		}
+		return nil
+	})
+	return status
+}
+
+func TestWholePathThroughEveryEntry(t *testing.T) {
+	c := startCell(t, layout{
+		domains: []string{"izmir-a", "manisa-b"},
+		entries: 2,
+		workers: 1,
+		runners: 1,
+	})
+	key, _ := c.team("kiln", 100)
+	for _, name := range c.order {
+		answer, err := c.client(name, key).Request(context.Background(), caller.Request{
+			Service: service,
+			Command: "shade",
+			Payload: name,
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Fate, caller.FateCompleted, answer.Reason)
+		assert.Equal(t, string(answer.Answer), "shade:"+name)
+	}
+	for kind, tasks := range map[caller.Kind]int{
+		caller.KindBatch:     6,
+		caller.KindAllAtOnce: 3,
+	} {
+		client := c.client(c.order[3], key)
+		status, err := client.Submit(context.Background(), caller.Job{
+			Kind:      kind,
+			Tasks:     tasks,
+			Size:      small,
+			RunMillis: 20,
+		})
+		assert.NilError(t, err)
+		assert.Assert(t, status.Durable, status.Reason)
+		ended := awaitJob(t, client, status.JobID, patience)
+		assert.Equal(t, ended.Fate, caller.FateCompleted, ended.Reason)
+		assert.Equal(t, ended.Completed, tasks)
+	}
+}
+
+func TestCommandLineDrivesTheCell(t *testing.T) {
+	c := startCell(t, oneDomain())
+	c.team("tally", 10)
+	run := func(arguments ...string) (string, int) {
+		arguments = append(arguments, "--address", c.entries[c.order[0]].http, "--key", operatorKey)
+		command := exec.Command(binary, arguments...)
+		var out bytes.Buffer
+		command.Stdout = &out
+		command.Stderr = &out
+		_ = command.Run()
+		return out.String(), command.ProcessState.ExitCode()
+	}
+	for name, test := range map[string]struct {
+		arguments []string
+		code      int
+		contains  string
+	}{
+		"team created":        {[]string{"team", "create", "route", "--share", "2", "--cap", "5"}, 0, "DURABLE"},
+		"cap set":             {[]string{"cap", "set", "tally", "12"}, 0, "IN FORCE"},
+		"key granted":         {[]string{"key", "grant", "tally"}, 0, "shown once"},
+		"preset used":         {[]string{"preset", "use", "ordinary"}, 0, "REVISION"},
+		"preset unknown":      {[]string{"preset", "use", "holiday"}, 1, "does not exist"},
+		"cell shown":          {[]string{"cell", "status"}, 0, "izmir-a-worker-0"},
+		"audit shown":         {[]string{"audit", "--output", "json"}, 0, "ayse"},
+		"drain":               {[]string{"drain", "izmir-a-worker-1"}, 0, "IN FORCE"},
+		"job without team":    {[]string{"job", "submit"}, 3, "key"},
+		"flag unknown":        {[]string{"team", "list", "--bogus"}, 2, "bogus"},
+		"team does not exist": {[]string{"team", "show", "nobody"}, 1, "does not exist"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			out, code := run(test.arguments...)
+			assert.Equal(t, code, test.code, out)
+			assert.Assert(t, strings.Contains(out, test.contains), out)
+		})
+	}
+}
+
+func TestBadInputIsRefusedWithItsField(t *testing.T) {
+	c := startCell(t, oneDomain())
+	key, _ := c.team("tally", 10)
+	for name, test := range map[string]struct {
+		path   string
+		body   string
+		status int
+		field  string
+	}{
+		"kind":          {"/v1/jobs", `{"kind":"x","tasks":1,"size":{"milliProcessors":1}}`, 400, "kind"},
+		"tasks":         {"/v1/jobs", `{"kind":"batch","tasks":0,"size":{"milliProcessors":1}}`, 400, "tasks"},
+		"unknown field": {"/v1/requests", `{"service":"lookup","bogus":1}`, 400, "bogus"},
+		"wrong type":    {"/v1/requests", `{"service":7}`, 400, "service"},
+		"urgency":       {"/v1/requests", `{"service":"lookup","urgency":"soon"}`, 400, "urgency"},
+		"too large":     {"/v1/requests", `{"service":"` + strings.Repeat("x", 2<<20) + `"}`, 413, "body"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			request, err := http.NewRequest(http.MethodPost, "http://"+c.entries[c.order[0]].http+test.path, strings.NewReader(test.body))
+			assert.NilError(t, err)
+			request.Header.Set("Authorization", "Bearer "+key)
+			response, err := http.DefaultClient.Do(request)
+			assert.NilError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			var out bytes.Buffer
+			_, err = out.ReadFrom(response.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, test.status, out.String())
+			assert.Assert(t, strings.Contains(out.String(), `"field":"`+test.field+`"`), out.String())
+			assert.Assert(t, strings.Contains(out.String(), `"fate":"notRun"`), out.String())
+		})
+	}
+}
