Tell a lost at-most-once request from one that never began

Ruled out: a run that was lost (the upstreams had seen neither task).

Change: an intent names the upstream's boot and the lease's epoch. A new owner that holds a later epoch at the same boot, and is told that the task is not known there, has the proof that it never runs, and dispatches it in the intent's place by compare-and-swap.

--- a/internal/entry/upstream/request.go
+++ b/internal/entry/upstream/request.go
@@ -29,6 +29,9 @@
 	namedKept = time.Minute
 	// unnamedKept is how long any other answer is kept for retries by entries.
 	unnamedKept = 10 * time.Second
+	// remembered is how long an upstream surely knows the tasks that it ran; the
+	// clocks of entries must agree far better than that.
+	remembered = 5 * time.Minute
 	// askPause is the wait between two calls for an answer.
 	askPause = 50 * time.Millisecond
 )
@@ -228,31 +231,51 @@
 	if !request.Request.AtMostOnce || !request.Named {
 		return s.dispatch(ctx, r, request.Request, answer)
 	}
-	beginCtx, cancel := context.WithTimeout(ctx, s.timings.StoreTimeout)
-	defer cancel()
-	handle, earlier, err := s.journal.Begin(beginCtx, request.Team, request.Request.RequestID, platform.Intent{
+	handle, earlier, err := s.begin(ctx, r, request, answer)
+	if err != nil {
+		s.abandon(r)
+		s.Log.Warn("journal failed", "step", "begin", "error", err)
+		return refused(answer, "the journal cannot be written, so that running at most once cannot be ensured"), false
+	}
+	if handle == nil {
+		s.abandon(r)
+		return earlier, false
+	}
+	// Nothing is dispatched a second time under this intent: a retry that reads
+	// it must be able to rely on its upstream and task.
+	done, _ = s.dispatch(ctx, r, request.Request, answer)
+	go s.recordFate(context.WithoutCancel(ctx), handle, done)
+	return done, false
+}
+
+// begin records the intent to dispatch a request that must run at most once.
+// Without a handle, an earlier attempt was dispatched, and the answer tells what
+// is known of it.
+func (s *Shard) begin(ctx context.Context, r *run, request ServeRequest, answer caller.Answer) (*platform.Handle, caller.Answer, error) {
+	s.mu.Lock()
+	intent := platform.Intent{
 		Task:     r.id,
 		Upstream: r.link.vm.Name,
+		Boot:     r.link.boot,
+		Epoch:    r.link.epoch,
 		Entry:    s.Entry,
-	})
-	if err != nil || earlier != nil {
-		s.abandon(r)
 	}
-	if err != nil {
-		s.Log.Warn("journal failed", "step", "begin", "error", err)
-		return refused(answer, "the journal cannot be written, so that running at most once cannot be ensured"), false
+	s.mu.Unlock()
+	beginCtx, cancel := context.WithTimeout(ctx, s.timings.StoreTimeout)
+	defer cancel()
+	handle, earlier, err := s.journal.Begin(beginCtx, request.Team, request.Request.RequestID, intent)
+	if err != nil || earlier == nil {
+		return handle, answer, err
 	}
-	if earlier != nil {
-		return s.earlierFate(ctx, *earlier, answer), false
+	found := s.earlierFate(ctx, earlier, answer)
+	if found.Fate != caller.FateNotRun {
+		return nil, found, nil
 	}
-	done, again = s.dispatch(ctx, r, request.Request, answer)
-	if again && done.Fate == caller.FateNotRun {
-		// Under this intent nothing may be dispatched a second time: a retry
-		// that read it must be able to rely on its upstream and task.
-		again = false
+	handle, later, err := s.journal.Replace(beginCtx, request.Team, request.Request.RequestID, intent, earlier)
+	if err != nil || later == nil {
+		return handle, answer, err
 	}
-	go s.recordFate(context.WithoutCancel(ctx), handle, done)
-	return done, again
+	return nil, s.earlierFate(ctx, later, answer), nil
 }
 
 func (s *Shard) recordFate(ctx context.Context, handle *platform.Handle, answer caller.Answer) {
@@ -264,8 +287,8 @@
 }
 
 // earlierFate answers a retry from the intent of the first attempt: its fate if
-// it is recorded, or its result if the upstream still has it.
-func (s *Shard) earlierFate(ctx context.Context, earlier platform.Intent, answer caller.Answer) caller.Answer {
+// it is recorded, or what the upstream tells of its task.
+func (s *Shard) earlierFate(ctx context.Context, earlier *platform.Earlier, answer caller.Answer) caller.Answer {
 	if earlier.Answer.Fate != caller.FateInProgress {
 		return earlier.Answer
 	}
@@ -274,6 +297,7 @@
 	answer.Reason = "an earlier attempt was dispatched and its end is not known"
 	s.mu.Lock()
 	l, ok := s.links[earlier.Upstream]
+	superseded := ok && l.holds(time.Now()) && l.boot == earlier.Boot && l.epoch > earlier.Epoch
 	s.mu.Unlock()
 	if !ok {
 		return answer
@@ -284,9 +308,14 @@
 	if err != nil {
 		return answer
 	}
-	if done, ended := ended(response, answer); ended {
+	if done, ok := ended(response, answer); ok {
 		return done
 	}
+	if response.State == upstream.StateUnknown && superseded && time.Since(earlier.Begun) < remembered {
+		// The upstream has not seen the task and refuses it from now on, since
+		// its start carries an epoch that is over.
+		return refused(answer, "an earlier attempt never reached its upstream")
+	}
 	return answer
 }
 
--- /dev/null
+++ b/internal/proof/process/load_test.go
@@ -0,0 +1,87 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronbay/citronbay/internal/api/caller"
+)
+
+// load sends requests through entries, one after the other in each of a number
+// of callers, until it is stopped.
+type load struct {
+	stop    context.CancelFunc
+	callers sync.WaitGroup
+	sent    atomic.Int64
+
+	mu      sync.Mutex
+	fates   map[caller.Fate][]string
+	broken  []string
+	reasons map[string]string
+}
+
+// startLoad begins the load; each caller goes round the named entries. The
+// request's id is the given prefix with a number.
+func (c *cell) startLoad(key, prefix string, entries []string, callers int, request caller.Request) *load {
+	ctx, stop := context.WithCancel(context.Background())
+	l := &load{
+		stop:    stop,
+		fates:   map[caller.Fate][]string{},
+		reasons: map[string]string{},
+	}
+	for worker := range callers {
+		l.callers.Go(func() {
+			for turn := worker; ctx.Err() == nil; turn++ {
+				r := request
+				r.RequestID = fmt.Sprintf("%s-%d", prefix, l.sent.Add(1))
+				entry := entries[turn%len(entries)]
+				l.one(c.client(entry, key), r)
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) one(client *caller.Client, request caller.Request) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	answer, err := client.Request(ctx, request)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.broken = append(l.broken, request.RequestID)
+		l.reasons[request.RequestID] = err.Error()
+		return
+	}
+	l.fates[answer.Fate] = append(l.fates[answer.Fate], request.RequestID)
+	l.reasons[request.RequestID] = answer.Reason
+	if answer.RequestID != request.RequestID || (answer.Fate == caller.FateCompleted && string(answer.Answer) != request.Command+":"+request.Payload) {
+		l.broken = append(l.broken, request.RequestID)
+		l.reasons[request.RequestID] = fmt.Sprintf("answer %q for request %s", answer.Answer, answer.RequestID)
+	}
+}
+
+// finish stops the load and waits for the last answers.
+func (l *load) finish() {
+	l.stop()
+	l.callers.Wait()
+}
+
+// count returns the number of requests with the fate so far.
+func (l *load) count(fate caller.Fate) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.fates[fate])
+}
+
+// why returns the reasons of up to three requests.
+func (l *load) why(requests []string) string {
+	text := ""
+	for _, id := range requests[:min(3, len(requests))] {
+		text += id + ": " + l.reasons[id] + "; "
+	}
+	return text
+}
