--- a/internal/entry/node/gate.go
+++ b/internal/entry/node/gate.go
@@ -51,7 +51,7 @@
 func (b neighbours) Wants() map[string]map[string]int64 {
 	wants := map[string]map[string]int64{}
 	for _, status := range b.node.membership.Peers() {
-		if !status.Heard || !status.Beat.Owns || status.Member.Domain == b.node.self.Domain {
+		if !status.Heard || !status.Beat.Owns() || status.Member.Domain == b.node.self.Domain {
 			continue
 		}
 		for team, n := range status.Beat.Wants {
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -202,7 +202,7 @@
 		Preset:   n.registry.Cell().InForce,
 	}
 	if owned := n.keeper.Owned(); owned != nil {
-		beat.Owns = true
+		beat.Held = owned.Held()
 		beat.Wants = owned.Wants()
 	}
 	return beat
@@ -215,7 +215,7 @@
 		Domain:      n.self.Domain,
 		Region:      n.self.Region,
 		Alive:       true,
-		Owns:        beat.Owns,
+		Owns:        beat.Owns(),
 		Draining:    beat.Draining,
 		Revision:    n.registry.Digest().Revision,
 		Preset:      beat.Preset,
--- a/internal/entry/operator/server.go
+++ b/internal/entry/operator/server.go
@@ -101,7 +101,6 @@
 
 func (s *Server) record(name, action, object, from, to string) operator.Record {
 	return operator.Record{
-		Time:     time.Now().UTC(),
 		Operator: name,
 		Entry:    s.settings.Name,
 		Action:   action,
@@ -240,6 +239,7 @@
 			team.Cap = *request.Cap
 		}
 		record.To = describeTeam(team, true)
+		record.Time = after(team.Audit)
 		return team.WithAudit(record), nil
 	})
 	answerChange(w, response, err)
@@ -274,6 +274,7 @@
 		if !exists {
 			return old, missing("team " + team)
 		}
+		record.Time = after(old.Audit)
 		return old.WithKey(key).WithAudit(record), nil
 	})
 	response.KeyID = key.ID
@@ -291,6 +292,7 @@
 		if err != nil {
 			return cell, err
 		}
+		described.Time = after(cell.Audit)
 		return next.WithAudit(described), nil
 	})
 }
@@ -377,7 +379,7 @@
 			Domain:      p.Member.Domain,
 			Region:      p.Member.Region,
 			Alive:       p.Heard,
-			Owns:        p.Heard && p.Beat.Owns,
+			Owns:        p.Heard && p.Beat.Owns(),
 			Draining:    p.Beat.Draining,
 			Revision:    p.Beat.Digest.Revision,
 			Preset:      p.Beat.Preset,
@@ -434,6 +436,15 @@
 	answer(w, http.StatusOK, entries)
 }
 
+// after returns a time for a new record that is later than the trail's last.
+func after(trail operator.Trail) time.Time {
+	now := time.Now().UTC()
+	if len(trail) == 0 || now.After(trail[len(trail)-1].Time) {
+		return now
+	}
+	return trail[len(trail)-1].Time.Add(time.Nanosecond)
+}
+
 func trailOf(entry apiplatform.Entry) operator.Trail {
 	if entry.Key == operator.CellKey {
 		document, err := apiplatform.Decode[operator.Cell](entry)
--- a/internal/entry/operator/withdraw.go
+++ b/internal/entry/operator/withdraw.go
@@ -76,6 +76,7 @@
 		for _, key := range team.Keys {
 			if key.ID == item.key {
 				key.Withdrawn = true
+				item.record.Time = after(team.Audit)
 				return team.WithKey(key).WithAudit(item.record), nil
 			}
 		}
--- a/internal/entry/peer/membership.go
+++ b/internal/entry/peer/membership.go
@@ -315,7 +315,7 @@
 // Owner returns the entry that owns the domain's shard as far as is known.
 func (m *Membership) Owner(domain string) (Status, bool) {
 	for _, status := range m.Peers() {
-		if status.Member.Domain == domain && status.Heard && status.Beat.Owns {
+		if status.Member.Domain == domain && status.Heard && status.Beat.Owns() {
 			return status, true
 		}
 	}
@@ -348,25 +348,31 @@
 	return heard, exist
 }
 
-// ShouldOwn decides whether this entry is to own its domain's shard: an owner
-// stays while it lives, and otherwise rendezvous hashing chooses among the
-// steady entries of the domain.
-func (m *Membership) ShouldOwn(owns bool) bool {
+// ShouldOwn decides whether this entry, which holds so many leases, is to own
+// its domain's shard: of those that own it, the one with most leases stays, and
+// when none does, rendezvous hashing chooses among the steady entries.
+func (m *Membership) ShouldOwn(held int) bool {
 	candidates := []string{m.self.Name}
+	most := held
 	var owners []string
+	if held > 0 {
+		owners = candidates
+	}
 	for _, status := range m.Peers() {
 		if status.Member.Domain != m.self.Domain || status.Beat.Draining {
 			continue
 		}
-		if status.Heard && status.Beat.Owns {
-			owners = append(owners, status.Member.Name)
-		}
 		if status.Steady {
 			candidates = append(candidates, status.Member.Name)
 		}
-	}
-	if owns {
-		owners = append(owners, m.self.Name)
+		if !status.Heard || !status.Beat.Owns() || status.Beat.Held < most {
+			continue
+		}
+		if status.Beat.Held > most {
+			owners = nil
+			most = status.Beat.Held
+		}
+		owners = append(owners, status.Member.Name)
 	}
 	if len(owners) > 0 {
 		candidates = owners
--- a/internal/entry/peer/messages.go
+++ b/internal/entry/peer/messages.go
@@ -21,11 +21,17 @@
 	Incarnation string `json:"incarnation"`
 }
 
+// Owns reports whether the entry owns its domain's shard.
+func (h Heartbeat) Owns() bool {
+	return h.Held > 0
+}
+
 // Heartbeat is what an entry tells of itself.
 type Heartbeat struct {
 	Member Member `json:"member"`
-	// Owns tells whether the entry owns its domain's shard.
-	Owns     bool            `json:"owns"`
+	// Held is the number of leases that the entry holds as the owner of its
+	// domain's shard; zero means that it does not own it.
+	Held     int             `json:"held"`
 	Draining bool            `json:"draining"`
 	Digest   platform.Digest `json:"digest"`
 	Preset   string          `json:"preset"`
--- a/internal/entry/shard/own.go
+++ b/internal/entry/shard/own.go
@@ -36,8 +36,16 @@
 	}
 }
 
-// Owned returns the shard owned now, or nil.
+// Owned returns the shard owned now, or nil; it holds at least one lease.
 func (k *Keeper) Owned() *upstream.Shard {
+	if taken := k.taken(); taken != nil && taken.Held() > 0 {
+		return taken
+	}
+	return nil
+}
+
+// taken returns the shard that the entry owns or tries to.
+func (k *Keeper) taken() *upstream.Shard {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.owned
@@ -77,10 +85,14 @@
 }
 
 func (k *Keeper) decide(ctx context.Context) {
-	owned := k.Owned()
-	should := k.membership.Warm() && k.membership.ShouldOwn(owned != nil)
-	if owned != nil && owned.Isolated() {
-		k.log.Warn("stepping down", "shard", k.options.Name, "reason", "most upstreams are lost and no peer is heard")
+	taken := k.taken()
+	held := 0
+	if taken != nil {
+		held = taken.Held()
+	}
+	should := k.membership.Warm() && k.membership.ShouldOwn(held)
+	if taken != nil && (taken.Superseded() || taken.Isolated()) {
+		k.log.Warn("stepping down", "shard", k.options.Name, "superseded", taken.Superseded())
 		should = false
 	}
 	k.mu.Lock()
--- a/internal/entry/shard/router.go
+++ b/internal/entry/shard/router.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -38,8 +37,6 @@
 	ownerPause = 50 * time.Millisecond
 	// statusTimeout bounds the questions to owners about their state.
 	statusTimeout = time.Second
-	// retryFloor is how many retries are always allowed, whatever the budget.
-	retryFloor = 10
 )
 
 // notOwner is the reason with which an entry refuses work of a shard that it
@@ -78,9 +75,7 @@
 	membership *peer.Membership
 	sync       *platform.Sync
 	registry   *platform.Registry
-
-	calls   atomic.Int64
-	retries atomic.Int64
+	budget     *budget
 }
 
 // NewRouter returns a router of the entry itself.
@@ -91,6 +86,7 @@
 		membership: membership,
 		sync:       sync,
 		registry:   registry,
+		budget:     newBudget(time.Now()),
 	}
 }
 
@@ -189,7 +185,7 @@
 // an owner was lost that may have begun it, only that shard is asked again, and
 // only if a second run is no harm or the journal prevents it.
 func (r *Router) Serve(ctx context.Context, request upstream.ServeRequest) caller.Answer {
-	r.calls.Add(1)
+	r.budget.earn(r.registry.Preset().RetryPercent)
 	request.Named = request.Request.RequestID != ""
 	if !request.Named {
 		request.Request.RequestID = uuid.NewString()
@@ -201,20 +197,21 @@
 		Reason:    "no failure domain that can be reached offers the service",
 	}
 	places := r.servicePlaces(request.Request.Service)
-	for first := true; ; first = false {
-		if !first && !r.mayRetry() {
-			answer.Reason = "the retry budget is spent: " + answer.Reason
-			return answer
-		}
+	seen := false
+	for {
 		for i, p := range places {
 			request.WaitMillis = 0
 			if i < len(places)-1 {
 				request.WaitMillis = spillAfter.Milliseconds()
 			}
+			if seen && !r.budget.spend(time.Now()) {
+				break
+			}
 			found, h := r.serveAt(ctx, p, request)
 			if h == unseen {
 				continue
 			}
+			seen = true
 			answer = found
 			if h == lost && (!request.Request.AtMostOnce || request.Named) {
 				places = []place{p}
@@ -246,16 +243,6 @@
 	return reason == notOwner || reason == upstream.ReasonBusy || strings.Contains(reason, "hands over")
 }
 
-// mayRetry keeps retries to the preset's part of all requests.
-func (r *Router) mayRetry() bool {
-	allowed := retryFloor + r.calls.Load()*int64(r.registry.Preset().RetryPercent)/100
-	if r.retries.Load() >= allowed+int64(time.Second/ownerPause) {
-		return false
-	}
-	r.retries.Add(1)
-	return true
-}
-
 // hearing is what an owner has told of a request.
 type hearing int
 
@@ -411,7 +398,7 @@
 		shards = append(shards, owned.Status())
 	}
 	for _, status := range r.membership.Peers() {
-		if !status.Heard || !status.Beat.Owns {
+		if !status.Heard || !status.Beat.Owns() {
 			continue
 		}
 		calls.Go(func() {
--- a/internal/entry/upstream/job.go
+++ b/internal/entry/upstream/job.go
@@ -168,7 +168,7 @@
 	spec := j.record.Spec
 	switch {
 	case s.released:
-		return "the entry hands over its upstreams"
+		return handsOver
 	case !preset.AdmitJobs:
 		return "the preset in force admits no new jobs"
 	case spec.Urgency == caller.Low && !preset.AdmitLow:
--- a/internal/entry/upstream/link.go
+++ b/internal/entry/upstream/link.go
@@ -113,6 +113,7 @@
 		l.boot = response.Boot
 		l.clock = newRemoteClock()
 		l.epoch = 0
+		l.claimed = false
 		l.tasksUntil = 0
 		l.seen = 0
 		l.acked = 0
@@ -128,8 +129,13 @@
 	if err != nil {
 		return err
 	}
-	if status.Holder != l.shard.holder && status.Clock < status.Until {
-		return upstream.ErrFenced
+	if status.Holder != l.shard.holder {
+		if l.shard.hasLost(l) {
+			return upstream.ErrFenced
+		}
+		if status.Clock < status.Until {
+			return upstream.ErrFenced
+		}
 	}
 	l.shard.mu.Lock()
 	l.extend(&request)
@@ -138,6 +144,9 @@
 	if err != nil {
 		return err
 	}
+	if response.Epoch != status.Epoch+1 && l.shard.hasLost(l) {
+		return upstream.ErrFenced
+	}
 	l.shard.adopt(l, response)
 	return nil
 }
--- a/internal/entry/upstream/request.go
+++ b/internal/entry/upstream/request.go
@@ -379,6 +379,9 @@
 	return nil, reason
 }
 
+// handsOver is the reason with which an owner that is being replaced refuses.
+const handsOver = "the entry hands over its upstreams"
+
 // ReasonBusy says that no slot was free within the wait asked for, so that
 // another shard may be tried.
 const ReasonBusy = "no slot was free in time"
@@ -388,7 +391,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.released {
-		return "the entry hands over its upstreams"
+		return handsOver
 	}
 	preset := s.Registry.Preset()
 	if item.Band == caller.Low.Band() && !preset.AdmitLow {
--- a/internal/entry/upstream/shard.go
+++ b/internal/entry/upstream/shard.go
@@ -52,19 +52,22 @@
 	mu       sync.Mutex
 	began    time.Time
 	released bool
-	links    map[string]*link
-	runners  *worker.Fleet[worker.LeastLoaded]
-	workers  *worker.Fleet[worker.BestFit]
-	requests *task.Queue[*ticket]
-	tasks    *task.Queue[*pending]
-	ledger   *team.Ledger
-	jobs     map[string]*job
-	joined   map[string]*outcome
-	units    unitsState
-	reserve  reservation
-	jobsRead bool
-	flushNow chan struct{}
-	unitsNow chan struct{}
+	// superseded tells that another owner has held a lease since this one did,
+	// so that what this one knows of jobs and tasks is out of date.
+	superseded bool
+	links      map[string]*link
+	runners    *worker.Fleet[worker.LeastLoaded]
+	workers    *worker.Fleet[worker.BestFit]
+	requests   *task.Queue[*ticket]
+	tasks      *task.Queue[*pending]
+	ledger     *team.Ledger
+	jobs       map[string]*job
+	joined     map[string]*outcome
+	units      unitsState
+	reserve    reservation
+	jobsRead   bool
+	flushNow   chan struct{}
+	unitsNow   chan struct{}
 }
 
 // NewShard returns a shard that holds no lease yet.
@@ -241,6 +244,48 @@
 	return !s.holdsMost(now) && s.Peers.Alone()
 }
 
+// hasLost notes that the link's lease went to another holder. If it was held
+// here before, the shard is superseded: it stops placing, and is to be given up.
+func (s *Shard) hasLost(l *link) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.claimed {
+		s.supersede("upstream " + l.vm.Name + " was leased to another")
+	}
+	return l.claimed
+}
+
+func (s *Shard) supersede(reason string) {
+	if s.superseded {
+		return
+	}
+	s.Log.Warn("superseded", "shard", s.Name, "reason", reason)
+	s.superseded = true
+	s.released = true
+	s.refuseWaiting(handsOver)
+}
+
+// Superseded reports that another owner has taken over.
+func (s *Shard) Superseded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.superseded
+}
+
+// Held returns the number of leases held now; an owner without any is none yet.
+func (s *Shard) Held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := 0
+	now := time.Now()
+	for _, l := range s.links {
+		if l.holds(now) {
+			held++
+		}
+	}
+	return held
+}
+
 func (s *Shard) allSettled() bool {
 	for _, l := range s.links {
 		if !l.settled {
@@ -406,7 +451,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.released = true
-	s.refuseWaiting("the entry hands over its upstreams")
+	s.refuseWaiting(handsOver)
 	for _, l := range s.links {
 		s.reopen(l, time.Now())
 	}
@@ -442,11 +487,11 @@
 
 // applyLimits brings the ledger in line with the agreement.
 func (s *Shard) applyLimits() {
-	fenced := s.units.fenced || !s.Sync.Reachable()
+	storeAway := !s.Sync.Reachable()
 	for name, t := range s.Registry.Teams() {
 		units := s.Registry.Units(name)
 		limit := team.Limit(units, s.Name, t.Cap)
-		if !s.allSettled() || !(fenced || units.Terms[s.Name] == s.units.term) {
+		if !s.allSettled() || !(storeAway || units.Terms[s.Name] == s.units.term) {
 			limit = 0
 		}
 		s.ledger.SetLimit(name, limit, t.Share)
--- a/internal/entry/upstream/units.go
+++ b/internal/entry/upstream/units.go
@@ -25,10 +25,9 @@
 // unitsState is what the owner knows of moving units. Wants are the units that
 // waiting work could use; gives are those on their way to another shard.
 type unitsState struct {
-	term   int64
-	fenced bool
-	wants  map[string]int64
-	gives  map[string]*give
+	term  int64
+	wants map[string]int64
+	gives map[string]*give
 }
 
 // give moves units to another shard under one operation id, until its outcome
@@ -116,7 +115,6 @@
 	}
 	moves.Wait()
 	s.mu.Lock()
-	s.units.fenced = true
 	s.applyLimits()
 	s.pump()
 	s.mu.Unlock()
@@ -326,6 +324,10 @@
 	case err == nil:
 		s.Log.Info("units moved", "step", step, "team", name, "held", s.Registry.Units(name).Held[s.Name])
 	case errors.Is(err, team.ErrNothingMoves):
+	case errors.Is(err, team.ErrStaleTerm):
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.supersede(err.Error())
 	default:
 		s.Log.Warn("units did not move", "step", step, "team", name, "error", err)
 	}
--- a/internal/proof/process/cell_test.go
+++ b/internal/proof/process/cell_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -123,18 +124,38 @@
 	number  int
 }
 
-func freeAddress(t *testing.T, network string) string {
+// Ports of the entries, below those that the system gives to clients, so that
+// no connection takes one while an entry is restarted.
+const (
+	firstPort = 12000
+	portRange = 18000
+)
+
+var nextPort atomic.Int64
+
+func init() {
+	nextPort.Store(int64(os.Getpid() * 97 % portRange))
+}
+
+// freeAddress returns a loopback address whose port no one uses for TCP or UDP.
+func freeAddress(t *testing.T) string {
 	t.Helper()
-	if network == "udp" {
-		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer func() { _ = socket.Close() }()
-		return socket.LocalAddr().String()
+	for range portRange {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portRange)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		socket, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		_ = socket.Close()
+		return address
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 // startCell starts everything and waits until all entries take work.
@@ -222,8 +243,8 @@
 		name:   name,
 		domain: domain,
 		region: c.region(domain),
-		http:   freeAddress(c.t, "tcp"),
-		udp:    freeAddress(c.t, "udp"),
+		http:   freeAddress(c.t),
+		udp:    freeAddress(c.t),
 		store:  store,
 	}
 	c.order = append(c.order, name)
