--- a/internal/api/upstream/client.go
+++ b/internal/api/upstream/client.go
@@ -124,6 +124,7 @@
 		return err
 	}
 	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("User-Agent", "")
 	request.ContentLength = int64(len(encoded))
 	response, err := c.http.Do(request)
 	if err != nil && !connected.Load() {
--- a/internal/api/upstream/upstream.go
+++ b/internal/api/upstream/upstream.go
@@ -61,7 +61,7 @@
 
 // LeaseResponse tells the upstream's clock, who holds its lease and until
 // when, and, to the holder, what runs and what has ended beyond the sequence
-// seen. Running is complete on a claim and absent on renewals.
+// seen. Capacity and Running are complete on a claim and absent on renewals.
 type LeaseResponse struct {
 	// Boot names the upstream's run; after a restart nothing of before runs.
 	Boot     string    `json:"boot"`
@@ -69,10 +69,10 @@
 	Holder   string    `json:"holder"`
 	Epoch    int64     `json:"epoch"`
 	Until    int64     `json:"until"`
-	Capacity Resources `json:"capacity"`
+	Capacity Resources `json:"capacity,omitzero"`
 	Running  []Running `json:"running,omitempty"`
 	Ended    []Ended   `json:"ended,omitempty"`
-	Used     Resources `json:"used"`
+	Used     Resources `json:"used,omitzero"`
 }
 
 // Running is one task that an upstream runs.
@@ -92,6 +92,8 @@
 	Team     string `json:"team"`
 	Failed   string `json:"failed,omitempty"`
 	Result   []byte `json:"result,omitempty"`
+	// Checkpoint is what another start of the stopped task can resume from.
+	Checkpoint []byte `json:"checkpoint,omitempty"`
 }
 
 // StartRequest starts one task under the owner's epoch, if the upstream's
@@ -108,6 +110,8 @@
 	Command   string    `json:"command,omitempty"`
 	RunMillis int64     `json:"runMillis,omitempty"`
 	Payload   []byte    `json:"payload,omitempty"`
+	// Resume is the checkpoint of an earlier start.
+	Resume []byte `json:"resume,omitempty"`
 	// Wait holds the answer until the task has ended and returns its result.
 	Wait bool `json:"wait,omitempty"`
 }
@@ -136,6 +140,8 @@
 type StopRequest struct {
 	Epoch int64  `json:"epoch"`
 	Task  string `json:"task"`
+	// Checkpoint asks for what another start of the task can resume from.
+	Checkpoint bool `json:"checkpoint,omitempty"`
 }
 
 // Reasons for which an upstream refuses a call.
--- a/internal/decide/task/queue.go
+++ b/internal/decide/task/queue.go
@@ -103,6 +103,29 @@
 	return true
 }
 
+// Resize sets how many tasks the waiting item stands for, and reports whether
+// it waits.
+func (q *Queue[T]) Resize(id string, tasks int) bool {
+	p, ok := q.byID[id]
+	if !ok {
+		return false
+	}
+	q.perTeam[p.item.Team] += max(1, tasks) - p.item.tasks()
+	p.item.Tasks = tasks
+	p.element.Value = p.item
+	q.byID[id] = p
+	return true
+}
+
+// Tasks returns the number of tasks that wait.
+func (q *Queue[T]) Tasks() int {
+	sum := 0
+	for _, tasks := range q.perTeam {
+		sum += tasks
+	}
+	return sum
+}
+
 // LeastUrgent returns the last task of the least urgent band, of the team with
 // most tasks in it, as the one to shed; ok is false when none waits in a band
 // behind the given one.
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -33,6 +33,8 @@
 	readTimeout = 30 * time.Second
 	// writeTimeout bounds a whole exchange, the longest deadline included.
 	writeTimeout = 11 * time.Minute
+	// incarnationLength is the length of the name of a process's run.
+	incarnationLength = 8
 	// idleTimeout is how long an idle connection of a caller is kept.
 	idleTimeout = 60 * time.Second
 )
@@ -70,7 +72,7 @@
 			Domain:      entry.Domain,
 			Region:      entry.Region,
 			Address:     entry.PeerAddress,
-			Incarnation: uuid.NewString(),
+			Incarnation: uuid.NewString()[:incarnationLength],
 		},
 		registry: platform.NewRegistry(),
 		peers:    apipeer.NewServer(),
--- a/internal/entry/operator/server.go
+++ b/internal/entry/operator/server.go
@@ -383,7 +383,7 @@
 			Draining:    p.Beat.Draining,
 			Revision:    p.Beat.Digest.Revision,
 			Preset:      p.Beat.Preset,
-			Incarnation: p.Beat.Member.Incarnation,
+			Incarnation: p.Beat.Incarnation,
 		})
 	}
 	status.Teams = s.teams(status.Shards)
--- a/internal/entry/operator/withdraw.go
+++ b/internal/entry/operator/withdraw.go
@@ -14,6 +14,9 @@
 	// withdrawRetry is the interval at which withdrawals are written that the
 	// store has not taken.
 	withdrawRetry = time.Second
+	// withdrawHelp is how long an entry waits before it writes a withdrawal that
+	// another has taken.
+	withdrawHelp = 5 * time.Second
 	// withdrawWait is how long an answer waits for the store.
 	withdrawWait = time.Second
 )
@@ -23,8 +26,13 @@
 	team   string
 	key    string
 	record operator.Record
+	// after is when this entry may write it.
+	after time.Time
 }
 
+// errRecorded tells that the store has the withdrawal already.
+var errRecorded = errors.New("operator: the withdrawal is recorded")
+
 // withdrawKey refuses the key here and at all peers at once, whether or not the
 // store answers, and then records it in the store.
 func (s *Server) withdrawKey(w http.ResponseWriter, r *http.Request, name string) {
@@ -74,6 +82,9 @@
 func (s *Server) recordWithdrawal(ctx context.Context, item withdrawal) (int64, error) {
 	entry, err := apiplatform.Update(ctx, s.store, operator.TeamPrefix+item.team, item.record.Change, func(team operator.Team, _ bool) (operator.Team, error) {
 		for _, key := range team.Keys {
+			if key.ID == item.key && key.Withdrawn {
+				return team, errRecorded
+			}
 			if key.ID == item.key {
 				key.Withdrawn = true
 				item.record.Time = after(team.Audit)
@@ -83,8 +94,9 @@
 		return team, missing("key " + item.key)
 	})
 	var refused *invalid
-	if errors.As(err, &refused) {
-		return 0, nil
+	if errors.As(err, &refused) || errors.Is(err, errRecorded) {
+		s.registry.Apply(entry)
+		return entry.Revision, nil
 	}
 	if err != nil {
 		return 0, err
@@ -111,19 +123,38 @@
 			if err != nil {
 				break
 			}
-			s.mu.Lock()
-			delete(s.pending, item.key)
-			s.mu.Unlock()
 		}
 	}
 }
 
+// unrecorded returns the withdrawals of this entry that the store has not
+// taken, and those of others that it still does not have a while later, since
+// the entry that took them may have died.
 func (s *Server) unrecorded() []withdrawal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	items := make([]withdrawal, 0, len(s.pending))
-	for _, item := range s.pending {
-		items = append(items, item)
+	missing := s.registry.Unrecorded()
+	items := make([]withdrawal, 0, len(missing))
+	now := time.Now()
+	for key, team := range missing {
+		item, ok := s.pending[key]
+		if !ok {
+			item = withdrawal{
+				team:   team,
+				key:    key,
+				record: s.record("another entry", "withdrawKey", team, key, ""),
+				after:  now.Add(withdrawHelp),
+			}
+			s.pending[key] = item
+		}
+		if now.After(item.after) {
+			items = append(items, item)
+		}
+	}
+	for key := range s.pending {
+		if _, ok := missing[key]; !ok {
+			delete(s.pending, key)
+		}
 	}
 	return items
 }
--- a/internal/entry/peer/membership.go
+++ b/internal/entry/peer/membership.go
@@ -86,19 +86,20 @@
 	peer.Handle(server, MethodWithdraw, m.serveWithdraw)
 }
 
-func (m *Membership) serveHeartbeat(_ context.Context, beat Heartbeat) (Heartbeat, error) {
+func (m *Membership) serveHeartbeat(_ context.Context, beat Heartbeat) (HeartbeatResponse, error) {
 	m.mu.Lock()
-	t, ok := m.peers[beat.Member.Name]
+	t, ok := m.peers[beat.Name]
 	m.mu.Unlock()
 	if ok {
 		m.hear(t, beat)
 	}
-	return m.ownBeat(), nil
+	return HeartbeatResponse{}, nil
 }
 
 func (m *Membership) ownBeat() Heartbeat {
 	beat := m.beat()
-	beat.Member = m.self
+	beat.Name = m.self.Name
+	beat.Incarnation = m.self.Incarnation
 	beat.Digest = m.registry.Digest()
 	return beat
 }
@@ -210,22 +211,24 @@
 func (m *Membership) exchangeOnce(ctx context.Context, t *tracked) {
 	callCtx, cancel := context.WithTimeout(ctx, m.timings.PeerTimeout)
 	defer cancel()
-	beat, err := peer.Call[Heartbeat](callCtx, t.client, MethodHeartbeat, m.ownBeat())
+	_, err := peer.Call[HeartbeatResponse](callCtx, t.client, MethodHeartbeat, m.ownBeat())
 	if err != nil {
 		if ctx.Err() == nil {
 			t.client.Reset()
 		}
 		return
 	}
-	m.hear(t, beat)
-	if m.lacks(t, beat) {
+	if m.lacks(t) {
 		m.pull(ctx, t)
 	}
 }
 
 // lacks reports whether the peer may hold what this entry does not. Units are
 // compared within the domain only, to spare the link between regions.
-func (m *Membership) lacks(t *tracked, beat Heartbeat) bool {
+func (m *Membership) lacks(t *tracked) bool {
+	m.mu.Lock()
+	beat := t.beat
+	m.mu.Unlock()
 	own := m.registry.Digest()
 	if own.Config != beat.Digest.Config || own.Withdrawn != beat.Digest.Withdrawn {
 		return true
@@ -252,11 +255,11 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	silent := !t.heard.IsZero() && now.Sub(t.heard) > m.timings.PeerTimeout
-	restarted := t.beat.Member.Incarnation != beat.Member.Incarnation
+	restarted := t.beat.Incarnation != beat.Incarnation
 	switch {
 	case t.heard.IsZero() || restarted:
 		t.steady = now
-		m.log.Info("peer heard", "peer", t.member.Name, "incarnation", beat.Member.Incarnation)
+		m.log.Info("peer heard", "peer", t.member.Name, "incarnation", beat.Incarnation)
 	case silent:
 		t.flapDelay = min(maxFlapDelay, max(m.timings.PeerTimeout, 2*t.flapDelay))
 		t.steady = now.Add(t.flapDelay)
--- a/internal/entry/peer/messages.go
+++ b/internal/entry/peer/messages.go
@@ -14,13 +14,16 @@
 
 // Member names an entry and one run of its process.
 type Member struct {
-	Name        string `json:"name"`
-	Domain      string `json:"domain"`
-	Region      string `json:"region"`
-	Address     string `json:"address"`
-	Incarnation string `json:"incarnation"`
+	Name        string
+	Domain      string
+	Region      string
+	Address     string
+	Incarnation string
 }
 
+// HeartbeatResponse confirms a heartbeat; the peer's own comes as a call.
+type HeartbeatResponse struct{}
+
 // Owns reports whether the entry owns its domain's shard.
 func (h Heartbeat) Owns() bool {
 	return h.Held > 0
@@ -28,7 +31,9 @@
 
 // Heartbeat is what an entry tells of itself.
 type Heartbeat struct {
-	Member Member `json:"member"`
+	_           struct{} `cbor:",toarray"`
+	Name        string   `json:"name"`
+	Incarnation string   `json:"incarnation"`
 	// Held is the number of leases that the entry holds as the owner of its
 	// domain's shard; zero means that it does not own it.
 	Held     int             `json:"held"`
--- /dev/null
+++ b/internal/entry/platform/journal_test.go
@@ -0,0 +1,140 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/citronbay/citronbay/internal/api/caller"
+	"github.com/citronbay/citronbay/internal/api/platform"
+)
+
+var errLost = errors.New("lost")
+
+// memory is a store of one process whose requests and answers may get lost.
+type memory struct {
+	entries  map[string]platform.Entry
+	revision int64
+	// lose returns what happens to the next call: nothing, its request lost, or
+	// its answer lost.
+	lose func() int
+}
+
+const (
+	passed = iota
+	requestLost
+	answerLost
+)
+
+func (m *memory) Get(_ context.Context, key string) (platform.Entry, error) {
+	entry, ok := m.entries[key]
+	switch {
+	case m.lose() != passed:
+		return platform.Entry{}, errLost
+	case !ok:
+		return platform.Entry{}, platform.ErrNotFound
+	}
+	return entry, nil
+}
+
+func (m *memory) List(context.Context, string) (platform.Listing, error) {
+	return platform.Listing{}, errLost
+}
+
+func (m *memory) Watch(context.Context, string, int64, time.Duration) (platform.Listing, error) {
+	return platform.Listing{}, errLost
+}
+
+func (m *memory) Write(_ context.Context, request platform.WriteRequest) (int64, error) {
+	fault := m.lose()
+	if fault == requestLost {
+		return 0, errLost
+	}
+	if m.entries[request.Key].Revision != request.IfRevision {
+		return 0, platform.ErrConflict
+	}
+	m.revision++
+	m.entries[request.Key] = platform.Entry{
+		Key:      request.Key,
+		Value:    request.Value,
+		Revision: m.revision,
+	}
+	if fault == answerLost {
+		return 0, errLost
+	}
+	return m.revision, nil
+}
+
+// TestJournalLetsOneDispatchPass lets owners begin and end the same request in
+// any order over a store that loses requests and answers. However often it is
+// asked, a request that may have run is never dispatched again.
+func TestJournalLetsOneDispatchPass(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		store := &memory{
+			entries: map[string]platform.Entry{},
+			lose:    func() int { return rapid.IntRange(passed, answerLost).Draw(r, "fault") },
+		}
+		journal := NewJournal(store)
+		ctx := context.Background()
+		var open *Handle
+		mayHaveRun := false
+		for n := range rapid.IntRange(1, 30).Draw(r, "operations") {
+			if open != nil && rapid.Bool().Draw(r, "end") {
+				fate := rapid.SampledFrom([]caller.Fate{caller.FateCompleted, caller.FateNotRun}).Draw(r, "fate")
+				// The fate is true whether or not the journal takes it.
+				_ = journal.End(ctx, open, caller.Answer{Fate: fate})
+				mayHaveRun = fate != caller.FateNotRun
+				open = nil
+				continue
+			}
+			handle, earlier, err := journal.Begin(ctx, "kiln", "request", Intent{Task: fmt.Sprint(n)})
+			if err != nil {
+				continue
+			}
+			if earlier != nil {
+				assert.Assert(r, earlier.Task != "")
+				continue
+			}
+			assert.Assert(r, !mayHaveRun, "a request that has run was dispatched again")
+			assert.Assert(r, open == nil, "two dispatches are open")
+			open = handle
+		}
+	})
+}
+
+func TestJournalKeepsAnswersWithinBounds(t *testing.T) {
+	store := &memory{
+		entries: map[string]platform.Entry{},
+		lose:    func() int { return passed },
+	}
+	journal := NewJournal(store)
+	random := rand.New(rand.NewPCG(1, 1))
+	for name, size := range map[string]int{
+		"small": 100,
+		"large": maxJournalAnswer + 1,
+	} {
+		t.Run(name, func(t *testing.T) {
+			handle, earlier, err := journal.Begin(context.Background(), "kiln", name, Intent{})
+			assert.NilError(t, err)
+			assert.Assert(t, earlier == nil)
+			answer := make([]byte, size)
+			for i := range answer {
+				answer[i] = byte(random.IntN(256))
+			}
+			assert.NilError(t, journal.End(context.Background(), handle, caller.Answer{
+				Fate:   caller.FateCompleted,
+				Answer: answer,
+			}))
+			_, earlier, err = journal.Begin(context.Background(), "kiln", name, Intent{})
+			assert.NilError(t, err)
+			assert.Equal(t, earlier.Answer.Fate, caller.FateCompleted)
+			assert.Equal(t, len(earlier.Answer.Answer) == size, size <= maxJournalAnswer)
+		})
+	}
+}
--- a/internal/entry/platform/registry.go
+++ b/internal/entry/platform/registry.go
@@ -14,6 +14,7 @@
 // Digest sums up which revisions a registry holds, so that two entries can
 // tell whether they agree.
 type Digest struct {
+	_ struct{} `cbor:",toarray"`
 	// Config covers teams, keys and presets.
 	Config uint64 `json:"config"`
 	// Units covers the units of the teams' caps.
@@ -167,6 +168,22 @@
 	return ids
 }
 
+// Unrecorded returns, by key, the team of each key that is known to be withdrawn
+// while its team's document does not say so.
+func (r *Registry) Unrecorded() map[string]string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	unrecorded := map[string]string{}
+	for name, team := range r.teams {
+		for _, key := range team.Keys {
+			if !key.Withdrawn && r.withdrawn[key.ID] {
+				unrecorded[key.ID] = name
+			}
+		}
+	}
+	return unrecorded
+}
+
 // IsWithdrawn reports whether the key is known to be withdrawn.
 func (r *Registry) IsWithdrawn(id string) bool {
 	r.mu.RLock()
--- /dev/null
+++ b/internal/entry/platform/registry_test.go
@@ -0,0 +1,85 @@
+package platform
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/citronbay/citronbay/internal/api/operator"
+	"github.com/citronbay/citronbay/internal/api/platform"
+)
+
+func teamEntry(t rapid.TB, name string, revision, teamCap int64, keys ...operator.Key) platform.Entry {
+	value, err := json.Marshal(platform.Document[operator.Team]{
+		Body: operator.Team{
+			Name: name,
+			Cap:  teamCap,
+			Keys: keys,
+		},
+	})
+	assert.NilError(t, err)
+	return platform.Entry{
+		Key:      operator.TeamPrefix + name,
+		Value:    value,
+		Revision: revision,
+	}
+}
+
+// TestRegistryNeverReverts applies entries in any order, late and repeated, and
+// compares with the highest revision of each key.
+func TestRegistryNeverReverts(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		registry := NewRegistry()
+		highest := map[string]int64{}
+		for range rapid.IntRange(1, 50).Draw(r, "entries") {
+			name := rapid.SampledFrom([]string{"kiln", "tally"}).Draw(r, "team")
+			revision := rapid.Int64Range(1, 20).Draw(r, "revision")
+			registry.Apply(teamEntry(r, name, revision, revision))
+			highest[name] = max(highest[name], revision)
+			team, ok := registry.Team(name)
+			assert.Assert(r, ok)
+			assert.Equal(r, team.Cap, highest[name])
+		}
+		// Another registry that takes what it lacks agrees.
+		other := NewRegistry()
+		other.Apply(registry.Newer(other.Revisions())...)
+		assert.Equal(r, other.Digest(), registry.Digest())
+		assert.Equal(r, len(registry.Newer(other.Revisions())), 0)
+	})
+}
+
+func TestWithdrawnKeysOnlyGrow(t *testing.T) {
+	registry := NewRegistry()
+	assert.Equal(t, registry.Withdraw("a", "b"), 2)
+	assert.Equal(t, registry.Withdraw("a"), 0)
+	registry.Apply(teamEntry(t, "kiln", 5, 1, operator.Key{ID: "a"}, operator.Key{
+		ID:        "c",
+		Withdrawn: true,
+	}))
+	for _, id := range []string{"a", "b", "c"} {
+		assert.Assert(t, registry.IsWithdrawn(id), id)
+	}
+	assert.Assert(t, !registry.IsWithdrawn("d"))
+	assert.Equal(t, registry.Digest().Withdrawn, 3)
+}
+
+func TestRegistryPassesOverWhatItCannotRead(t *testing.T) {
+	registry := NewRegistry()
+	for name, entry := range map[string]platform.Entry{
+		"broken value": {
+			Key:      operator.TeamPrefix + "kiln",
+			Value:    []byte("{"),
+			Revision: 3,
+		},
+		"unknown key": {
+			Key:      "elsewhere/kiln",
+			Value:    []byte("{}"),
+			Revision: 4,
+		},
+	} {
+		assert.Equal(t, registry.Apply(entry), 0, name)
+	}
+	assert.Equal(t, registry.Preset().AdmitJobs, true)
+}
--- a/internal/entry/settings/settings.go
+++ b/internal/entry/settings/settings.go
@@ -57,7 +57,6 @@
 	PeerTimeout     time.Duration `yaml:"peerTimeout"`
 	Lease           time.Duration `yaml:"lease"`
 	TaskLease       time.Duration `yaml:"taskLease"`
-	UpstreamTimeout time.Duration `yaml:"upstreamTimeout"`
 	StoreTimeout    time.Duration `yaml:"storeTimeout"`
 	DirectoryPoll   time.Duration `yaml:"directoryPoll"`
 	RequestDeadline time.Duration `yaml:"requestDeadline"`
@@ -77,11 +76,10 @@
 	return Entry{
 		IsolatedKeys: IsolatedAccept,
 		Timings: Timings{
-			Heartbeat:       200 * time.Millisecond,
+			Heartbeat:       250 * time.Millisecond,
 			PeerTimeout:     time.Second,
 			Lease:           2 * time.Second,
 			TaskLease:       10 * time.Second,
-			UpstreamTimeout: time.Second,
 			StoreTimeout:    time.Second,
 			DirectoryPoll:   time.Second,
 			RequestDeadline: 10 * time.Second,
@@ -121,7 +119,7 @@
 // Parse checks the settings' content; the file's name is for errors only.
 func Parse(file string, content []byte) (Entry, error) {
 	entry := Default()
-	if err := yaml.UnmarshalWithOptions(content, &entry, yaml.Strict()); err != nil {
+	if err := yaml.UnmarshalWithOptions(content, &entry, yaml.Strict(), yaml.CustomUnmarshaler(readDuration)); err != nil {
 		return Entry{}, decodeError(file, err)
 	}
 	tree, err := parser.ParseBytes(content, 0)
@@ -141,6 +139,17 @@
 	return entry, nil
 }
 
+// readDuration reads a duration with its unit. One that cannot be read becomes
+// negative, so that the checks refuse it with its line and field.
+func readDuration(d *time.Duration, text []byte) error {
+	parsed, err := time.ParseDuration(strings.Trim(strings.TrimSpace(string(text)), `"'`))
+	if err != nil {
+		parsed = -1
+	}
+	*d = parsed
+	return nil
+}
+
 func decodeError(file string, err error) error {
 	cause := strings.TrimSpace(yaml.FormatError(err, false, false))
 	located := &Error{
@@ -229,7 +238,6 @@
 		{"peerTimeout", t.PeerTimeout},
 		{"lease", t.Lease},
 		{"taskLease", t.TaskLease},
-		{"upstreamTimeout", t.UpstreamTimeout},
 		{"storeTimeout", t.StoreTimeout},
 		{"directoryPoll", t.DirectoryPoll},
 		{"requestDeadline", t.RequestDeadline},
@@ -237,7 +245,7 @@
 		{"isolatedAfter", t.IsolatedAfter},
 	} {
 		bad := d.value < 10*time.Millisecond || d.value > 10*time.Minute
-		found = append(found, check{"timings." + d.field, failing(bad, "must be 10ms to 10m")})
+		found = append(found, check{"timings." + d.field, failing(bad, "must be a duration from 10ms to 10m, with its unit")})
 	}
 	return append(
 		found,
--- a/internal/entry/shard/own.go
+++ b/internal/entry/shard/own.go
@@ -11,7 +11,7 @@
 )
 
 // ownEvery is the interval at which ownership is decided anew.
-const ownEvery = 100 * time.Millisecond
+const ownEvery = 150 * time.Millisecond
 
 // Keeper takes up and gives up the ownership of the entry's shard as the
 // membership decides. Create it with NewKeeper.
--- a/internal/entry/upstream/job.go
+++ b/internal/entry/upstream/job.go
@@ -44,7 +44,9 @@
 	Fate      caller.Fate `json:"fate"`
 	Reason    string      `json:"reason,omitempty"`
 	Cancelled bool        `json:"cancelled,omitempty"`
-	Submitted time.Time   `json:"submitted"`
+	// Ran tells that a task of the job has begun at some time.
+	Ran       bool      `json:"ran,omitempty"`
+	Submitted time.Time `json:"submitted"`
 	// Writer and Version name the write, so that a lost answer is recognised.
 	Writer  string `json:"writer"`
 	Version int64  `json:"version"`
@@ -55,6 +57,10 @@
 type job struct {
 	record     Record
 	states     []byte
+	counts     [256]int
+	waiting    []int
+	waitsSince time.Time
+	resume     map[int][]byte
 	runs       map[int]*run
 	failures   map[int]int
 	failedOn   map[string]bool
@@ -70,22 +76,33 @@
 	durable  bool
 }
 
-// pending is a waiting task of a job, or all of them when they start at once.
-type pending struct {
-	job   *job
-	index int
-	all   bool
-}
-
 func newJob(record Record) *job {
-	return &job{
+	j := &job{
 		record:   record,
 		states:   []byte(record.States),
 		runs:     map[int]*run{},
 		failures: map[int]int{},
 		failedOn: map[string]bool{},
 		racks:    map[string]int{},
+		resume:   map[int][]byte{},
+	}
+	for _, state := range j.states {
+		j.counts[state]++
 	}
+	return j
+}
+
+// set changes one task's state.
+func (j *job) set(index int, state byte) {
+	j.counts[j.states[index]]--
+	j.states[index] = state
+	j.counts[state]++
+	j.touch()
+}
+
+// allTerminal reports whether every task has ended.
+func (j *job) allTerminal() bool {
+	return j.counts[taskCompleted]+j.counts[taskFailed]+j.counts[taskUnknown] == len(j.states)
 }
 
 // touch marks the job as changed since it was last saved.
@@ -94,16 +111,6 @@
 	j.dirty = true
 }
 
-func (j *job) count(state byte) int {
-	n := 0
-	for _, s := range j.states {
-		if s == state {
-			n++
-		}
-	}
-	return n
-}
-
 // status tells how far the job is. The shard's lock is held.
 func (j *job) status() caller.JobStatus {
 	running := len(j.runs)
@@ -115,11 +122,11 @@
 		Fate:      j.record.Fate,
 		Reason:    j.record.Reason,
 		Tasks:     len(j.states),
-		Waiting:   max(0, j.count(taskWaiting)+j.count(taskDispatched)-running),
+		Waiting:   max(0, j.counts[taskWaiting]+j.counts[taskDispatched]-running),
 		Running:   running,
-		Completed: j.count(taskCompleted),
-		Failed:    j.count(taskFailed),
-		Unknown:   j.count(taskUnknown),
+		Completed: j.counts[taskCompleted],
+		Failed:    j.counts[taskFailed],
+		Unknown:   j.counts[taskUnknown],
 		Durable:   j.durable,
 	}
 }
@@ -173,7 +180,7 @@
 		return "the preset in force admits no new jobs"
 	case spec.Urgency == caller.Low && !preset.AdmitLow:
 		return "the preset in force admits no work of low urgency"
-	case s.tasks.Len()+spec.Tasks > preset.MaxQueue:
+	case s.tasks.Tasks()+spec.Tasks > preset.MaxQueue:
 		return "the queue is full"
 	}
 	if err := s.feasible(j.record.Team, spec); err != nil {
@@ -201,35 +208,45 @@
 	if j.record.Fate != caller.FateInProgress {
 		return
 	}
-	if j.record.Spec.Kind == caller.KindAllAtOnce {
-		if len(j.runs) == 0 {
-			s.push(j, 0, true)
-		}
+	if j.record.Spec.Kind == caller.KindAllAtOnce && len(j.runs) > 0 {
 		return
 	}
+	j.waiting = j.waiting[:0]
 	for index, state := range j.states {
 		if state == taskWaiting && j.runs[index] == nil {
-			s.push(j, index, false)
+			j.waiting = append(j.waiting, index)
 		}
 	}
+	s.queue(j, false)
+}
+
+// requeue lets one task of the job wait again, behind the others.
+func (s *Shard) requeue(j *job, index int) {
+	j.waiting = append(j.waiting, index)
+	s.queue(j, false)
 }
 
-func (s *Shard) push(j *job, index int, all bool) {
-	tasks := 1
-	if all {
-		tasks = len(j.states)
+// queue brings the job's place in the queue in line with its waiting tasks: one
+// item stands for all of them.
+func (s *Shard) queue(j *job, front bool) {
+	id := j.record.JobID
+	if len(j.waiting) == 0 {
+		s.tasks.Remove(id)
+		return
+	}
+	if s.tasks.Resize(id, len(j.waiting)) {
+		return
 	}
-	s.tasks.Push(task.Item[*pending]{
-		ID:    j.record.JobID + "/" + strconv.Itoa(index),
+	if !front {
+		j.waitsSince = time.Now()
+	}
+	s.tasks.Push(task.Item[*job]{
+		ID:    id,
 		Team:  j.record.Team,
 		Band:  j.record.Spec.Urgency.Band(),
-		Tasks: tasks,
-		Value: &pending{
-			job:   j,
-			index: index,
-			all:   all,
-		},
-	}, false)
+		Tasks: len(j.waiting),
+		Value: j,
+	}, front)
 }
 
 // adoptJobs queues what waits of the jobs that an earlier owner left, once all
@@ -249,7 +266,7 @@
 				s.setState(j, index, taskUnknown, "its owner was lost while it may have run")
 			}
 		}
-		if j.record.Spec.Kind == caller.KindAllAtOnce && len(j.runs) > 0 && len(j.runs) < j.count(taskWaiting) {
+		if j.record.Spec.Kind == caller.KindAllAtOnce && len(j.runs) > 0 && len(j.runs) < j.counts[taskWaiting] {
 			s.stopAll(j)
 			continue
 		}
@@ -267,6 +284,15 @@
 	if r.index < len(j.states) {
 		j.runs[r.index] = r
 		j.racks[r.link.vm.Rack]++
+		j.noteRan()
+	}
+}
+
+// noteRan records that a task of the job has begun.
+func (j *job) noteRan() {
+	if !j.record.Ran {
+		j.record.Ran = true
+		j.touch()
 	}
 }
 
@@ -310,10 +336,12 @@
 	if j == nil || index >= len(j.states) || isTerminal(j.states[index]) {
 		return
 	}
+	j.noteRan()
 	switch {
 	case end.Failed == "" && j.record.Spec.Kind != caller.KindService:
 		s.setState(j, index, taskCompleted, "")
 	case end.Failed == upstream.ReasonStopped || j.record.Cancelled:
+		j.resume[index] = end.Checkpoint
 		s.taskStopped(j, index, end.Failed)
 	default:
 		s.taskFailed(j, index, l.vm.Name, end.Failed)
@@ -338,7 +366,7 @@
 			s.stopAll(j)
 		}
 	default:
-		s.push(j, index, false)
+		s.requeue(j, index)
 	}
 }
 
@@ -348,7 +376,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if j.record.Fate == caller.FateInProgress && j.runs[index] == nil {
-			s.push(j, index, false)
+			s.requeue(j, index)
 			s.pump()
 		}
 	})
@@ -361,13 +389,13 @@
 	case j.record.Cancelled || spec.AtMostOnce:
 		s.setState(j, index, taskFailed, reason)
 	case spec.Kind == caller.KindAllAtOnce:
-		if j.count(taskFailed) > 0 {
+		if j.counts[taskFailed] > 0 {
 			s.setState(j, index, taskFailed, reason)
 		} else if len(j.runs) == 0 {
-			s.push(j, 0, true)
+			s.enqueueJob(j)
 		}
 	default:
-		s.push(j, index, false)
+		s.requeue(j, index)
 	}
 }
 
@@ -390,15 +418,12 @@
 
 // setState records a task's state and, with the last one, the job's fate.
 func (s *Shard) setState(j *job, index int, state byte, reason string) {
-	j.states[index] = state
+	j.set(index, state)
 	if reason != "" {
 		j.record.Reason = reason
 	}
-	j.touch()
-	for _, other := range j.states {
-		if !isTerminal(other) {
-			return
-		}
+	if !j.allTerminal() {
+		return
 	}
 	j.record.Fate = fateOf(j)
 	s.Log.Info("job ended", "job", j.record.JobID, "team", j.record.Team, "fate", string(j.record.Fate), "reason", j.record.Reason)
@@ -409,9 +434,9 @@
 	switch {
 	case j.record.Fate != caller.FateInProgress:
 		return j.record.Fate
-	case j.count(taskUnknown) > 0:
+	case j.counts[taskUnknown] > 0:
 		return caller.FateUnknown
-	case j.count(taskFailed) > 0:
+	case j.counts[taskFailed] > 0:
 		return caller.FateFailed
 	default:
 		return caller.FateCompleted
@@ -427,25 +452,26 @@
 	if !ok || j.record.Team != team {
 		return status, false
 	}
-	if j.record.Fate != caller.FateInProgress || j.record.Cancelled {
-		return j.status(), true
+	if j.record.Fate == caller.FateInProgress && !j.record.Cancelled {
+		s.cancel(j, "cancelled")
 	}
+	return j.status(), true
+}
+
+// cancel ends what waits of the job and stops what runs.
+func (s *Shard) cancel(j *job, reason string) {
 	j.record.Cancelled = true
-	ran := len(j.runs) > 0
-	for index, state := range j.states {
-		s.tasks.Remove(j.record.JobID + "/" + strconv.Itoa(index))
-		ran = ran || state != taskWaiting
-	}
-	if !ran {
+	j.waiting = nil
+	s.queue(j, false)
+	if len(j.runs) == 0 && j.counts[taskWaiting] == len(j.states) && !j.record.Ran {
 		j.record.Fate = caller.FateNotRun
 	}
 	s.stopAll(j)
 	for index, state := range j.states {
 		if !isTerminal(state) && j.runs[index] == nil {
-			s.setState(j, index, taskFailed, "cancelled")
+			s.setState(j, index, taskFailed, reason)
 		}
 	}
-	return j.status(), true
 }
 
 // JobStatus returns the job's status; ok is false for an unknown job or another
--- a/internal/entry/upstream/link.go
+++ b/internal/entry/upstream/link.go
@@ -14,6 +14,9 @@
 	claimPause = 150 * time.Millisecond
 	// maxClaimPause bounds that wait for an upstream that does not answer.
 	maxClaimPause = time.Second
+	// leaseCallPart is the part of a lease that a call about it may take besides
+	// its wait, so that a silent connection is replaced before the lease ends.
+	leaseCallPart = 4
 	// runnerConnections is how many connections a runner takes.
 	runnerConnections = 64
 	// startWindow is how long after its sending a start may still take effect.
@@ -46,6 +49,7 @@
 	seen  int64
 	acked int64
 
+	open         bool
 	failures     int
 	suspectUntil time.Time
 }
@@ -60,6 +64,8 @@
 	link    *link
 	adopted bool
 	index   int
+	// stopping tells that the upstream has been asked to stop it.
+	stopping bool
 	// notAfter is when, in the upstream's clock, a start of it is refused.
 	notAfter int64
 	// gone closes when the run is known to have stopped without a result.
@@ -100,7 +106,7 @@
 }
 
 func (l *link) call(ctx context.Context, wait time.Duration, request upstream.LeaseRequest) (upstream.LeaseResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.shard.timings.UpstreamTimeout+wait)
+	ctx, cancel := context.WithTimeout(ctx, l.shard.timings.Lease/leaseCallPart+wait)
 	defer cancel()
 	sent := time.Now()
 	response, err := l.client.Lease(ctx, request)
@@ -163,7 +169,7 @@
 // renew extends the lease, waits for ended tasks, and reports whether the
 // lease is still held.
 func (l *link) renew(ctx context.Context) bool {
-	wait := l.shard.timings.Lease / 4
+	wait := l.shard.timings.Lease * 9 / 20
 	l.shard.mu.Lock()
 	request := upstream.LeaseRequest{
 		Holder:        l.shard.holder,
--- a/internal/entry/upstream/placement.go
+++ b/internal/entry/upstream/placement.go
@@ -85,26 +85,28 @@
 		room := s.workers.Capacity()
 		weight := func(team string) float64 { return s.ledger.Weight(team, room) }
 		for {
-			if _, ok := s.tasks.Next(weight, s.takeTask); !ok {
+			item, ok := s.tasks.Next(weight, s.takeTask)
+			if !ok {
 				break
 			}
+			s.queue(item.Value, true)
 		}
 	}
 	s.noteWants()
 }
 
-// takeTask places one waiting task, or all tasks of a job that start at once.
-func (s *Shard) takeTask(item task.Item[*pending]) bool {
-	j := item.Value.job
+// takeTask places the first waiting task of a job, or all that start at once.
+func (s *Shard) takeTask(item task.Item[*job]) bool {
+	j := item.Value
 	now := time.Now()
-	if s.reserve.blocks(j, now) {
+	if s.reserve.blocks(j, now) || s.clearing.blocks(j, now) {
 		return false
 	}
 	demand := worker.Demand{
 		Size:  j.record.Spec.Size,
 		Avoid: j.failedOn,
 	}
-	if item.Value.all {
+	if j.record.Spec.Kind == caller.KindAllAtOnce {
 		return s.takeAll(j, demand, now)
 	}
 	if j.record.Spec.Kind == caller.KindService {
@@ -117,7 +119,11 @@
 	if !ok {
 		return false
 	}
-	r := s.assign(j, item.Value.index, name)
+	if s.clearing.job == j.record.JobID {
+		s.clearing = clearing{}
+	}
+	r := s.assign(j, j.waiting[0], name)
+	j.waiting = j.waiting[1:]
 	go s.start(j, r)
 	return true
 }
@@ -133,6 +139,7 @@
 		return false
 	}
 	s.reserve.clear(j.record.JobID)
+	j.waiting = nil
 	runs := make([]*run, 0, tasks)
 	for index, name := range names {
 		runs = append(runs, s.assign(j, index, name))
@@ -157,8 +164,7 @@
 	j.runs[index] = r
 	j.racks[r.link.vm.Rack]++
 	if j.record.Spec.AtMostOnce {
-		j.states[index] = taskDispatched
-		j.touch()
+		j.set(index, taskDispatched)
 	}
 	if len(j.placements) < keptPlacements {
 		j.placements = append(j.placements, fmt.Sprintf("task %d on %s in rack %s: best fit among open workers", index, machine, r.link.vm.Rack))
@@ -185,6 +191,9 @@
 		fenced := errors.Is(err, upstream.ErrFenced)
 		switch {
 		case err == nil:
+			s.mu.Lock()
+			j.noteRan()
+			s.mu.Unlock()
 			return true
 		case errors.Is(err, upstream.ErrRefused) && !fenced,
 			!uncertain && (fenced || errors.Is(err, upstream.ErrNotSent)):
@@ -232,6 +241,7 @@
 		Command:   spec.Command,
 		RunMillis: runMillis,
 		Payload:   []byte(spec.Payload),
+		Resume:    j.resume[r.index],
 	}, true
 }
 
@@ -246,15 +256,14 @@
 		return
 	}
 	if j.states[r.index] == taskDispatched {
-		j.states[r.index] = taskWaiting
-		j.touch()
+		j.set(r.index, taskWaiting)
 	}
 	if j.record.Cancelled {
 		s.setState(j, r.index, taskFailed, "cancelled")
 		return
 	}
 	if again && j.states[r.index] == taskWaiting && j.record.Spec.Kind != caller.KindAllAtOnce {
-		s.push(j, r.index, false)
+		s.requeue(j, r.index)
 		time.AfterFunc(startPause, s.pumpLater)
 	}
 }
@@ -297,21 +306,28 @@
 // stopAll stops the job's running tasks. The lock is held.
 func (s *Shard) stopAll(j *job) {
 	for _, r := range j.runs {
-		go s.stop(r)
+		if !r.stopping {
+			go s.stopWith(r, false)
+		}
 	}
 }
 
-// stop asks the upstream to stop a run until it answers or the run is gone; its
-// end then arrives like any other.
-func (s *Shard) stop(r *run) {
+// stopWith asks the upstream to stop a run, and to keep a checkpoint of it if
+// asked, until it answers or the run is gone; its end then arrives like any
+// other.
+func (s *Shard) stopWith(r *run, checkpoint bool) {
+	s.mu.Lock()
+	r.stopping = true
+	s.mu.Unlock()
 	for !s.hasEnded(r) {
 		s.mu.Lock()
 		epoch := r.link.epoch
 		s.mu.Unlock()
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 		response, err := r.link.client.Stop(ctx, upstream.StopRequest{
-			Epoch: epoch,
-			Task:  r.id,
+			Epoch:      epoch,
+			Task:       r.id,
+			Checkpoint: checkpoint,
 		})
 		cancel()
 		if err == nil && response.State == upstream.StateRefused {
--- /dev/null
+++ b/internal/entry/upstream/preempt.go
@@ -0,0 +1,145 @@
+package upstream
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/citronbay/citronbay/internal/api/caller"
+	"github.com/citronbay/citronbay/internal/api/upstream"
+)
+
+// preemptAfter is how long urgent work waits for room before less urgent tasks
+// make room for it.
+const preemptAfter = 150 * time.Millisecond
+
+// clearFor is how long freed room is kept for the job that it was freed for.
+const clearFor = time.Second
+
+// clearing keeps the room that is being freed from less urgent work.
+type clearing struct {
+	job   string
+	band  int
+	until time.Time
+}
+
+// blocks reports whether the job must leave freed room alone.
+func (c clearing) blocks(j *job, now time.Time) bool {
+	return now.Before(c.until) && j.record.JobID != c.job && j.record.Spec.Urgency.Band() > c.band
+}
+
+// preempt lets one worker checkpoint and stop less urgent tasks, when an urgent
+// job has waited too long for room. The lock is held.
+func (s *Shard) preempt(now time.Time) {
+	if now.Before(s.clearing.until) {
+		return
+	}
+	for _, j := range s.jobs {
+		if !j.admitted || j.record.Spec.Urgency != caller.Urgent || len(j.waiting) == 0 {
+			continue
+		}
+		if j.record.Spec.Kind == caller.KindAllAtOnce || s.ledger.Room(j.record.Team) <= 0 {
+			continue
+		}
+		if now.Sub(j.waitsSince) < preemptAfter {
+			continue
+		}
+		j.waitsSince = now
+		victims := s.victims(j)
+		if len(victims) == 0 {
+			continue
+		}
+		s.clearing = clearing{
+			job:   j.record.JobID,
+			band:  j.record.Spec.Urgency.Band(),
+			until: now.Add(clearFor),
+		}
+		for _, r := range victims {
+			r.stopping = true
+			go s.stopWith(r, true)
+		}
+		return
+	}
+}
+
+// victims returns the runs whose end would make room for one task of the job
+// on one worker, those of the team furthest above its share first; it is empty
+// when no worker has enough of them.
+func (s *Shard) victims(j *job) []*run {
+	capacity := s.workers.Capacity()
+	var best []*run
+	for _, l := range s.links {
+		if !l.open {
+			continue
+		}
+		used, _ := s.fleetOf(l).Used(l.vm.Name)
+		chosen, enough := s.victimsAt(l, j, l.capacity.Minus(used), capacity)
+		if enough && (best == nil || len(chosen) < len(best)) {
+			best = chosen
+		}
+	}
+	return best
+}
+
+func (s *Shard) victimsAt(l *link, j *job, free, capacity upstream.Resources) (chosen []*run, enough bool) {
+	var preemptable []*run
+	for _, r := range l.runs {
+		if s.mayPreempt(r, j) {
+			preemptable = append(preemptable, r)
+		}
+	}
+	slices.SortFunc(preemptable, func(a, b *run) int {
+		return cmp.Or(
+			cmp.Compare(b.band, a.band),
+			cmp.Compare(s.ledger.Weight(b.team, capacity), s.ledger.Weight(a.team, capacity)),
+			cmp.Compare(a.id, b.id),
+		)
+	})
+	for _, r := range preemptable {
+		chosen = append(chosen, r)
+		free = free.Plus(r.size)
+		if j.record.Spec.Size.Fits(free) {
+			return chosen, true
+		}
+	}
+	return nil, false
+}
+
+// mayPreempt reports whether the run may make room for the job: it is a less
+// urgent task of a batch job that may be run again.
+func (s *Shard) mayPreempt(r *run, j *job) bool {
+	owner, ok := s.jobs[r.job]
+	if !ok || r.stopping || r.band <= j.record.Spec.Urgency.Band() {
+		return false
+	}
+	return owner.record.Spec.Kind == caller.KindBatch && !owner.record.Spec.AtMostOnce
+}
+
+// moveServices stops the tasks of services on upstreams that leave, so that
+// they start elsewhere. The lock is held.
+func (s *Shard) moveServices() {
+	for _, l := range s.links {
+		if !l.leaving && l.missing.IsZero() {
+			continue
+		}
+		for _, r := range l.runs {
+			owner, ok := s.jobs[r.job]
+			if ok && !r.stopping && owner.record.Spec.Kind == caller.KindService {
+				go s.stopWith(r, true)
+			}
+		}
+	}
+}
+
+// expireJobs ends the jobs of which nothing has started by their deadline. The
+// lock is held.
+func (s *Shard) expireJobs(now time.Time) {
+	for _, j := range s.jobs {
+		limit := time.Duration(j.record.Spec.DeadlineMillis) * time.Millisecond
+		waits := j.admitted && j.record.Fate == caller.FateInProgress && !j.record.Ran && len(j.runs) == 0
+		if limit == 0 || !waits || now.Sub(j.record.Submitted) < limit {
+			continue
+		}
+		s.cancel(j, "nothing of it could start by the deadline")
+	}
+}
--- a/internal/entry/upstream/save.go
+++ b/internal/entry/upstream/save.go
@@ -261,7 +261,7 @@
 			continue
 		}
 		if isTerminal(theirs) {
-			j.states[index] = theirs
+			j.set(index, theirs)
 		} else if theirs == taskDispatched && j.runs[index] != nil && !j.runs[index].adopted {
 			s.setState(j, index, taskUnknown, "another owner dispatched it too")
 		}
--- a/internal/entry/upstream/shard.go
+++ b/internal/entry/upstream/shard.go
@@ -18,6 +18,10 @@
 	"github.com/citronbay/citronbay/internal/entry/settings"
 )
 
+// superviseEvery is the interval at which directory, leases and limits are
+// looked at.
+const superviseEvery = 200 * time.Millisecond
+
 // Options are what a shard needs of its entry.
 type Options struct {
 	// Name names the shard, which is the failure domain's.
@@ -59,12 +63,13 @@
 	runners    *worker.Fleet[worker.LeastLoaded]
 	workers    *worker.Fleet[worker.BestFit]
 	requests   *task.Queue[*ticket]
-	tasks      *task.Queue[*pending]
+	tasks      *task.Queue[*job]
 	ledger     *team.Ledger
 	jobs       map[string]*job
 	joined     map[string]*outcome
 	units      unitsState
 	reserve    reservation
+	clearing   clearing
 	jobsRead   bool
 	flushNow   chan struct{}
 	unitsNow   chan struct{}
@@ -82,7 +87,7 @@
 		runners:  worker.NewFleet(worker.LeastLoaded{}),
 		workers:  worker.NewFleet(worker.BestFit{}),
 		requests: task.NewQueue[*ticket](),
-		tasks:    task.NewQueue[*pending](),
+		tasks:    task.NewQueue[*job](),
 		ledger:   team.NewLedger(),
 		jobs:     map[string]*job{},
 		joined:   map[string]*outcome{},
@@ -113,7 +118,7 @@
 
 // superviseLoop follows the directory and what only the passing of time tells.
 func (s *Shard) superviseLoop(ctx, linkCtx context.Context) {
-	ticker := time.NewTicker(100 * time.Millisecond)
+	ticker := time.NewTicker(superviseEvery)
 	defer ticker.Stop()
 	for {
 		s.refresh(linkCtx, s.Sync.Machines(), time.Now())
@@ -144,6 +149,11 @@
 	}
 	s.applyLimits()
 	s.adoptJobs()
+	if !s.released {
+		s.expireJobs(now)
+		s.moveServices()
+		s.preempt(now)
+	}
 	s.pump()
 }
 
@@ -297,8 +307,8 @@
 
 // reopen decides whether the upstream takes new tasks.
 func (s *Shard) reopen(l *link, now time.Time) {
-	open := l.holds(now) && !l.leaving && l.missing.IsZero() && !now.Before(l.suspectUntil) && !s.released
-	s.fleetOf(l).SetOpen(l.vm.Name, open)
+	l.open = l.holds(now) && !l.leaving && l.missing.IsZero() && !now.Before(l.suspectUntil) && !s.released
+	s.fleetOf(l).SetOpen(l.vm.Name, l.open)
 }
 
 // adopt takes over the lease that was granted, and everything that runs at the
@@ -506,7 +516,7 @@
 	status := operator.ShardStatus{
 		Shard:   s.Name,
 		Owner:   s.Entry,
-		Waiting: s.requests.Len() + s.tasks.Len(),
+		Waiting: s.requests.Len() + s.tasks.Tasks(),
 		Jobs:    len(s.jobs),
 	}
 	for _, l := range s.links {
--- a/internal/proof/process/cell_test.go
+++ b/internal/proof/process/cell_test.go
@@ -68,6 +68,17 @@
 	runners   int
 	isolated  string
 	taskLease time.Duration
+	// spare names domains that have one entry more than the others.
+	spare string
+}
+
+// whole is a cell of the size that each customer has today.
+func whole() layout {
+	l := threeDomains()
+	l.workers = 17
+	l.runners = 17
+	l.spare = "izmir-a"
+	return l
 }
 
 func oneDomain() layout {
@@ -91,7 +102,7 @@
 
 // cell is a running cell of real entries.
 type cell struct {
-	t         *testing.T
+	t         testing.TB
 	layout    layout
 	dir       string
 	platform  *platform.Server
@@ -138,7 +149,7 @@
 }
 
 // freeAddress returns a loopback address whose port no one uses for TCP or UDP.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	for range portRange {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portRange)
@@ -159,7 +170,7 @@
 }
 
 // startCell starts everything and waits until all entries take work.
-func startCell(t *testing.T, l layout) *cell {
+func startCell(t testing.TB, l layout) *cell {
 	t.Helper()
 	c := &cell{
 		t:         t,
@@ -181,7 +192,11 @@
 		for i := range l.runners {
 			c.addUpstream(fmt.Sprintf("%s-runner-%d", domain, i), apiplatform.RoleRunner, domain)
 		}
-		for i := range l.entries {
+		entries := l.entries
+		if domain == l.spare {
+			entries++
+		}
+		for i := range entries {
 			c.planEntry(fmt.Sprintf("%s-entry-%d", domain, i), domain)
 		}
 	}
@@ -377,7 +392,7 @@
 }
 
 // eventually waits for a condition, at most for the given time.
-func eventually(t *testing.T, limit time.Duration, what string, condition func() error) {
+func eventually(t testing.TB, limit time.Duration, what string, condition func() error) {
 	t.Helper()
 	deadline := time.Now().Add(limit)
 	for {
--- /dev/null
+++ b/internal/proof/process/job_test.go
@@ -0,0 +1,256 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/api/caller"
+	"github.com/citronbay/citronbay/internal/api/operator"
+	apiupstream "github.com/citronbay/citronbay/internal/api/upstream"
+	"github.com/citronbay/citronbay/internal/standin/platform"
+	"github.com/citronbay/citronbay/internal/standin/upstream"
+)
+
+// urgentLimit is the stated time in which urgent work starts.
+const urgentLimit = 1400 * time.Millisecond
+
+func (c *cell) submit(client *caller.Client, job caller.Job) caller.JobStatus {
+	c.t.Helper()
+	if job.Size.MilliProcessors == 0 {
+		job.Size = small
+	}
+	status, err := client.Submit(context.Background(), job)
+	assert.NilError(c.t, err)
+	return status
+}
+
+func TestUrgentWorkMakesRoom(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, oneDomain())
+	key, _ := c.team("kiln", 100)
+	client := c.client(c.order[0], key)
+	batch := c.submit(client, caller.Job{
+		Kind:      caller.KindBatch,
+		Tasks:     24,
+		RunMillis: 4000,
+		Urgency:   caller.Low,
+	})
+	c.awaitRunning("kiln", 16, patience)
+	begun := time.Now()
+	urgent := c.submit(client, caller.Job{
+		Kind:      caller.KindBatch,
+		Tasks:     1,
+		Size:      apiupstream.Resources{MilliProcessors: 1500},
+		RunMillis: 10,
+		Urgency:   caller.Urgent,
+	})
+	eventually(t, urgentLimit, "start of urgent work", func() error {
+		status, err := client.Job(context.Background(), urgent.JobID)
+		if err == nil && status.Running+status.Completed == 0 {
+			err = errors.New("it waits")
+		}
+		return err
+	})
+	t.Logf("urgent work started after %s", time.Since(begun).Round(time.Millisecond))
+	ended := awaitJob(t, client, batch.JobID, patience)
+	assert.Equal(t, ended.Fate, caller.FateCompleted, ended.Reason)
+	c.checkNoOverlap()
+	c.checkFilled()
+}
+
+func TestJobsEndWithTheirTrueFate(t *testing.T) {
+	c := startCell(t, oneDomain())
+	key, _ := c.team("kiln", 100)
+	poor, _ := c.team("tally", 2)
+	client := c.client(c.order[0], key)
+	for name, test := range map[string]struct {
+		key    string
+		job    caller.Job
+		fate   caller.Fate
+		reason string
+		starts int
+	}{
+		"larger than any worker": {key, caller.Job{
+			Kind:  caller.KindBatch,
+			Tasks: 1,
+			Size:  apiupstream.Resources{MilliProcessors: 5000},
+		}, caller.FateNotRun, "fits no machine", 0},
+		"more at once than the cell holds": {key, caller.Job{
+			Kind:  caller.KindAllAtOnce,
+			Tasks: 17,
+		}, caller.FateNotRun, "fits no machine", 0},
+		"more at once than the cap": {poor, caller.Job{
+			Kind:  caller.KindAllAtOnce,
+			Tasks: 3,
+		}, caller.FateNotRun, "cap", 0},
+		"command fails": {key, caller.Job{
+			Kind:    caller.KindBatch,
+			Tasks:   1,
+			Command: "fail",
+		}, caller.FateFailed, "the command failed", 3},
+		"command fails and must not be repeated": {key, caller.Job{
+			Kind:       caller.KindBatch,
+			Tasks:      1,
+			Command:    "fail",
+			AtMostOnce: true,
+		}, caller.FateFailed, "the command failed", 1},
+		"one of all at once fails": {key, caller.Job{
+			Kind:      caller.KindAllAtOnce,
+			Tasks:     2,
+			Command:   "fail",
+			RunMillis: 300,
+		}, caller.FateFailed, "", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := c.client(c.order[1], test.key)
+			status := c.submit(client, test.job)
+			if status.Fate == caller.FateInProgress {
+				status = awaitJob(t, client, status.JobID, patience)
+			}
+			assert.Equal(t, status.Fate, test.fate, status.Reason)
+			assert.Assert(t, strings.Contains(status.Reason, test.reason), status.Reason)
+			starts := 0
+			for _, span := range c.spans() {
+				if status.JobID != "" && strings.HasPrefix(span.Task, status.JobID) {
+					starts++
+				}
+			}
+			assert.Equal(t, starts, test.starts)
+		})
+	}
+	t.Run("deadline passes before there is room", func(t *testing.T) {
+		full := c.fill(client, 16, 3*time.Second)
+		c.awaitRunning("kiln", 16, patience)
+		status := c.submit(client, caller.Job{
+			Kind:           caller.KindBatch,
+			Tasks:          2,
+			DeadlineMillis: 500,
+		})
+		ended := awaitJob(t, client, status.JobID, patience)
+		assert.Equal(t, ended.Fate, caller.FateNotRun, ended.Reason)
+		_, err := client.Cancel(context.Background(), full)
+		assert.NilError(t, err)
+		assert.Equal(t, awaitJob(t, client, full, patience).Fate, caller.FateFailed)
+	})
+	t.Run("cancelled before it ran", func(t *testing.T) {
+		full := c.fill(client, 16, time.Second)
+		status := c.submit(client, caller.Job{
+			Kind:  caller.KindBatch,
+			Tasks: 5,
+		})
+		ended, err := client.Cancel(context.Background(), status.JobID)
+		assert.NilError(t, err)
+		assert.Equal(t, ended.Fate, caller.FateNotRun, ended.Reason)
+		awaitJob(t, client, full, patience)
+	})
+}
+
+func TestServiceKeepsItsSize(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, oneDomain())
+	key, _ := c.team("kiln", 100)
+	client := c.client(c.order[0], key)
+	status := c.submit(client, caller.Job{
+		Kind:  caller.KindService,
+		Tasks: 4,
+	})
+	kept := func() error {
+		found, err := client.Job(context.Background(), status.JobID)
+		if err == nil && (found.Running != 4 || c.runningNow("kiln") != 4) {
+			err = fmt.Errorf("%d running, upstreams run %d", found.Running, c.runningNow("kiln"))
+		}
+		return err
+	}
+	eventually(t, patience, "size at first", kept)
+	leaving := c.upstreams["izmir-a-worker-0"]
+	leaving.vm.State = "leaving"
+	c.platform.SetVM(leaving.vm)
+	eventually(t, patience, "tasks moved off the leaving worker", func() error {
+		if n := len(leaving.state.Observe().Running); n > 0 {
+			return fmt.Errorf("%d run there", n)
+		}
+		return kept()
+	})
+	c.kill(c.owner("izmir-a"))
+	client = c.client(c.owner("izmir-a"), key)
+	eventually(t, patience, "size after the owner's death", kept)
+	_, err := client.Cancel(context.Background(), status.JobID)
+	assert.NilError(t, err)
+	eventually(t, patience, "nothing runs after cancelling", func() error {
+		if n := c.runningNow("kiln"); n > 0 {
+			return fmt.Errorf("%d run", n)
+		}
+		return nil
+	})
+	c.checkNoOverlap()
+}
+
+func TestWorkerThatFailsEverythingIsAvoided(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, oneDomain())
+	key, _ := c.team("kiln", 100)
+	bad := c.upstreams["izmir-a-worker-0"]
+	bad.state.SetFaults(upstream.Faults{FailAll: true})
+	client := c.client(c.order[0], key)
+	id := c.fill(client, 60, 50*time.Millisecond)
+	ended := awaitJob(t, client, id, patience)
+	assert.Equal(t, ended.Fate, caller.FateCompleted, ended.Reason)
+	wasted := len(bad.state.Observe().Spans)
+	t.Logf("%d of 60 tasks were begun on the failing worker", wasted)
+	assert.Assert(t, wasted < 30)
+}
+
+// TestWorkerCutOffAndBack cuts a worker off for longer than its tasks' lease:
+// its tasks run elsewhere, at no time in both places.
+func TestWorkerCutOffAndBack(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, oneDomain())
+	key, _ := c.team("kiln", 100)
+	client := c.client(c.order[0], key)
+	id := c.fill(client, 24, 1500*time.Millisecond)
+	c.awaitRunning("kiln", 16, patience)
+	for range 2 {
+		c.upstreams["izmir-a-worker-0"].proxy.SetSilent(true)
+		time.Sleep(c.taskLease() + 2*time.Second)
+		c.upstreams["izmir-a-worker-0"].proxy.SetSilent(false)
+		time.Sleep(500 * time.Millisecond)
+	}
+	ended := awaitJob(t, client, id, patience)
+	assert.Equal(t, ended.Fate, caller.FateCompleted, ended.Reason)
+	c.checkNoOverlap()
+	c.checkFilled()
+}
+
+// TestWithdrawalOutlivesItsEntry kills the entry that took a withdrawal before
+// the store has recorded it.
+func TestWithdrawalOutlivesItsEntry(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, oneDomain())
+	key, id := c.team("kiln", 10)
+	c.platform.SetFaults(platform.Faults{Down: true})
+	var response operator.ChangeResponse
+	assert.NilError(t, c.operate(c.order[0], http.MethodDelete, "/v1/operator/teams/kiln/keys/"+id, nil, &response))
+	assert.Assert(t, !response.Durable)
+	c.kill(c.order[0])
+	c.platform.SetFaults(platform.Faults{})
+	eventually(t, patience, "record in the store", func() error {
+		var audit []operator.AuditEntry
+		if err := c.operate(c.order[1], http.MethodGet, "/v1/operator/audit", nil, &audit); err != nil {
+			return err
+		}
+		for _, entry := range audit {
+			if entry.Record.Action == "withdrawKey" {
+				return nil
+			}
+		}
+		return errors.New("none")
+	})
+	assert.NilError(t, c.refusedKey(c.order[1], key))
+}
--- a/internal/proof/process/path_test.go
+++ b/internal/proof/process/path_test.go
@@ -21,7 +21,7 @@
 }
 
 // awaitJob waits until the job has ended.
-func awaitJob(t *testing.T, client *caller.Client, id string, limit time.Duration) caller.JobStatus {
+func awaitJob(t testing.TB, client *caller.Client, id string, limit time.Duration) caller.JobStatus {
 	t.Helper()
 	var status caller.JobStatus
 	eventually(t, limit, "job "+id, func() error {
--- a/internal/standin/proxy/tcp.go
+++ b/internal/standin/proxy/tcp.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,6 +15,7 @@
 type TCP struct {
 	listener net.Listener
 	done     chan struct{}
+	bytes    atomic.Int64
 
 	mu       sync.Mutex
 	target   string
@@ -54,6 +56,11 @@
 	return p.listener.Addr().String()
 }
 
+// Bytes returns how many bytes have been passed on, in both directions.
+func (p *TCP) Bytes() int64 {
+	return p.bytes.Load()
+}
+
 // SetTarget changes the target of new connections.
 func (p *TCP) SetTarget(target string) {
 	p.mu.Lock()
@@ -187,6 +194,7 @@
 		}
 		out, pass, end := p.judge(c, buffer[:n], answers)
 		if pass {
+			p.bytes.Add(int64(len(out)))
 			if _, err := to.Write(out); err != nil {
 				return
 			}
--- a/internal/standin/proxy/udp.go
+++ b/internal/standin/proxy/udp.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,6 +14,7 @@
 type UDP struct {
 	socket *net.UDPConn
 	target *net.UDPAddr
+	bytes  atomic.Int64
 
 	mu       sync.Mutex
 	silent   bool
@@ -53,6 +55,17 @@
 	return p.socket.LocalAddr().String()
 }
 
+// Bytes returns how many bytes have been passed on, in both directions.
+func (p *UDP) Bytes() int64 {
+	return p.bytes.Load()
+}
+
+func (p *UDP) count(n int, err error) {
+	if err == nil {
+		p.bytes.Add(int64(n))
+	}
+}
+
 // SetSilent drops all packets until it is unset.
 func (p *UDP) SetSilent(silent bool) {
 	p.mu.Lock()
@@ -106,7 +119,7 @@
 			continue
 		}
 		packet := append([]byte(nil), buffer[:n]...)
-		p.pass(s, func() { _, _ = s.out.Write(packet) })
+		p.pass(s, func() { p.count(s.out.Write(packet)) })
 	}
 }
 
@@ -142,7 +155,7 @@
 			continue
 		}
 		packet := append([]byte(nil), buffer[:n]...)
-		p.pass(s, func() { _, _ = p.socket.WriteToUDP(packet, s.sender) })
+		p.pass(s, func() { p.count(p.socket.WriteToUDP(packet, s.sender)) })
 	}
 }
 
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +16,9 @@
 // keptEnds is how many ended tasks are remembered for duplicates and results.
 const keptEnds = 50000
 
+// bootLength is the length of the name of an upstream's run.
+const bootLength = 8
+
 // Faults are the failures that the stand-in brings about.
 type Faults struct {
 	// FailAll lets every task fail at its start.
@@ -83,19 +87,22 @@
 
 type task struct {
 	request upstream.StartRequest
-	state   string
-	reason  string
-	result  []byte
-	done    chan struct{}
-	cancel  context.CancelFunc
-	span    int
+	// checkpoint is the time that it has run, in milliseconds, as text.
+	checkpoint []byte
+	begun      int64
+	state      string
+	reason     string
+	result     []byte
+	done       chan struct{}
+	cancel     context.CancelFunc
+	span       int
 }
 
 // New returns an upstream of the capacity, with nothing running.
 func New(capacity upstream.Resources) *Upstream {
 	u := &Upstream{
 		capacity: capacity,
-		boot:     uuid.NewString(),
+		boot:     uuid.NewString()[:bootLength],
 		begin:    time.Now(),
 		lease:    lease{epoch: time.Now().UnixMilli()},
 		thaw:     make(chan struct{}),
@@ -174,6 +181,7 @@
 	u.acknowledge(request.AckedSequence)
 	response := u.status(now)
 	if claim {
+		response.Capacity = u.capacity
 		response.Running = u.running()
 	}
 	response.Ended = u.endedAfter(request.SeenSequence)
@@ -242,13 +250,12 @@
 
 func (u *Upstream) status(now int64) upstream.LeaseResponse {
 	return upstream.LeaseResponse{
-		Boot:     u.boot,
-		Clock:    now,
-		Holder:   u.lease.holder,
-		Epoch:    u.lease.epoch,
-		Until:    u.lease.until,
-		Capacity: u.capacity,
-		Used:     u.used,
+		Boot:   u.boot,
+		Clock:  now,
+		Holder: u.lease.holder,
+		Epoch:  u.lease.epoch,
+		Until:  u.lease.until,
+		Used:   u.used,
 	}
 }
 
@@ -300,6 +307,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &task{
 		request: request,
+		begun:   u.clock(),
 		state:   upstream.StateRunning,
 		done:    make(chan struct{}),
 		cancel:  cancel,
@@ -349,7 +357,8 @@
 func (u *Upstream) run(ctx context.Context, t *task) {
 	var over <-chan time.Time
 	if t.request.RunMillis >= 0 {
-		timer := time.NewTimer(time.Duration(t.request.RunMillis) * time.Millisecond)
+		left := max(0, t.request.RunMillis-resumed(t.request))
+		timer := time.NewTimer(time.Duration(left) * time.Millisecond)
 		defer timer.Stop()
 		over = timer.C
 	}
@@ -368,6 +377,15 @@
 	u.end(t, upstream.StateCompleted, "", result)
 }
 
+// resumed returns how long the task has run before, in milliseconds.
+func resumed(request upstream.StartRequest) int64 {
+	ran, err := strconv.ParseInt(string(request.Resume), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return ran
+}
+
 // end records a task's end once and frees what it held.
 func (u *Upstream) end(t *task, state, reason string, result []byte) {
 	if t.state != upstream.StateRunning {
@@ -389,12 +407,13 @@
 func (u *Upstream) report(t *task) {
 	u.sequence++
 	u.ended = append(u.ended, upstream.Ended{
-		Sequence: u.sequence,
-		Task:     t.request.Task,
-		Job:      t.request.Job,
-		Team:     t.request.Team,
-		Failed:   t.reason,
-		Result:   t.result,
+		Sequence:   u.sequence,
+		Task:       t.request.Task,
+		Job:        t.request.Job,
+		Team:       t.request.Team,
+		Failed:     t.reason,
+		Result:     t.result,
+		Checkpoint: t.checkpoint,
 	})
 	close(u.signal)
 	u.signal = make(chan struct{})
@@ -416,6 +435,10 @@
 		close(t.done)
 		u.remember(request.Task, t)
 	}
+	if request.Checkpoint {
+		ran := resumed(t.request) + u.clock() - t.begun
+		t.checkpoint = strconv.AppendInt(nil, ran, 10)
+	}
 	u.end(t, upstream.StateFailed, upstream.ReasonStopped, nil)
 	return u.describe(request.Task), ""
 }
--- /dev/null
+++ b/internal/standin/upstream/upstream_test.go
@@ -0,0 +1,113 @@
+package upstream
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/api/upstream"
+)
+
+const ttl = 1000
+
+func claim(u *Upstream, holder string) (upstream.LeaseResponse, string) {
+	return u.Lease(upstream.LeaseRequest{
+		Holder:     holder,
+		Until:      u.clock() + ttl,
+		TasksUntil: u.clock() + 3*ttl,
+	})
+}
+
+func start(u *Upstream, epoch int64, task string, run int64) string {
+	_, refused := u.Start(upstream.StartRequest{
+		Epoch:     epoch,
+		NotAfter:  u.clock() + ttl,
+		Task:      task,
+		RunMillis: run,
+		Size:      upstream.Resources{MilliProcessors: 400},
+	})
+	return refused
+}
+
+// TestLeaseFencesAndLapses runs in a bubble of fake time.
+func TestLeaseFencesAndLapses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := New(upstream.Resources{MilliProcessors: 1000})
+		first, refused := claim(u, "entry-1")
+		assert.Equal(t, refused, "")
+		assert.Equal(t, start(u, first.Epoch, "a/0/1", 10*ttl), "")
+		assert.Equal(t, start(u, first.Epoch, "a/0/1", 10*ttl), "", "a known task is not started again")
+		_, refused = claim(u, "entry-2")
+		assert.Equal(t, refused, upstream.ReasonHeld)
+
+		time.Sleep(ttl * time.Millisecond)
+		second, refused := claim(u, "entry-2")
+		assert.Equal(t, refused, "")
+		assert.Assert(t, second.Epoch > first.Epoch)
+		assert.Equal(t, len(second.Running), 1)
+		assert.Equal(t, start(u, first.Epoch, "b/0/1", 1), upstream.ReasonFenced)
+		assert.Equal(t, start(u, second.Epoch, "c/0/1", 1), "")
+		assert.Equal(t, start(u, second.Epoch, "d/0/1", 1), upstream.ReasonOverfilled)
+
+		time.Sleep(4 * ttl * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, u.Describe("a/0/1").Reason, "lease lapsed")
+		assert.Equal(t, u.Observe().Starts["a/0/1"], 1)
+	})
+}
+
+func TestLateStartAndStoppedTaskAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := New(upstream.Resources{MilliProcessors: 1000})
+		lease, _ := claim(u, "entry-1")
+		late := upstream.StartRequest{
+			Epoch:    lease.Epoch,
+			NotAfter: u.clock() + ttl/4,
+			Task:     "a/0/1",
+		}
+		time.Sleep(ttl / 2 * time.Millisecond)
+		_, refused := u.Start(late)
+		assert.Equal(t, refused, upstream.ReasonLate)
+		response, _ := u.Stop(upstream.StopRequest{
+			Epoch: lease.Epoch,
+			Task:  "b/0/1",
+		})
+		assert.Equal(t, response.State, upstream.StateRefused)
+		assert.Equal(t, start(u, lease.Epoch, "b/0/1", 1), upstream.ReasonStopped)
+	})
+}
+
+func TestEndsAreKeptUntilAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := New(upstream.Resources{MilliProcessors: 1000})
+		lease, _ := claim(u, "entry-1")
+		for i := range 2 {
+			assert.Equal(t, start(u, lease.Epoch, fmt.Sprint("a/", i, "/1"), 1), "")
+		}
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+		renew := upstream.LeaseRequest{
+			Holder: "entry-1",
+			Epoch:  lease.Epoch,
+			Until:  u.clock() + ttl,
+		}
+		for name, test := range map[string]struct {
+			seen int64
+			want int
+		}{
+			"none seen": {0, 2},
+			"one seen":  {1, 1},
+		} {
+			renew.SeenSequence = test.seen
+			response, _ := u.Lease(renew)
+			assert.Equal(t, len(response.Ended), test.want, name)
+		}
+		renew.SeenSequence = 0
+		renew.AckedSequence = 2
+		response, _ := u.Lease(renew)
+		assert.Equal(t, len(response.Ended), 0)
+	})
+}
