--- a/internal/api/caller/client.go
+++ b/internal/api/caller/client.go
@@ -18,7 +18,7 @@
 }
 
 // NewClient returns a client of the entry at the address (IP:port) that shows
-// the key, and a clean-up function that closes its connections.
+// the key, if it is not empty, and a clean-up function that closes its connections.
 func NewClient(address, key string) (*Client, func()) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 256}
 	c := &Client{
@@ -59,7 +59,9 @@
 	if err != nil {
 		return err
 	}
-	request.Header.Set("Authorization", "Bearer "+c.key)
+	if c.key != "" {
+		request.Header.Set("Authorization", "Bearer "+c.key)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return errors.Join(ErrUnreached, err)
--- a/internal/api/operator/operator.go
+++ b/internal/api/operator/operator.go
@@ -103,7 +103,24 @@
 	Presets map[string]Preset `json:"presets"`
 	// Drained names the upstreams that get no new work.
 	Drained []string `json:"drained,omitempty"`
-	Audit   Trail    `json:"audit,omitempty"`
+	// Open names, by service, the team that requests without a key count for.
+	Open  map[string]string `json:"open,omitempty"`
+	Audit Trail             `json:"audit,omitempty"`
+}
+
+// WithOpen returns the cell with the service's queue open to all, counted for
+// the team, or closed if the team is empty.
+func (c Cell) WithOpen(service, team string) Cell {
+	open := map[string]string{}
+	for known, counted := range c.Open {
+		open[known] = counted
+	}
+	open[service] = team
+	if team == "" {
+		delete(open, service)
+	}
+	c.Open = open
+	return c
 }
 
 // WithDrained returns the cell with the upstream drained, or no longer so.
@@ -232,6 +249,13 @@
 	Undo     bool   `json:"undo,omitempty"`
 }
 
+// OpenRequest opens the queue of a service to all, counted for a team, or closes
+// it if the team is empty.
+type OpenRequest struct {
+	Service string `json:"service"`
+	Team    string `json:"team,omitempty"`
+}
+
 // TeamView is a team without its keys' hashes.
 type TeamView struct {
 	Name    string    `json:"name"`
--- a/internal/command/operator/agreement.go
+++ b/internal/command/operator/agreement.go
@@ -26,6 +26,7 @@
 	registerCell(ctx, app, out)
 	registerAudit(ctx, app, out)
 	registerDrain(ctx, app, out)
+	registerQueue(ctx, app, out)
 	registerJob(ctx, app, out)
 	registerRequest(ctx, app, out)
 	registerExplain(ctx, app, out)
@@ -253,3 +254,25 @@
 		return err
 	})
 }
+
+func registerQueue(ctx context.Context, app *kingpin.Application, out io.Writer) {
+	parent := app.Command("queue", "Open the queues of services to all, and close them.")
+	open := parent.Command("open", "Take requests for a service without a key.")
+	openSession := flags(ctx, out, open)
+	openService := open.Arg("service", "Name of the service.").Required().String()
+	openTeam := open.Flag("team", "Team that such requests count for.").Required().String()
+	open.Action(func(*kingpin.ParseContext) error {
+		_, err := call(openSession, http.MethodPost, operatorPath+"/queues", operator.OpenRequest{
+			Service: *openService,
+			Team:    *openTeam,
+		}, changeRows)
+		return err
+	})
+	closed := parent.Command("close", "Take requests for a service with a key only.")
+	closedSession := flags(ctx, out, closed)
+	closedService := closed.Arg("service", "Name of the service.").Required().String()
+	closed.Action(func(*kingpin.ParseContext) error {
+		_, err := call(closedSession, http.MethodPost, operatorPath+"/queues", operator.OpenRequest{Service: *closedService}, changeRows)
+		return err
+	})
+}
--- a/internal/entry/caller/server.go
+++ b/internal/entry/caller/server.go
@@ -57,7 +57,7 @@
 
 // Register adds the callers' paths to the mux.
 func (s *Server) Register(mux *http.ServeMux) {
-	mux.HandleFunc("POST /v1/requests", s.authenticated(s.serveRequest))
+	mux.HandleFunc("POST /v1/requests", s.serveRequest)
 	mux.HandleFunc("POST /v1/jobs", s.authenticated(s.submitJob))
 	mux.HandleFunc("GET /v1/jobs/{id}", s.authenticated(s.jobStatus))
 	mux.HandleFunc("DELETE /v1/jobs/{id}", s.authenticated(s.cancelJob))
@@ -68,18 +68,37 @@
 
 func (s *Server) authenticated(next teamHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if s.gate.KeysRefused() {
-			refuse(w, http.StatusServiceUnavailable, "the failure domain is isolated and its settings refuse keys meanwhile")
-			return
+		if team, ok := s.authenticate(w, r); ok {
+			next(w, r, team)
 		}
-		team, err := Authenticate(s.registry, r)
-		if err != nil {
-			s.metrics.GetOrCreateCounter("citronbay_keys_refused_total").Inc()
-			refuse(w, http.StatusUnauthorized, err.Error())
-			return
+	}
+}
+
+// authenticate returns the team whose key the request shows, or answers that
+// there is none.
+func (s *Server) authenticate(w http.ResponseWriter, r *http.Request) (operator.Team, bool) {
+	if s.gate.KeysRefused() {
+		refuse(w, http.StatusServiceUnavailable, "the failure domain is isolated and its settings refuse keys meanwhile")
+		return operator.Team{}, false
+	}
+	team, err := Authenticate(s.registry, r)
+	if err != nil {
+		s.metrics.GetOrCreateCounter("citronbay_keys_refused_total").Inc()
+		refuse(w, http.StatusUnauthorized, err.Error())
+		return operator.Team{}, false
+	}
+	return team, true
+}
+
+// requester returns the team that a request counts for: the one whose key it
+// shows, or, without a key, the one of a service that is open to all.
+func (s *Server) requester(w http.ResponseWriter, r *http.Request, service string) (operator.Team, bool) {
+	if r.Header.Get("Authorization") == "" {
+		if team, ok := s.registry.Team(s.registry.Cell().Open[service]); ok {
+			return team, true
 		}
-		next(w, r, team)
 	}
+	return s.authenticate(w, r)
 }
 
 // decode reads a message, strictly, or answers with what is wrong with it.
@@ -129,11 +148,15 @@
 	answer(w, http.StatusBadRequest, problem)
 }
 
-func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, team operator.Team) {
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	request, ok := decode[caller.Request](s, w, r)
 	if !ok {
 		return
 	}
+	team, ok := s.requester(w, r, request.Service)
+	if !ok {
+		return
+	}
 	begun := time.Now()
 	limit := s.settings.Timings.RequestDeadline
 	if request.DeadlineMillis > 0 {
--- a/internal/entry/operator/server.go
+++ b/internal/entry/operator/server.go
@@ -77,6 +77,7 @@
 	mux.HandleFunc("POST /v1/operator/presets", s.authenticated(s.putPreset))
 	mux.HandleFunc("POST /v1/operator/presets/use", s.authenticated(s.usePreset))
 	mux.HandleFunc("POST /v1/operator/drains", s.authenticated(s.drain))
+	mux.HandleFunc("POST /v1/operator/queues", s.authenticated(s.openQueue))
 	mux.HandleFunc("GET /v1/operator/cell", s.authenticated(s.cell))
 	mux.HandleFunc("GET /v1/operator/audit", s.authenticated(s.audit))
 	mux.HandleFunc("GET /v1/operator/jobs/{id}/explanation", s.authenticated(s.explain))
@@ -367,6 +368,27 @@
 	answerChange(w, response, err)
 }
 
+func (s *Server) openQueue(w http.ResponseWriter, r *http.Request, name string) {
+	request, ok := read[operator.OpenRequest](w, r, s.settings.Limits.BodyBytes)
+	if !ok {
+		return
+	}
+	if request.Service == "" || len(request.Service) > caller.MaxName {
+		answerChange(w, operator.ChangeResponse{}, bad("service", request.Service, fmt.Sprintf("1 to %d characters", caller.MaxName)))
+		return
+	}
+	if _, known := s.registry.Team(request.Team); request.Team != "" && !known {
+		answerChange(w, operator.ChangeResponse{}, missing("team "+request.Team))
+		return
+	}
+	record := s.record(name, "openQueue", request.Service, "", request.Team)
+	response, err := s.updateCell(r.Context(), record, func(cell operator.Cell) (operator.Cell, operator.Record, error) {
+		record.From = cell.Open[request.Service]
+		return cell.WithOpen(request.Service, request.Team), record, nil
+	})
+	answerChange(w, response, err)
+}
+
 func (s *Server) cell(w http.ResponseWriter, r *http.Request, _ string) {
 	status := operator.CellStatus{
 		Preset:  s.registry.Cell().InForce,
--- a/internal/proof/process/bench_test.go
+++ b/internal/proof/process/bench_test.go
@@ -178,18 +178,7 @@
 			c := startCell(b, l)
 			c.team("kiln", 100)
 			owner := c.entries[c.owner("izmir-a")]
-			const rest = 10 * time.Second
-			cpu, _ := owner.usage(b)
-			calls := c.platform.Calls()
-			bytes := c.proxied()
-			time.Sleep(rest)
-			after, resident := owner.usage(b)
-			later := c.platform.Calls()
-			b.ReportMetric((after-cpu).Seconds()/rest.Seconds()*100, "core-%")
-			b.ReportMetric(float64(resident)/(1<<20), "MB")
-			b.ReportMetric(float64(later.Reads+later.Watches+later.Writes-calls.Reads-calls.Watches-calls.Writes)/rest.Seconds(), "store-calls/s")
-			b.ReportMetric(float64(c.proxied().upstream-bytes.upstream)/rest.Seconds()/1000, "upstream-KB/s")
-			b.ReportMetric(float64(c.proxied().peer-bytes.peer)/rest.Seconds()/1000, "peer-KB/s")
+			c.reportRest(b, owner)
 		})
 	}
 }
--- a/internal/proof/process/change_test.go
+++ b/internal/proof/process/change_test.go
@@ -78,6 +78,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := startCell(t, threeDomains())
 			_, err := c.usePreset(c.order[0], "ordinary")
 			assert.NilError(t, err)
--- a/internal/proof/process/key_test.go
+++ b/internal/proof/process/key_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,6 +57,7 @@
 		"watch dropped": {DropWatches: true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := startCell(t, threeDomains())
 			key, id := c.team("kiln", 30)
 			other, _ := c.team("tally", 30)
@@ -105,6 +107,7 @@
 		settings.IsolatedRefuse: true,
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			l := threeDomains()
 			l.isolated = name
 			c := startCell(t, l)
@@ -153,3 +156,46 @@
 	}
 	c.checkCap("kiln", 30)
 }
+
+// TestOnlyOpenQueuesTakeWorkWithoutKey opens a service's queue and closes it.
+func TestOnlyOpenQueuesTakeWorkWithoutKey(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, oneDomain())
+	key, _ := c.team("kiln", 30)
+	c.team("guests", 5)
+	assert.NilError(t, c.refusedWithout(c.order[0]))
+	for _, entry := range c.order {
+		assert.NilError(t, c.refusedKey(entry, "cb.kiln.x.y"))
+		assert.NilError(t, c.refusedKey(entry, key+"x"))
+	}
+	var response operator.ChangeResponse
+	assert.NilError(t, c.operate(c.order[0], http.MethodPost, "/v1/operator/queues", operator.OpenRequest{
+		Service: service,
+		Team:    "guests",
+	}, &response))
+	for _, entry := range c.order {
+		assert.Assert(t, c.refusedWithout(entry) != nil)
+		assert.NilError(t, c.refusedKey(entry, "cb.kiln.x.y"))
+	}
+	for _, span := range c.spans() {
+		assert.Equal(t, span.Team, "guests")
+	}
+	assert.NilError(t, c.operate(c.order[1], http.MethodPost, "/v1/operator/queues", operator.OpenRequest{Service: service}, &response))
+	for _, entry := range c.order {
+		assert.NilError(t, c.refusedWithout(entry))
+	}
+}
+
+// refusedWithout returns nil when the entry refuses a request without a key.
+func (c *cell) refusedWithout(entry string) error {
+	body := strings.NewReader(`{"service":"` + service + `"}`)
+	response, err := http.Post("http://"+c.entries[entry].http+"/v1/requests", "application/json", body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusUnauthorized {
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	return nil
+}
--- a/internal/proof/process/takeover_test.go
+++ b/internal/proof/process/takeover_test.go
@@ -53,6 +53,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := startCell(t, oneDomain())
 			key, _ := c.team("kiln", 100)
 			owner := c.owner("izmir-a")
@@ -82,6 +83,7 @@
 		"at most once": true,
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := startCell(t, oneDomain())
 			key, _ := c.team("kiln", 100)
 			owner := c.owner("izmir-a")
