Tests for settling and for a woken owner's old view; smaller files

Change: one test kills the owner while one worker cannot be reached, another wakes a frozen owner when its successor dies and one worker cannot be reached. The operators' server, jobs and the test harness are split by subject.

--- /dev/null
+++ b/internal/entry/operator/status.go
@@ -0,0 +1,109 @@
+package operator
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/citronbay/citronbay/internal/api/caller"
+	"github.com/citronbay/citronbay/internal/api/operator"
+	apiplatform "github.com/citronbay/citronbay/internal/api/platform"
+	"github.com/citronbay/citronbay/internal/entry/shard"
+)
+
+func (s *Server) cell(w http.ResponseWriter, r *http.Request, _ string) {
+	status := operator.CellStatus{
+		Preset:  s.registry.Cell().InForce,
+		Entries: []operator.EntryStatus{s.self()},
+		Shards:  s.router.Shards(r.Context()),
+	}
+	for _, p := range s.membership.Peers() {
+		status.Entries = append(status.Entries, operator.EntryStatus{
+			Name:        p.Member.Name,
+			Domain:      p.Member.Domain,
+			Region:      p.Member.Region,
+			Alive:       p.Heard,
+			Owns:        p.Heard && p.Beat.Owns(),
+			Draining:    p.Beat.Draining,
+			Revision:    p.Beat.Digest.Revision,
+			Preset:      p.Beat.Preset,
+			Incarnation: p.Beat.Incarnation,
+		})
+	}
+	status.Teams = s.teams(status.Shards)
+	answer(w, http.StatusOK, status)
+}
+
+// teams sums up what the shards tell of each team.
+func (s *Server) teams(shards []operator.ShardStatus) []operator.TeamView {
+	views := []operator.TeamView{}
+	for name, team := range s.registry.Teams() {
+		view := operator.TeamView{
+			Name:  name,
+			Share: team.Share,
+			Cap:   team.Cap,
+			Held:  s.registry.Units(name).Sum(),
+		}
+		for _, key := range team.Keys {
+			view.Keys = append(view.Keys, operator.KeyView{
+				ID:        key.ID,
+				Granted:   key.Granted,
+				Withdrawn: key.Withdrawn || s.registry.IsWithdrawn(key.ID),
+			})
+		}
+		for _, sh := range shards {
+			for _, use := range sh.Teams {
+				if use.Team == name {
+					view.Running += use.Running
+					view.Waiting += use.Waiting
+				}
+			}
+		}
+		views = append(views, view)
+	}
+	slices.SortFunc(views, func(a, b operator.TeamView) int { return strings.Compare(a.Name, b.Name) })
+	return views
+}
+
+func (s *Server) audit(w http.ResponseWriter, _ *http.Request, _ string) {
+	entries := []operator.AuditEntry{}
+	for _, entry := range s.registry.Entries() {
+		for _, record := range trailOf(entry) {
+			entries = append(entries, operator.AuditEntry{
+				Key:      entry.Key,
+				Revision: entry.Revision,
+				Record:   record,
+			})
+		}
+	}
+	slices.SortFunc(entries, func(a, b operator.AuditEntry) int { return a.Record.Time.Compare(b.Record.Time) })
+	answer(w, http.StatusOK, entries)
+}
+
+func trailOf(entry apiplatform.Entry) operator.Trail {
+	if entry.Key == operator.CellKey {
+		document, err := apiplatform.Decode[operator.Cell](entry)
+		if err == nil {
+			return document.Body.Audit
+		}
+	}
+	if strings.HasPrefix(entry.Key, operator.TeamPrefix) {
+		document, err := apiplatform.Decode[operator.Team](entry)
+		if err == nil {
+			return document.Body.Audit
+		}
+	}
+	return nil
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request, _ string) {
+	reply, err := s.router.Explain(r.Context(), shard.JobRequest{JobID: r.PathValue("id")})
+	switch {
+	case err != nil:
+		answer(w, http.StatusServiceUnavailable, caller.Problem{Error: err.Error()})
+	case !reply.Found:
+		answer(w, http.StatusNotFound, caller.Problem{Error: "there is no such job"})
+	default:
+		answer(w, http.StatusOK, reply.Explanation)
+	}
+}
--- /dev/null
+++ b/internal/proof/process/entry_test.go
@@ -0,0 +1,177 @@
+package process
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/api/caller"
+	"github.com/citronbay/citronbay/internal/api/operator"
+	"github.com/citronbay/citronbay/internal/standin/proxy"
+)
+
+// process is one entry.
+type process struct {
+	name    string
+	domain  string
+	region  string
+	http    string
+	udp     string
+	store   *proxy.TCP
+	command *exec.Cmd
+	done    chan struct{}
+	logs    string
+	number  int
+}
+
+func (c *cell) planEntry(name, domain string) {
+	store, closeStore, err := proxy.NewTCP(c.address)
+	assert.NilError(c.t, err)
+	c.t.Cleanup(closeStore)
+	c.entries[name] = &process{
+		name:   name,
+		domain: domain,
+		region: c.region(domain),
+		http:   freeAddress(c.t),
+		udp:    freeAddress(c.t),
+		store:  store,
+	}
+	c.order = append(c.order, name)
+}
+
+// connectEntries puts a proxy of its own on the path of each pair.
+func (c *cell) connectEntries() {
+	for _, from := range c.order {
+		for _, to := range c.order {
+			if from == to {
+				continue
+			}
+			path, closePath, err := proxy.NewUDP(c.entries[to].udp)
+			assert.NilError(c.t, err)
+			c.t.Cleanup(closePath)
+			c.paths[[2]string{from, to}] = path
+		}
+	}
+}
+
+func (c *cell) settings(p *process) []byte {
+	sum := sha256.Sum256([]byte(operatorKey))
+	var peers []map[string]string
+	for _, other := range c.order {
+		if other == p.name {
+			continue
+		}
+		peers = append(peers, map[string]string{
+			"name":    other,
+			"address": c.paths[[2]string{p.name, other}].Address(),
+			"domain":  c.entries[other].domain,
+			"region":  c.entries[other].region,
+		})
+	}
+	fields := map[string]any{
+		"name":            p.name,
+		"domain":          p.domain,
+		"region":          p.region,
+		"callerAddress":   p.http,
+		"peerAddress":     p.udp,
+		"platformAddress": p.store.Address(),
+		"peerSecret":      "a secret that the tests share",
+		"operators": []map[string]string{{
+			"name":    "ayse",
+			"keyHash": hex.EncodeToString(sum[:]),
+		}},
+		"peers":   peers,
+		"timings": map[string]string{"taskLease": c.taskLease().String()},
+	}
+	if c.layout.isolated != "" {
+		fields["isolatedKeys"] = c.layout.isolated
+	}
+	encoded, err := yaml.Marshal(fields)
+	assert.NilError(c.t, err)
+	return encoded
+}
+
+func (c *cell) taskLease() time.Duration {
+	if c.layout.taskLease != 0 {
+		return c.layout.taskLease
+	}
+	return 5 * time.Second
+}
+
+// start starts the entry's process, anew after it has ended.
+func (c *cell) start(name string) {
+	c.t.Helper()
+	p := c.entries[name]
+	file := filepath.Join(c.dir, name+".yaml")
+	assert.NilError(c.t, os.WriteFile(file, c.settings(p), 0o600))
+	p.number++
+	p.logs = filepath.Join(c.dir, fmt.Sprintf("%s-%d.log", name, p.number))
+	logs, err := os.Create(p.logs)
+	assert.NilError(c.t, err)
+	p.command = exec.Command(binary, "entry", "--settings", file)
+	p.command.Stderr = logs
+	assert.NilError(c.t, p.command.Start())
+	done := make(chan struct{})
+	p.done = done
+	command := p.command
+	go func() {
+		_ = command.Wait()
+		_ = logs.Close()
+		close(done)
+	}()
+	c.t.Cleanup(func() {
+		_ = command.Process.Signal(syscall.SIGCONT)
+		_ = command.Process.Kill()
+		<-done
+		if c.t.Failed() {
+			c.printLog(p.logs)
+		}
+	})
+}
+
+func (c *cell) printLog(file string) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return
+	}
+	lines := strings.Split(string(content), "\n")
+	c.t.Logf("%s:\n%s", filepath.Base(file), strings.Join(lines[max(0, len(lines)-40):], "\n"))
+}
+
+func (c *cell) signal(name string, s syscall.Signal) {
+	c.t.Helper()
+	assert.NilError(c.t, c.entries[name].command.Process.Signal(s))
+}
+
+// kill ends the entry's process without warning.
+func (c *cell) kill(name string) {
+	c.t.Helper()
+	c.signal(name, syscall.SIGKILL)
+	<-c.entries[name].done
+}
+
+// status returns the cell as the entry sees it.
+func (c *cell) status(name string) (operator.CellStatus, error) {
+	var status operator.CellStatus
+	err := c.operate(name, http.MethodGet, "/v1/operator/cell", nil, &status)
+	return status, err
+}
+
+func (c *cell) operate(name, method, path string, in, out any) error {
+	client, closeClient := caller.NewClient(c.entries[name].http, operatorKey)
+	defer closeClient()
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	return client.Do(ctx, method, path, in, out)
+}
--- a/internal/proof/process/takeover_test.go
+++ b/internal/proof/process/takeover_test.go
@@ -137,3 +137,55 @@
 		assert.Assert(c.t, n <= 1, "%s ran %d times", id, n)
 	}
 }
+
+// TestTakeoverWaitsForWhatItCannotSee kills the owner while one worker cannot be
+// reached: the new owner must not start elsewhere what may still run there.
+func TestTakeoverWaitsForWhatItCannotSee(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, oneDomain())
+	key, _ := c.team("kiln", 16)
+	owner := c.owner("izmir-a")
+	client := c.client(c.other("izmir-a", owner), key)
+	job := c.fill(client, 40, 2*time.Second)
+	c.awaitRunning("kiln", 16, patience)
+	unseen := c.upstreams["izmir-a-worker-0"]
+	unseen.proxy.SetSilent(true)
+	c.kill(owner)
+	time.Sleep(c.taskLease() + 4*time.Second)
+	unseen.proxy.SetSilent(false)
+	ended := awaitJob(t, client, job, 2*patience)
+	assert.Equal(t, ended.Fate, caller.FateCompleted, ended.Reason)
+	c.checkNoOverlap()
+	c.checkCap("kiln", 16)
+	c.checkFilled()
+}
+
+// TestWokenOwnerForgetsItsOldView freezes an owner, lets its successor start new
+// tasks, and wakes it when the successor dies and one worker cannot be reached:
+// what it knew before must not let it start tasks that its successor started.
+func TestWokenOwnerForgetsItsOldView(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, oneDomain())
+	key, _ := c.team("kiln", 100)
+	first := c.owner("izmir-a")
+	second := c.other("izmir-a", first)
+	job := c.fill(c.client(second, key), 60, 2*time.Second)
+	c.awaitRunning("kiln", 16, patience)
+	c.signal(first, syscall.SIGSTOP)
+	unseen := c.upstreams["izmir-a-worker-0"]
+	eventually(t, patience, "tasks started by the successor", func() error {
+		if n := c.newStarts(unseen, time.Time{}); n < 12 {
+			return fmt.Errorf("%d started", n)
+		}
+		return nil
+	})
+	unseen.proxy.SetSilent(true)
+	c.kill(second)
+	c.signal(first, syscall.SIGCONT)
+	time.Sleep(c.taskLease() + 4*time.Second)
+	unseen.proxy.SetSilent(false)
+	ended := awaitJob(t, c.client(first, key), job, 2*patience)
+	assert.Equal(t, ended.Fate, caller.FateCompleted, ended.Reason)
+	c.checkNoOverlap()
+	c.checkFilled()
+}
