--- a/internal/entry/platform/registry_test.go
+++ b/internal/entry/platform/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -83,3 +84,19 @@
 	}
 	assert.Equal(t, registry.Preset().AdmitJobs, true)
 }
+
+func TestWholeReadsStayWithinTheirRate(t *testing.T) {
+	for name, test := range map[string]struct {
+		bytes int
+		want  time.Duration
+	}{
+		"small":  {100, relistEvery},
+		"medium": {40 << 10, 10 * time.Second},
+		"large":  {10 << 20, maxRelist},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listing := platform.Listing{Entries: []platform.Entry{{Value: make([]byte, test.bytes)}}}
+			assert.Equal(t, relistAfter(listing), test.want)
+		})
+	}
+}
--- a/internal/entry/platform/sync.go
+++ b/internal/entry/platform/sync.go
@@ -14,9 +14,12 @@
 const (
 	// watchWait is how long a watch waits for a change.
 	watchWait = 5 * time.Second
-	// relistEvery is the interval of whole reads, which find what a watch that
-	// was dropped silently has missed.
+	// relistEvery is the least interval of whole reads, which find what a watch
+	// that was dropped silently has missed; it grows with the agreement, up to
+	// maxRelist, so that whole reads cost at most relistRate bytes a second.
 	relistEvery = 3 * time.Second
+	maxRelist   = time.Minute
+	relistRate  = 4 << 10
 	// retryPause is the wait after a failed call.
 	retryPause = 300 * time.Millisecond
 )
@@ -107,10 +110,20 @@
 			continue
 		}
 		s.registry.Apply(listing.Entries...)
-		sleep(ctx, relistEvery)
+		sleep(ctx, relistAfter(listing))
 	}
 }
 
+// relistAfter returns the wait after a whole read of the listing.
+func relistAfter(listing platform.Listing) time.Duration {
+	bytes := 0
+	for _, entry := range listing.Entries {
+		bytes += len(entry.Key) + len(entry.Value)
+	}
+	earned := time.Duration(bytes) * time.Second / relistRate
+	return min(maxRelist, max(relistEvery, earned))
+}
+
 func (s *Sync) pollDirectory(ctx context.Context) {
 	for ctx.Err() == nil {
 		vms, err := s.directory.VMs(ctx)
--- /dev/null
+++ b/internal/entry/upstream/journal.go
@@ -0,0 +1,121 @@
+package upstream
+
+import (
+	"context"
+	"time"
+
+	"github.com/citronbay/citronbay/internal/api/caller"
+	"github.com/citronbay/citronbay/internal/api/upstream"
+	"github.com/citronbay/citronbay/internal/entry/platform"
+)
+
+// runOnce runs a request on the slot that it has. With again set, it has
+// provably stopped there, without an answer.
+func (s *Shard) runOnce(ctx context.Context, r *run, request ServeRequest, answer caller.Answer) (done caller.Answer, again bool) {
+	if !request.Request.AtMostOnce || !request.Named {
+		return s.dispatch(ctx, r, request.Request, answer)
+	}
+	handle, earlier, err := s.begin(ctx, r, request, answer)
+	if err != nil {
+		s.abandon(r)
+		s.Log.Warn("journal failed", "step", "begin", "error", err)
+		return refused(answer, "the journal cannot be written, so that running at most once cannot be ensured"), false
+	}
+	if handle == nil {
+		s.abandon(r)
+		return earlier, false
+	}
+	// Nothing is dispatched a second time under this intent: a retry that reads
+	// it must be able to rely on its upstream and task.
+	done, _ = s.dispatch(ctx, r, request.Request, answer)
+	go s.recordFate(context.WithoutCancel(ctx), handle, done)
+	return done, false
+}
+
+// begin records the intent to dispatch a request that must run at most once.
+// Without a handle, an earlier attempt was dispatched, and the answer tells what
+// is known of it.
+func (s *Shard) begin(ctx context.Context, r *run, request ServeRequest, answer caller.Answer) (*platform.Handle, caller.Answer, error) {
+	s.mu.Lock()
+	intent := platform.Intent{
+		Task:     r.id,
+		Upstream: r.link.vm.Name,
+		Boot:     r.link.boot,
+		Epoch:    r.link.epoch,
+		Entry:    s.Entry,
+	}
+	s.mu.Unlock()
+	beginCtx, cancel := context.WithTimeout(ctx, s.timings.StoreTimeout)
+	defer cancel()
+	handle, earlier, err := s.journal.Begin(beginCtx, request.Team, request.Request.RequestID, intent)
+	if err != nil || earlier == nil {
+		return handle, answer, err
+	}
+	found := s.earlierFate(ctx, earlier, answer)
+	if found.Fate != caller.FateNotRun {
+		return nil, found, nil
+	}
+	handle, later, err := s.journal.Replace(beginCtx, request.Team, request.Request.RequestID, intent, earlier)
+	if err != nil || later == nil {
+		return handle, answer, err
+	}
+	return nil, s.earlierFate(ctx, later, answer), nil
+}
+
+func (s *Shard) recordFate(ctx context.Context, handle *platform.Handle, answer caller.Answer) {
+	ctx, cancel := context.WithTimeout(ctx, s.timings.StoreTimeout)
+	defer cancel()
+	if err := s.journal.End(ctx, handle, answer); err != nil {
+		s.Log.Warn("journal failed", "step", "end", "error", err)
+	}
+}
+
+// earlierFate answers a retry from the intent of the first attempt: its fate if
+// it is recorded, or what the upstream tells of its task.
+func (s *Shard) earlierFate(ctx context.Context, earlier *platform.Earlier, answer caller.Answer) caller.Answer {
+	if earlier.Answer.Fate != caller.FateInProgress {
+		return earlier.Answer
+	}
+	answer.Upstream = earlier.Upstream
+	answer.Fate = caller.FateUnknown
+	answer.Reason = "an earlier attempt was dispatched and its end is not known"
+	s.mu.Lock()
+	l, ok := s.links[earlier.Upstream]
+	superseded := ok && l.holds(time.Now()) && l.boot == earlier.Boot && l.epoch > earlier.Epoch
+	s.mu.Unlock()
+	if !ok {
+		return answer
+	}
+	askCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	response, err := l.client.Result(askCtx, upstream.StopRequest{Task: earlier.Task})
+	if err != nil {
+		return answer
+	}
+	if done, ok := ended(response, answer); ok {
+		return done
+	}
+	if response.State == upstream.StateUnknown && superseded && time.Since(earlier.Begun) < remembered {
+		// The upstream has not seen the task and refuses it from now on, since
+		// its start carries an epoch that is over.
+		return refused(answer, "an earlier attempt never reached its upstream")
+	}
+	return answer
+}
+
+// ended translates the state of a task that has ended into an answer.
+func ended(response upstream.TaskResponse, answer caller.Answer) (caller.Answer, bool) {
+	answer.Reason = response.Reason
+	switch response.State {
+	case upstream.StateCompleted:
+		answer.Fate = caller.FateCompleted
+		answer.Answer = response.Result
+	case upstream.StateFailed:
+		answer.Fate = caller.FateFailed
+	case upstream.StateRefused:
+		answer.Fate = caller.FateNotRun
+	default:
+		return answer, false
+	}
+	return answer, true
+}
