--- a/internal/api/upstream/upstream.go
+++ b/internal/api/upstream/upstream.go
@@ -151,7 +151,6 @@
 	ReasonLate       = "late"
 	ReasonStopped    = "stopped"
 	ReasonOverfilled = "overfilled"
-	ReasonLeaving    = "leaving"
 	ReasonLapsed     = "lapsed"
 )
 
--- a/internal/entry/shard/router.go
+++ b/internal/entry/shard/router.go
@@ -111,32 +111,38 @@
 			Reason: notOwner,
 		}, nil
 	})
-	apipeer.Handle(server, methodStatus, owning(r, func(owned *upstream.Shard, request JobRequest) JobReply {
-		status, found := owned.JobStatus(request.Team, request.JobID)
-		return JobReply{
-			Status: status,
-			Found:  found,
-		}
-	}))
-	apipeer.Handle(server, methodCancel, owning(r, func(owned *upstream.Shard, request JobRequest) JobReply {
-		status, found := owned.Cancel(request.Team, request.JobID)
-		return JobReply{
-			Status: status,
-			Found:  found,
-		}
-	}))
-	apipeer.Handle(server, methodExplain, owning(r, func(owned *upstream.Shard, request JobRequest) ExplainReply {
-		explanation, found := owned.Explain(request.JobID)
-		return ExplainReply{
-			Explanation: explanation,
-			Found:       found,
-		}
-	}))
+	apipeer.Handle(server, methodStatus, owning(r, jobStatus))
+	apipeer.Handle(server, methodCancel, owning(r, cancelJob))
+	apipeer.Handle(server, methodExplain, owning(r, explainJob))
 	apipeer.Handle(server, methodShard, owning(r, func(owned *upstream.Shard, _ Empty) operator.ShardStatus {
 		return owned.Status()
 	}))
 }
 
+func jobStatus(owned *upstream.Shard, request JobRequest) JobReply {
+	status, found := owned.JobStatus(request.Team, request.JobID)
+	return JobReply{
+		Status: status,
+		Found:  found,
+	}
+}
+
+func cancelJob(owned *upstream.Shard, request JobRequest) JobReply {
+	status, found := owned.Cancel(request.Team, request.JobID)
+	return JobReply{
+		Status: status,
+		Found:  found,
+	}
+}
+
+func explainJob(owned *upstream.Shard, request JobRequest) ExplainReply {
+	explanation, found := owned.Explain(request.JobID)
+	return ExplainReply{
+		Explanation: explanation,
+		Found:       found,
+	}
+}
+
 // owning serves a question from the shard owned here, or refuses it.
 func owning[Request, Response any](r *Router, serve func(*upstream.Shard, Request) Response) func(context.Context, Request) (Response, error) {
 	return func(_ context.Context, request Request) (Response, error) {
@@ -336,44 +342,26 @@
 
 // Job returns the status of a job; found is false when its owner does not
 // know it for the team.
-func (r *Router) Job(ctx context.Context, request JobRequest) (reply JobReply, err error) {
-	return ask(ctx, r, request.JobID, methodStatus, request, func(owned *upstream.Shard) JobReply {
-		status, found := owned.JobStatus(request.Team, request.JobID)
-		return JobReply{
-			Status: status,
-			Found:  found,
-		}
-	})
+func (r *Router) Job(ctx context.Context, request JobRequest) (JobReply, error) {
+	return ask(ctx, r, request, methodStatus, jobStatus)
 }
 
 // Cancel stops a job and returns its status.
 func (r *Router) Cancel(ctx context.Context, request JobRequest) (JobReply, error) {
-	return ask(ctx, r, request.JobID, methodCancel, request, func(owned *upstream.Shard) JobReply {
-		status, found := owned.Cancel(request.Team, request.JobID)
-		return JobReply{
-			Status: status,
-			Found:  found,
-		}
-	})
+	return ask(ctx, r, request, methodCancel, cancelJob)
 }
 
 // Explain tells why a job waits or where it was placed.
 func (r *Router) Explain(ctx context.Context, request JobRequest) (ExplainReply, error) {
-	return ask(ctx, r, request.JobID, methodExplain, request, func(owned *upstream.Shard) ExplainReply {
-		explanation, found := owned.Explain(request.JobID)
-		return ExplainReply{
-			Explanation: explanation,
-			Found:       found,
-		}
-	})
+	return ask(ctx, r, request, methodExplain, explainJob)
 }
 
-// ask puts a question about a job to the owner of the shard in its id.
-func ask[Request, Response any](ctx context.Context, r *Router, jobID, method string, request Request, local func(*upstream.Shard) Response) (Response, error) {
-	domain, _, _ := strings.Cut(jobID, ".")
+// ask puts a question about a job to the owner of the shard that its id names.
+func ask[Response any](ctx context.Context, r *Router, request JobRequest, method string, local func(*upstream.Shard, JobRequest) Response) (Response, error) {
+	domain, _, _ := strings.Cut(request.JobID, ".")
 	owned := r.keeper.Owned()
 	if domain == r.self.Domain && owned != nil {
-		return local(owned), nil
+		return local(owned, request), nil
 	}
 	var none Response
 	owner, ok := r.membership.Owner(domain)
--- a/internal/proof/process/answer_test.go
+++ b/internal/proof/process/answer_test.go
@@ -19,6 +19,21 @@
 	}
 }
 
+// comparison begins load through all entries and waits for the first answers.
+func (c *cell) comparison(key string, callers int, runMillis, deadlineMillis int64, atMostOnce bool) *load {
+	c.t.Helper()
+	l := c.startLoad(key, "answer", c.order, callers, caller.Request{
+		Service:        service,
+		Command:        "shade",
+		Payload:        "terracotta",
+		RunMillis:      runMillis,
+		AtMostOnce:     atMostOnce,
+		DeadlineMillis: deadlineMillis,
+	})
+	eventually(c.t, patience, "answers before", func() error { return atLeast(l, 20) })
+	return l
+}
+
 // TestCallersGetTheirOwnWholeAnswers lets the load compare each answer with its
 // request while answers are crossed, late or cut short on their way.
 func TestCallersGetTheirOwnWholeAnswers(t *testing.T) {
@@ -64,15 +79,7 @@
 				t.Parallel()
 				c := startCell(t, oneDomain())
 				key, _ := c.team("kiln", 100)
-				load := c.startLoad(key, "answer", c.order, 6, caller.Request{
-					Service:        service,
-					Command:        "shade",
-					Payload:        "terracotta",
-					RunMillis:      20,
-					AtMostOnce:     atMostOnce,
-					DeadlineMillis: 8000,
-				})
-				eventually(t, patience, "answers before", func() error { return atLeast(load, 20) })
+				load := c.comparison(key, 6, 20, 8000, atMostOnce)
 				strike(c, true)
 				time.Sleep(3 * time.Second)
 				strike(c, false)
@@ -117,15 +124,7 @@
 				t.Parallel()
 				c := startCell(t, oneDomain())
 				key, _ := c.team("kiln", 100)
-				load := c.startLoad(key, "cut", c.order, 8, caller.Request{
-					Service:        service,
-					Command:        "shade",
-					Payload:        "terracotta",
-					RunMillis:      30,
-					AtMostOnce:     atMostOnce,
-					DeadlineMillis: 5000,
-				})
-				eventually(t, patience, "answers before", func() error { return atLeast(load, 20) })
+				load := c.comparison(key, 8, 30, 5000, atMostOnce)
 				for n := range 12 {
 					strike(c, n)
 					time.Sleep(time.Duration(100+37*n) * time.Millisecond)
