--- a/internal/command/entry/dev.go
+++ b/internal/command/entry/dev.go
@@ -65,7 +65,7 @@
 	}
 	defer cleanUp()
 	fmt.Printf("entry      %s\nplatform   %s\noperator   %s\nteam       %s\nkey        %s\n\n", cell.address, cell.platform, cell.operatorKey, devTeam, cell.teamKey)
-	fmt.Printf("citronbay job submit --address %s --key %s --kind batch --tasks 3 --run 100ms --wait\n\n", cell.address, cell.teamKey)
+	fmt.Printf("%s job submit --address %s --key %s --kind batch --tasks 3 --run 100ms --wait\n\n", program(), cell.address, cell.teamKey)
 	if !demo {
 		return <-ended
 	}
@@ -74,6 +74,15 @@
 	return errors.Join(err, <-ended)
 }
 
+// program returns the path of this program, for lines that are to be pasted.
+func program() string {
+	path, err := os.Executable()
+	if err != nil {
+		return "citronbay"
+	}
+	return path
+}
+
 // startDev starts the parts and returns when the cell takes work.
 func startDev(ctx context.Context) (cell devCell, ended <-chan error, cleanUp func(), err error) {
 	server := platform.NewServer()
--- /dev/null
+++ b/internal/proof/process/parts_test.go
@@ -0,0 +1,163 @@
+package process
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/api/caller"
+	"github.com/citronbay/citronbay/internal/api/operator"
+)
+
+// parts is a cell of which every part is a process of the built binary.
+type parts struct {
+	t        *testing.T
+	dir      string
+	platform string
+	entries  []string
+}
+
+// background runs the binary until the test ends.
+func (p *parts) background(arguments ...string) {
+	p.t.Helper()
+	command := exec.Command(binary, arguments...)
+	var errors bytes.Buffer
+	command.Stderr = &errors
+	assert.NilError(p.t, command.Start())
+	p.t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+		if p.t.Failed() {
+			p.t.Logf("%s:\n%s", strings.Join(arguments, " "), errors.String())
+		}
+	})
+}
+
+// run runs the binary's verb against an entry and decodes what it prints.
+func (p *parts) run(entry, key string, out any, arguments ...string) error {
+	arguments = append(arguments, "--address", entry, "--key", key, "--output", "json")
+	command := exec.Command(binary, arguments...)
+	var printed, errors bytes.Buffer
+	command.Stdout = &printed
+	command.Stderr = &errors
+	if err := command.Run(); err != nil {
+		return fmt.Errorf("%w: %s", err, errors.String())
+	}
+	return json.Unmarshal(printed.Bytes(), out)
+}
+
+func (p *parts) settings(name, domain, address, peer string, peers []string) string {
+	sum := sha256.Sum256([]byte(operatorKey))
+	file := filepath.Join(p.dir, name+".yaml")
+	content := fmt.Sprintf(`name: %s
+domain: %s
+region: ege
+callerAddress: %s
+peerAddress: %s
+platformAddress: %s
+peerSecret: a secret that the tests share
+operators:
+  - name: ayse
+    keyHash: %s
+peers: [%s]
+`, name, domain, address, peer, p.platform, hex.EncodeToString(sum[:]), strings.Join(peers, ", "))
+	assert.NilError(p.t, os.WriteFile(file, []byte(content), 0o600))
+	return file
+}
+
+func startParts(t *testing.T) *parts {
+	t.Helper()
+	p := &parts{
+		t:        t,
+		dir:      t.TempDir(),
+		platform: freeAddress(t),
+	}
+	p.background("standin", "platform", "--address", p.platform)
+	domains := []string{"izmir-a", "izmir-a", "manisa-b"}
+	var peers []string
+	var udp []string
+	for i, domain := range domains {
+		p.entries = append(p.entries, freeAddress(t))
+		udp = append(udp, freeAddress(t))
+		peers = append(peers, fmt.Sprintf("{name: entry-%d, address: %q, domain: %s, region: ege}", i, udp[i], domain))
+	}
+	for i, domain := range domains {
+		p.background("entry", "--settings", p.settings(fmt.Sprintf("entry-%d", i), domain, p.entries[i], udp[i], peers))
+	}
+	for _, domain := range domains[1:] {
+		for _, role := range []string{"worker", "runner"} {
+			eventually(t, patience, "upstream", func() error { return p.announced(role, domain) })
+		}
+	}
+	return p
+}
+
+// announced starts an upstream once the platform answers.
+func (p *parts) announced(role, domain string) error {
+	check := exec.Command(binary, "team", "list", "--address", p.entries[0], "--key", operatorKey, "--timeout", "1s")
+	if err := check.Run(); err != nil {
+		return err
+	}
+	arguments := []string{"standin", "upstream", "--name", domain + "-" + role, "--role", role, "--domain", domain, "--region", "ege", "--platform", p.platform}
+	if role == "runner" {
+		arguments = append(arguments, "--service", service)
+	}
+	p.background(arguments...)
+	return nil
+}
+
+// TestEveryPartIsAProcess runs platform, three entries in two failure domains,
+// workers and runners as processes, and drives them by the command line.
+func TestEveryPartIsAProcess(t *testing.T) {
+	t.Parallel()
+	p := startParts(t)
+	var change operator.ChangeResponse
+	eventually(t, patience, "a team", func() error {
+		return p.run(p.entries[0], operatorKey, &change, "team", "create", "kiln", "--share", "1", "--cap", "50")
+	})
+	assert.NilError(t, p.run(p.entries[1], operatorKey, &change, "key", "grant", "kiln"))
+	key := change.Secret
+	for _, entry := range p.entries {
+		var answer caller.Answer
+		eventually(t, patience, "an answer", func() error {
+			return p.run(entry, key, &answer, "request", service, "shade", "--payload", "clay")
+		})
+		assert.Equal(t, string(answer.Answer), "shade:clay")
+		for _, kind := range []string{"batch", "allAtOnce"} {
+			var status caller.JobStatus
+			assert.NilError(t, p.run(entry, key, &status, "job", "submit", "--kind", kind, "--tasks", "4", "--run", "20ms", "--wait"))
+			assert.Equal(t, status.Fate, caller.FateCompleted)
+			assert.Equal(t, status.Completed, 4)
+		}
+	}
+	var status caller.JobStatus
+	assert.NilError(t, p.run(p.entries[2], key, &status, "job", "submit", "--kind", "service", "--tasks", "2"))
+	eventually(t, patience, "the service", func() error {
+		err := p.run(p.entries[0], key, &status, "job", "status", status.JobID)
+		if err == nil && status.Running != 2 {
+			err = fmt.Errorf("%d running", status.Running)
+		}
+		return err
+	})
+	assert.NilError(t, p.run(p.entries[0], key, &status, "job", "cancel", status.JobID))
+}
+
+// TestDemoRunsOneOfEachKind runs the README's first command.
+func TestDemoRunsOneOfEachKind(t *testing.T) {
+	t.Parallel()
+	out, err := exec.Command(binary, "dev", "--demo").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	for _, kind := range []string{"request", "batch", "allAtOnce"} {
+		assert.Assert(t, strings.Contains(string(out), fmt.Sprintf("%-10s fate=completed", kind)), string(out))
+	}
+	assert.Assert(t, strings.Contains(string(out), "running=2"), string(out))
+}
