Ask after and cancel quick requests; usage reports that lag

Change: GET and DELETE of a named request find its owner through any entry; a cancelled one is stopped as at its deadline, and answers with its true fate. UsageLagMillis in the upstream's faults.

--- a/internal/entry/caller/server.go
+++ b/internal/entry/caller/server.go
@@ -58,6 +58,8 @@
 // Register adds the callers' paths to the mux.
 func (s *Server) Register(mux *http.ServeMux) {
 	mux.HandleFunc("POST /v1/requests", s.serveRequest)
+	mux.HandleFunc("GET /v1/requests/{id}", s.authenticated(s.askRequest))
+	mux.HandleFunc("DELETE /v1/requests/{id}", s.authenticated(s.askRequest))
 	mux.HandleFunc("POST /v1/jobs", s.authenticated(s.submitJob))
 	mux.HandleFunc("GET /v1/jobs/{id}", s.authenticated(s.jobStatus))
 	mux.HandleFunc("DELETE /v1/jobs/{id}", s.authenticated(s.cancelJob))
@@ -192,6 +194,23 @@
 	answer(w, status, body)
 }
 
+// askRequest tells what is known of a request that its caller has named, and
+// cancels it on DELETE.
+func (s *Server) askRequest(w http.ResponseWriter, r *http.Request, team operator.Team) {
+	ctx, cancel := context.WithTimeout(r.Context(), s.settings.Timings.RequestDeadline)
+	defer cancel()
+	reply := s.router.Ask(ctx, shard.AskRequest{
+		Team:      team.Name,
+		RequestID: r.PathValue("id"),
+		Cancel:    r.Method == http.MethodDelete,
+	})
+	if !reply.Found {
+		answer(w, http.StatusNotFound, caller.Problem{Error: "no owner that can be reached knows the request"})
+		return
+	}
+	answer(w, http.StatusOK, reply.Answer)
+}
+
 func (s *Server) submitJob(w http.ResponseWriter, r *http.Request, team operator.Team) {
 	job, ok := decode[caller.Job](s, w, r)
 	if !ok {
--- a/internal/entry/shard/router.go
+++ b/internal/entry/shard/router.go
@@ -27,6 +27,7 @@
 	methodCancel  = "jobCancel"
 	methodExplain = "jobExplain"
 	methodShard   = "shardStatus"
+	methodRequest = "askRequest"
 )
 
 const (
@@ -52,6 +53,19 @@
 	JobID string `json:"jobId"`
 }
 
+// AskRequest asks after a named request, or cancels it.
+type AskRequest struct {
+	Team      string `json:"team"`
+	RequestID string `json:"requestId"`
+	Cancel    bool   `json:"cancel"`
+}
+
+// AskReply is what an owner knows of a request, if it knows it.
+type AskReply struct {
+	Answer caller.Answer `json:"answer"`
+	Found  bool          `json:"found"`
+}
+
 // JobReply is a job's status, if the owner knows it.
 type JobReply struct {
 	Status caller.JobStatus `json:"status"`
@@ -114,6 +128,9 @@
 	apipeer.Handle(server, methodStatus, owning(r, jobStatus))
 	apipeer.Handle(server, methodCancel, owning(r, cancelJob))
 	apipeer.Handle(server, methodExplain, owning(r, explainJob))
+	apipeer.Handle(server, methodRequest, func(ctx context.Context, request AskRequest) (AskReply, error) {
+		return r.askHere(ctx, request), nil
+	})
 	apipeer.Handle(server, methodShard, owning(r, func(owned *upstream.Shard, _ Empty) operator.ShardStatus {
 		return owned.Status()
 	}))
@@ -375,6 +392,36 @@
 	return reply, nil
 }
 
+func (r *Router) askHere(ctx context.Context, request AskRequest) AskReply {
+	owned := r.keeper.Owned()
+	if owned == nil {
+		return AskReply{}
+	}
+	answer, found := owned.AskRequest(ctx, request.Team, request.RequestID, request.Cancel)
+	return AskReply{
+		Answer: answer,
+		Found:  found,
+	}
+}
+
+// Ask tells what the owners that can be reached know of a named request, and
+// cancels it if asked.
+func (r *Router) Ask(ctx context.Context, request AskRequest) AskReply {
+	if reply := r.askHere(ctx, request); reply.Found {
+		return reply
+	}
+	for _, status := range r.membership.Peers() {
+		if !status.Heard || !status.Beat.Owns() {
+			continue
+		}
+		reply, err := apipeer.Call[AskReply](ctx, status.Client, methodRequest, request)
+		if err == nil && reply.Found {
+			return reply
+		}
+	}
+	return AskReply{}
+}
+
 // Shards returns the state of every shard whose owner answers.
 func (r *Router) Shards(ctx context.Context) []operator.ShardStatus {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
--- a/internal/entry/upstream/dispatch.go
+++ b/internal/entry/upstream/dispatch.go
@@ -180,14 +180,14 @@
 		if done, ok := ended(response, answer); ok {
 			s.abandon(r)
 			if done.Fate != caller.FateCompleted {
-				done.Reason = "the deadline came: " + done.Reason
+				done.Reason = "the deadline came or it was cancelled: " + done.Reason
 			}
 			return done
 		}
 	}
 	go s.watchAdopted(r)
 	answer.Fate = caller.FateUnknown
-	answer.Reason = fmt.Sprintf("the deadline came and %s does not answer (start uncertain: %t)", r.link.vm.Name, uncertain)
+	answer.Reason = fmt.Sprintf("the deadline came or it was cancelled, and %s does not answer (start uncertain: %t)", r.link.vm.Name, uncertain)
 	return answer
 }
 
--- a/internal/entry/upstream/request.go
+++ b/internal/entry/upstream/request.go
@@ -56,6 +56,7 @@
 type outcome struct {
 	done   chan struct{}
 	answer caller.Answer
+	cancel context.CancelFunc
 }
 
 // Serve runs a request, which must have an id, to its end and returns its fate.
@@ -67,7 +68,12 @@
 		s.mu.Unlock()
 		return join(ctx, earlier, request.Request.RequestID)
 	}
-	mine := &outcome{done: make(chan struct{})}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	mine := &outcome{
+		done:   make(chan struct{}),
+		cancel: cancel,
+	}
 	s.joined[key] = mine
 	s.mu.Unlock()
 
@@ -86,6 +92,32 @@
 	return answer
 }
 
+// AskRequest tells what is known of a named request, and cancels it if asked; it
+// waits for the fate of a request that it cancels. Found is false when this owner
+// knows nothing of it.
+func (s *Shard) AskRequest(ctx context.Context, team, id string, cancel bool) (answer caller.Answer, found bool) {
+	s.mu.Lock()
+	known, ok := s.joined[team+"/"+id]
+	s.mu.Unlock()
+	if !ok {
+		return answer, false
+	}
+	if cancel {
+		known.cancel()
+		return join(ctx, known, id), true
+	}
+	select {
+	case <-known.done:
+		return known.answer, true
+	default:
+		return caller.Answer{
+			RequestID: id,
+			Entry:     s.Entry,
+			Reason:    "it is in progress",
+		}, true
+	}
+}
+
 func keptFor(request ServeRequest) time.Duration {
 	if request.Named {
 		return namedKept
@@ -250,7 +282,7 @@
 		return r, ""
 	case reason = <-t.refused:
 	case <-ctx.Done():
-		reason = "no slot was free before the deadline"
+		reason = "no slot was free before the deadline, or before it was cancelled"
 	case <-patience:
 		reason = ReasonBusy
 	}
--- a/internal/proof/process/job_test.go
+++ b/internal/proof/process/job_test.go
@@ -254,3 +254,44 @@
 	})
 	assert.NilError(t, c.refusedKey(c.order[1], key))
 }
+
+// TestRequestsAreAskedAfterAndCancelled cancels one request that runs and one
+// that waits, through another entry than they came by.
+func TestRequestsAreAskedAfterAndCancelled(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, oneDomain())
+	key, _ := c.team("kiln", 1)
+	owner := c.owner("izmir-a")
+	client := c.client(owner, key)
+	other := c.client(c.other("izmir-a", owner), key)
+	answers := map[string]chan caller.Answer{}
+	for _, id := range []string{"runs", "waits"} {
+		done := make(chan caller.Answer, 1)
+		answers[id] = done
+		go func() {
+			answer, _ := client.Request(context.Background(), caller.Request{
+				RequestID: id,
+				Service:   service,
+				RunMillis: 8000,
+			})
+			done <- answer
+		}()
+		eventually(t, patience, "request "+id, func() error {
+			var answer caller.Answer
+			return other.Do(context.Background(), http.MethodGet, "/v1/requests/"+id, nil, &answer)
+		})
+		c.awaitRunning("kiln", 1, patience)
+	}
+	cancelled := func(id string, fate caller.Fate) {
+		var answer caller.Answer
+		assert.NilError(t, other.Do(context.Background(), http.MethodDelete, "/v1/requests/"+id, nil, &answer))
+		assert.Equal(t, answer.Fate, fate, answer.Reason)
+		assert.Equal(t, (<-answers[id]).Fate, fate)
+	}
+	cancelled("waits", caller.FateNotRun)
+	cancelled("runs", caller.FateFailed)
+	assert.Equal(t, c.starts("waits"), 0)
+	var answer caller.Answer
+	err := other.Do(context.Background(), http.MethodGet, "/v1/requests/nobody", nil, &answer)
+	assert.ErrorContains(t, err, "404")
+}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -31,6 +31,8 @@
 	CrossAnswers bool `json:"crossAnswers"`
 	// CutAnswers breaks off answers half way.
 	CutAnswers bool `json:"cutAnswers"`
+	// UsageLagMillis lets reports tell what was in use so long ago.
+	UsageLagMillis int64 `json:"usageLagMillis"`
 }
 
 // Observed is what the upstream saw from its own side.
@@ -73,6 +75,7 @@
 	used     upstream.Resources
 	ended    []upstream.Ended
 	sequence int64
+	samples  []sample
 	signal   chan struct{}
 	observed Observed
 	last     upstream.TaskResponse
@@ -132,6 +135,8 @@
 		close(u.thaw)
 	}
 	u.faults = faults
+	u.samples = nil
+	u.noteUse()
 }
 
 // Observe returns a copy of what was seen so far.
@@ -255,10 +260,37 @@
 		Holder: u.lease.holder,
 		Epoch:  u.lease.epoch,
 		Until:  u.lease.until,
-		Used:   u.used,
+		Used:   u.reported(now),
 	}
 }
 
+// sample is what was in use from a moment on, in the upstream's clock.
+type sample struct {
+	at   int64
+	used upstream.Resources
+}
+
+// noteUse remembers what is in use, while reports lag.
+func (u *Upstream) noteUse() {
+	if u.faults.UsageLagMillis > 0 {
+		u.samples = append(u.samples, sample{
+			at:   u.clock(),
+			used: u.used,
+		})
+	}
+}
+
+// reported returns what the upstream tells of its use at the moment.
+func (u *Upstream) reported(now int64) upstream.Resources {
+	for len(u.samples) > 1 && u.samples[1].at <= now-u.faults.UsageLagMillis {
+		u.samples = u.samples[1:]
+	}
+	if u.faults.UsageLagMillis == 0 || len(u.samples) == 0 {
+		return u.used
+	}
+	return u.samples[0].used
+}
+
 func (u *Upstream) running() []upstream.Running {
 	var running []upstream.Running
 	for id, t := range u.tasks {
@@ -315,6 +347,7 @@
 	}
 	u.remember(request.Task, t)
 	u.used = u.used.Plus(request.Size)
+	u.noteUse()
 	u.observed.Starts[request.Task]++
 	u.observed.Running[request.Task] = request.Team
 	u.observed.Spans = append(u.observed.Spans, Span{
@@ -396,6 +429,7 @@
 	t.reason = reason
 	t.result = result
 	u.used = u.used.Minus(t.request.Size)
+	u.noteUse()
 	delete(u.observed.Running, t.request.Task)
 	u.observed.Spans[t.span].End = time.Now().UnixMilli()
 	close(t.done)
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -111,3 +111,19 @@
 		assert.Equal(t, len(response.Ended), 0)
 	})
 }
+
+func TestReportsOfUseLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := New(upstream.Resources{MilliProcessors: 1000})
+		u.SetFaults(Faults{UsageLagMillis: 500})
+		lease, _ := claim(u, "entry-1")
+		assert.Equal(t, start(u, lease.Epoch, "a/0/1", 10*ttl), "")
+		assert.Equal(t, u.News(0).Used.MilliProcessors, int64(0))
+		time.Sleep(600 * time.Millisecond)
+		assert.Equal(t, u.News(0).Used.MilliProcessors, int64(400))
+		u.SetFaults(Faults{})
+		time.Sleep(4 * ttl * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, u.News(0).Used.MilliProcessors, int64(0))
+	})
+}
