--- a/internal/proof/process/path_test.go
+++ b/internal/proof/process/path_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"os"
 	"os/exec"
 	"strings"
 	"testing"
@@ -144,3 +145,37 @@
 		})
 	}
 }
+
+// TestEndpointsTellStateAndNoSecret reads health, readiness and metrics, and looks
+// for the secrets of keys in them and in the logs.
+func TestEndpointsTellStateAndNoSecret(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, oneDomain())
+	key, _ := c.team("kiln", 10)
+	entry := c.entries[c.owner("izmir-a")]
+	c.checkServed(entry.name, key)
+	assert.NilError(t, c.refusedKey(entry.name, key+"x"))
+	read := func(path string) string {
+		response, err := http.Get("http://" + entry.http + path)
+		assert.NilError(t, err)
+		defer func() { _ = response.Body.Close() }()
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		var out bytes.Buffer
+		_, err = out.ReadFrom(response.Body)
+		assert.NilError(t, err)
+		return out.String()
+	}
+	assert.Equal(t, read("/health"), "ok\n")
+	assert.Equal(t, read("/ready"), "ready\n")
+	seen := read("/metrics")
+	for _, name := range []string{"citronbay_requests_total", "citronbay_keys_refused_total", "citronbay_team_held"} {
+		assert.Assert(t, strings.Contains(seen, name), name)
+	}
+	logs, err := os.ReadFile(entry.logs)
+	assert.NilError(t, err)
+	secret := key[strings.LastIndex(key, ".")+1:]
+	for _, text := range []string{seen, string(logs)} {
+		assert.Assert(t, !strings.Contains(text, secret))
+		assert.Assert(t, !strings.Contains(text, operatorKey))
+	}
+}
