--- a/cmd/citronbay/main.go
+++ b/cmd/citronbay/main.go
@@ -14,6 +14,7 @@
 	"github.com/citronbay/citronbay/internal/command/entry"
 	"github.com/citronbay/citronbay/internal/command/operator"
 	"github.com/citronbay/citronbay/internal/command/standin"
+	"github.com/citronbay/citronbay/platform"
 )
 
 func main() {
@@ -29,6 +30,7 @@
 	entry.Register(ctx, app)
 	standin.Register(ctx, app)
 	operator.Register(ctx, app, os.Stdout)
+	platform.Register(ctx, app)
 	if _, err := app.ParseContext(args); err != nil {
 		fmt.Fprintln(os.Stderr, "citronbay:", err)
 		return operator.ExitUsage
--- /dev/null
+++ b/internal/cluster/node/elect.go
@@ -0,0 +1,222 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/citronbay/citronbay/internal/cluster/operator"
+	"github.com/citronbay/citronbay/internal/cluster/shard"
+	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+)
+
+const (
+	// electInterval is how often a node without an owner looks at the store.
+	electInterval = 250 * time.Millisecond
+	// ownerFresh is how long an owner's last word spares a look at the store.
+	ownerFresh = time.Second
+	// storeTimeout bounds a look at the store.
+	storeTimeout = time.Second
+	// distanceFactor times the round trip to the store is a node's handicap, so
+	// that a node in the store's region becomes the owner.
+	distanceFactor = 20
+	// maxHandicap bounds it while the store is slow.
+	maxHandicap = time.Second
+)
+
+// elect watches for the absence of an owner, and owns the shard while it can.
+func (n *Node) elect(ctx context.Context) {
+	for ctx.Err() == nil {
+		if n.leaving.Load() || n.ownerIsFresh() {
+			n.idle(ctx)
+			continue
+		}
+		if err := n.contend(ctx); err != nil && ctx.Err() == nil {
+			n.log.Warn("electionFailed", "error", err)
+		}
+		n.idle(ctx)
+	}
+}
+
+func (n *Node) idle(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-n.suspect:
+		wait(ctx, electInterval/2)
+	case <-time.After(electInterval):
+	}
+}
+
+func (n *Node) ownerIsFresh() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Since(n.ownerSeen) < ownerFresh
+}
+
+// contend looks at the store and becomes the owner if there is none.
+func (n *Node) contend(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	asked := time.Now()
+	item, err := n.options.Store.Get(call, store.OwnerKey(n.options.Shard))
+	n.measure(time.Since(asked), err)
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		return n.claim(ctx)
+	case err != nil:
+		return fmt.Errorf("node: read owner: %w", err)
+	}
+	owner, err := store.DecodeOwner(item)
+	if err != nil {
+		return err
+	}
+	if owner.Node == n.options.Name && owner.Life != n.life {
+		n.log.Info("earlierLifeEnded", "token", owner.Token)
+		return n.options.Store.EndLease(call, owner.Lease)
+	}
+	n.learnOwner(owner)
+	return nil
+}
+
+func (n *Node) measure(d time.Duration, err error) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.roundTrip == 0 || d < n.roundTrip {
+		n.roundTrip = d
+	}
+}
+
+func (n *Node) claim(ctx context.Context) error {
+	n.mu.Lock()
+	handicap := min(maxHandicap, n.roundTrip*distanceFactor)
+	n.mu.Unlock()
+	wait(ctx, handicap+rand.N(electInterval/2))
+	if n.ownerIsFresh() || n.leaving.Load() {
+		return nil
+	}
+	tenure, release, err := store.Claim(ctx, n.options.Store, n.options.Shard, store.Owner{
+		Node:    n.options.Name,
+		Life:    n.life,
+		Address: n.options.Address,
+	}, n.log)
+	if errors.Is(err, store.ErrNotDone) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	defer release()
+	n.log.Info("ownershipTaken", "shard", n.options.Shard, "token", tenure.Token())
+	err = n.own(ctx, tenure)
+	n.log.Info("ownershipEnded", "shard", n.options.Shard, "token", tenure.Token(), "reason", err)
+	return nil
+}
+
+// own runs the shard until the tenure ends or the node leaves.
+func (n *Node) own(ctx context.Context, tenure *store.Tenure) error {
+	taken := time.Now()
+	agreement, err := n.readAgreement(tenure.Context())
+	if err != nil {
+		return err
+	}
+	s, err := shard.Open(tenure.Context(), shard.Options{
+		Store:      n.options.Store,
+		Tenure:     tenure,
+		Agreement:  agreement,
+		Dial:       n.options.Dial,
+		Advisors:   n.advisors,
+		StatusTime: n.options.StatusTime,
+		HoldTime:   n.options.HoldTime,
+		Log:        n.log,
+	})
+	if err != nil {
+		return err
+	}
+	go store.Follow(tenure.Context(), n.options.Store, n.options.Directory.Prefix, n.log, func(items map[string]store.Item) {
+		s.SetWorkers(n.decodeWorkers(items))
+	})
+	go store.Follow(tenure.Context(), n.options.Store, n.options.Agreements.Key, n.log, func(items map[string]store.Item) {
+		n.takeAgreement(s, items)
+	})
+	n.setShard(s, store.Owner{
+		Node:    n.options.Name,
+		Life:    n.life,
+		Address: n.options.Address,
+		Token:   tenure.Token(),
+	})
+	defer n.setShard(nil, store.Owner{})
+	n.log.Info("takeoverDone", "token", tenure.Token(), "took", time.Since(taken))
+	go n.endWhenLeaving(ctx, tenure)
+	return s.Run()
+}
+
+// endWhenLeaving ends the tenure when the node stops.
+func (n *Node) endWhenLeaving(ctx context.Context, tenure *store.Tenure) {
+	const look = 50 * time.Millisecond
+	for tenure.Context().Err() == nil {
+		if n.leaving.Load() || ctx.Err() != nil {
+			tenure.Release()
+			return
+		}
+		wait(tenure.Context(), look)
+	}
+}
+
+func (n *Node) setShard(s *shard.Shard, owner store.Owner) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.shard = s
+	n.ownerSeen = time.Now()
+	if s == nil {
+		n.ownerSeen = n.ownerSeen.Add(-ownerFresh)
+		return
+	}
+	n.owner = owner
+}
+
+func (n *Node) readAgreement(ctx context.Context) (*operator.Agreement, error) {
+	for {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		item, err := n.options.Store.Get(call, n.options.Agreements.Key)
+		cancel()
+		if err == nil {
+			return n.options.Agreements.Decode(item.Value)
+		}
+		if ctx.Err() != nil {
+			return nil, fmt.Errorf("node: read agreement: %w", err)
+		}
+		wait(ctx, electInterval)
+	}
+}
+
+func (n *Node) takeAgreement(s *shard.Shard, items map[string]store.Item) {
+	item, ok := items[n.options.Agreements.Key]
+	if !ok {
+		return
+	}
+	a, err := n.options.Agreements.Decode(item.Value)
+	if err != nil {
+		n.log.Error("agreementUnreadable", "revision", item.Revision, "error", err)
+		return
+	}
+	s.SetAgreement(a)
+}
+
+func (n *Node) decodeWorkers(items map[string]store.Item) []worker.Registration {
+	var list []worker.Registration
+	for key, item := range items {
+		r, err := n.options.Directory.Decode(item)
+		if err != nil {
+			n.log.Warn("workerEntryUnreadable", "key", key, "revision", item.Revision, "error", err)
+			continue
+		}
+		list = append(list, r)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/cluster/node/forward.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/citronbay/citronbay/internal/api/peer"
+	"github.com/citronbay/citronbay/internal/cluster/caller"
+)
+
+const (
+	// tryTimeout bounds one try at an owner.
+	tryTimeout = 1500 * time.Millisecond
+	// ownerWait is how long a request waits for an owner: most takeovers after a
+	// planned stop take less.
+	ownerWait = 900 * time.Millisecond
+	// tryPause is between tries.
+	tryPause = 40 * time.Millisecond
+	// retryAfterMillis is when a caller that met no owner should return.
+	retryAfterMillis = 1000
+)
+
+// Serve answers a request through the owner, before the context's deadline.
+func (n *Node) Serve(ctx context.Context, r caller.Request) caller.Response {
+	uncertain := false
+	begun := time.Now()
+	for ctx.Err() == nil {
+		response, err := n.try(ctx, r)
+		if err == nil && response.Status != caller.NotOwner && response.Status != caller.Unknown {
+			return response
+		}
+		if err == nil && response.Status == caller.Unknown {
+			uncertain = true
+		}
+		if err != nil && !errors.Is(err, peer.ErrNotSent) && !errors.Is(err, errNoOwner) {
+			uncertain = true
+		}
+		n.raiseSuspicion()
+		if !uncertain && time.Since(begun) > ownerWait {
+			break
+		}
+		wait(ctx, tryPause)
+	}
+	if uncertain {
+		return caller.Response{
+			Status: caller.Unknown,
+			Reason: "the owner has not answered in time",
+		}
+	}
+	n.log.Warn("requestRefused", "path", r.Path, "verb", r.Verb, "reason", "noOwner", "waited", time.Since(begun))
+	return caller.Response{
+		Status:      caller.Refused,
+		Reason:      "no owner of the shard can be reached",
+		RetryMillis: retryAfterMillis,
+	}
+}
+
+func (n *Node) try(ctx context.Context, r caller.Request) (caller.Response, error) {
+	if s := n.currentShard(); s != nil {
+		return s.Serve(ctx, r), nil
+	}
+	owner := n.currentOwner()
+	if owner.Address == "" || owner.Life == n.life {
+		return caller.Response{}, errNoOwner
+	}
+	call, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	return peer.Call[caller.Response](call, n.peer(owner.Address), methodServe, r)
+}
--- /dev/null
+++ b/internal/cluster/node/node.go
@@ -0,0 +1,192 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+
+	"github.com/citronbay/citronbay/internal/api/peer"
+	"github.com/citronbay/citronbay/internal/cluster/operator"
+	"github.com/citronbay/citronbay/internal/cluster/shard"
+	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+)
+
+// Directory finds workers in the store.
+type Directory struct {
+	// Prefix is where the workers' entries are.
+	Prefix string
+	// Decode reads one entry.
+	Decode func(store.Item) (worker.Registration, error)
+}
+
+// Agreements finds the operators' agreement in the store.
+type Agreements struct {
+	Key    string
+	Decode func([]byte) (*operator.Agreement, error)
+}
+
+// Options are what a node needs from its surroundings.
+type Options struct {
+	Name string
+	// Shard is the name of the shard that the node may own.
+	Shard string
+	// Address is the node's UDP address for its peers; Seeds are those of others.
+	Address string
+	Seeds   []string
+	// Secret is known to all nodes of the cluster.
+	Secret     string
+	Store      store.Client
+	Directory  Directory
+	Agreements Agreements
+	Dial       func(worker.Registration) (worker.Client, func())
+	Advisor    worker.Advisor
+	StatusTime time.Duration
+	HoldTime   time.Duration
+	Log        *slog.Logger
+}
+
+// Node is one process of the cluster. Create it with New.
+type Node struct {
+	options  Options
+	life     string
+	identity *tls.Config
+	log      *slog.Logger
+	leaving  atomic.Bool
+	suspect  chan struct{}
+
+	mu        sync.Mutex
+	owner     store.Owner
+	ownerSeen time.Time
+	shard     *shard.Shard
+	members   map[string]member
+	clients   map[string]*peer.Client
+	roundTrip time.Duration
+}
+
+// member is another node that the owner has heard of.
+type member struct {
+	address string
+	seen    time.Time
+}
+
+// New returns a node that does nothing until Run.
+func New(options Options) (*Node, error) {
+	identity, err := peer.Identity(options.Secret)
+	if err != nil {
+		return nil, fmt.Errorf("node: %w", err)
+	}
+	return &Node{
+		options:  options,
+		life:     rand.Text(),
+		identity: identity,
+		log:      options.Log,
+		suspect:  make(chan struct{}, 1),
+		members:  map[string]member{},
+		clients:  map[string]*peer.Client{},
+	}, nil
+}
+
+// Run serves peers and takes part in the election until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	listener, closeListener, err := peer.Listen(n.options.Address, n.identity)
+	if err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	defer closeListener()
+	server := n.peerServer()
+	var group run.Group
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group.Add(func() error {
+		return server.Serve(ctx, listener)
+	}, func(error) {
+		cancel()
+	})
+	group.Add(func() error {
+		n.elect(ctx)
+		return nil
+	}, func(error) {
+		cancel()
+	})
+	group.Add(func() error {
+		n.greet(ctx)
+		return nil
+	}, func(error) {
+		cancel()
+	})
+	n.log.Info("nodeStarted", "life", n.life, "address", n.options.Address)
+	return group.Run()
+}
+
+// Leave gives ownership up and takes none again, so that the node can stop.
+func (n *Node) Leave() {
+	n.leaving.Store(true)
+	n.raiseSuspicion()
+}
+
+// readyTime is how long a node without word from the owner stays ready: a
+// takeover after a crash takes less.
+const readyTime = 5 * time.Second
+
+// Ready reports whether requests are likely to be answered.
+func (n *Node) Ready() bool {
+	if n.leaving.Load() {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.shard != nil || time.Since(n.ownerSeen) < readyTime
+}
+
+func (n *Node) peer(address string) *peer.Client {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.clients[address]
+	if c == nil {
+		c, _ = peer.NewClient(address, n.identity)
+		n.clients[address] = c
+	}
+	return c
+}
+
+func (n *Node) currentShard() *shard.Shard {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.shard
+}
+
+func (n *Node) currentOwner() store.Owner {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.owner
+}
+
+// learnOwner takes a newer owner over an older one.
+func (n *Node) learnOwner(o store.Owner) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if o.Token <= n.owner.Token {
+		return
+	}
+	n.log.Info("ownerLearned", "owner", o.Node, "token", o.Token, "before", n.owner.Token)
+	n.owner = o
+}
+
+// raiseSuspicion has the election look at the store soon.
+func (n *Node) raiseSuspicion() {
+	select {
+	case n.suspect <- struct{}{}:
+	default:
+	}
+}
+
+var errNoOwner = errors.New("node: no owner is known")
--- /dev/null
+++ b/internal/cluster/node/peers.go
@@ -0,0 +1,200 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/citronbay/citronbay/internal/api/peer"
+	"github.com/citronbay/citronbay/internal/cluster/caller"
+	"github.com/citronbay/citronbay/internal/cluster/shard"
+	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+)
+
+const (
+	methodServe  = "serve"
+	methodHello  = "hello"
+	methodAdvise = "advise"
+
+	// helloInterval is how often a node reports to the owner, which takes its
+	// silence for helloLimit as a reason not to ask it for advice.
+	helloInterval = 400 * time.Millisecond
+	helloLimit    = 1500 * time.Millisecond
+	// helloTimeout bounds one report; a round trip between regions is 40 ms.
+	helloTimeout = 600 * time.Millisecond
+)
+
+// hello is a node's report to another.
+type hello struct {
+	Node    string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+	Leaving bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// welcome answers a hello.
+type welcome struct {
+	Owner store.Owner `cbor:"1,keyasint"`
+	Token int64       `cbor:"2,keyasint"`
+	// Serving tells that the answering node is the owner and its lease lasts.
+	Serving bool     `cbor:"3,keyasint"`
+	Members []string `cbor:"4,keyasint,omitempty"`
+}
+
+type adviseRequest struct {
+	Job     string   `cbor:"1,keyasint"`
+	Step    int      `cbor:"2,keyasint"`
+	Workers []string `cbor:"3,keyasint"`
+}
+
+type adviseResponse struct {
+	Tickets []worker.Ticket `cbor:"1,keyasint"`
+}
+
+func (n *Node) peerServer() *peer.Server {
+	server := peer.NewServer()
+	peer.Handle(server, methodServe, n.serveLocal)
+	peer.Handle(server, methodHello, n.takeHello)
+	peer.Handle(server, methodAdvise, func(ctx context.Context, r adviseRequest) (adviseResponse, error) {
+		tickets, err := n.options.Advisor.Advise(ctx, r.Job, r.Step, r.Workers)
+		return adviseResponse{Tickets: tickets}, err
+	})
+	return server
+}
+
+// serveLocal answers a request if this node is the owner.
+func (n *Node) serveLocal(ctx context.Context, r caller.Request) (caller.Response, error) {
+	s := n.currentShard()
+	if s == nil {
+		return caller.Response{Status: caller.NotOwner}, nil
+	}
+	return s.Serve(ctx, r), nil
+}
+
+func (n *Node) takeHello(_ context.Context, h hello) (welcome, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if h.Leaving {
+		delete(n.members, h.Node)
+	} else {
+		n.members[h.Node] = member{
+			address: h.Address,
+			seen:    time.Now(),
+		}
+	}
+	w := welcome{
+		Owner:   n.owner,
+		Token:   n.owner.Token,
+		Serving: n.shard != nil && n.shard.Valid(),
+	}
+	for _, m := range n.members {
+		w.Members = append(w.Members, m.address)
+	}
+	return w, nil
+}
+
+// greet reports to the owner in turn, and asks others for the owner when it does
+// not answer.
+func (n *Node) greet(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		owner := n.currentOwner()
+		if owner.Address != "" && owner.Life != n.life {
+			if n.greetOne(ctx, owner.Address, true) {
+				failures = 0
+			} else {
+				failures++
+				n.peer(owner.Address).Reset()
+				n.raiseSuspicion()
+			}
+		}
+		if failures > 1 || owner.Address == "" {
+			n.askOthers(ctx, owner.Address)
+		}
+		wait(ctx, helloInterval)
+	}
+}
+
+// greetOne reports to the address and takes what it says; it returns whether an
+// owner answered there.
+func (n *Node) greetOne(ctx context.Context, address string, expected bool) bool {
+	call, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	w, err := peer.Call[welcome](call, n.peer(address), methodHello, hello{
+		Node:    n.options.Name,
+		Address: n.options.Address,
+		Leaving: n.leaving.Load(),
+	})
+	if err != nil {
+		if expected && ctx.Err() == nil {
+			n.log.Warn("ownerSilent", "address", address, "error", err)
+		}
+		return false
+	}
+	w.Owner.Token = w.Token
+	if w.Token > 0 {
+		n.learnOwner(w.Owner)
+	}
+	if w.Serving {
+		n.mu.Lock()
+		n.ownerSeen = time.Now()
+		for _, m := range w.Members {
+			if n.members[m].address == "" {
+				n.members[m] = member{address: m}
+			}
+		}
+		n.mu.Unlock()
+	}
+	return w.Serving
+}
+
+func (n *Node) askOthers(ctx context.Context, except string) {
+	addresses := map[string]bool{}
+	for _, a := range n.options.Seeds {
+		addresses[a] = true
+	}
+	n.mu.Lock()
+	for _, m := range n.members {
+		addresses[m.address] = true
+	}
+	n.mu.Unlock()
+	delete(addresses, except)
+	delete(addresses, n.options.Address)
+	for a := range addresses {
+		go n.greetOne(ctx, a, false)
+	}
+}
+
+// advisors returns this node and those that have reported of late.
+func (n *Node) advisors() []shard.Advice {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := []shard.Advice{{
+		Node: n.options.Name,
+		Ask:  n.options.Advisor.Advise,
+	}}
+	for name, m := range n.members {
+		if name == n.options.Name || time.Since(m.seen) > helloLimit {
+			continue
+		}
+		address := m.address
+		list = append(list, shard.Advice{
+			Node: name,
+			Ask: func(ctx context.Context, job string, step int, workers []string) ([]worker.Ticket, error) {
+				r, err := peer.Call[adviseResponse](ctx, n.peer(address), methodAdvise, adviseRequest{
+					Job:     job,
+					Step:    step,
+					Workers: workers,
+				})
+				return r.Tickets, err
+			},
+		})
+	}
+	return list
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/cluster/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks the YAML settings of a cluster's node.
+package settings
--- /dev/null
+++ b/internal/cluster/shard/link.go
@@ -0,0 +1,456 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"math"
+	"time"
+
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/job"
+)
+
+const (
+	// lookWait is how long a worker may wait for an end before it answers a look.
+	lookWait = time.Second
+	// lookSlack is what a look may take beyond its wait.
+	lookSlack = 700 * time.Millisecond
+	// lookPause gathers ends of some milliseconds into one look, which is charged.
+	lookPause = 10 * time.Millisecond
+	// silentTime is the age of a worker's last answer from which it gets no work.
+	silentTime = 2200 * time.Millisecond
+	// lapseSlack covers a worker's clock that is read a moment early or late.
+	lapseSlack = 400 * time.Millisecond
+	// clockDrift is how much slower a worker's clock may run, from its protocol.
+	clockDrift = 1.02
+	// holdGrace is how long an owner goes on extending holds after its lease ran
+	// out, so that an outage of the store does not end what runs. A successor adds
+	// it to the time after which holds must have lapsed.
+	holdGrace = 4 * time.Second
+	// endsPerReport is the most ends that a report lists.
+	endsPerReport = 500
+	// failuresTolerated is the number of failures in a row after which a worker
+	// rests, and restTime the first rest, which doubles up to maxRest.
+	failuresTolerated = 3
+	restTime          = time.Second
+	maxRest           = 8 * time.Second
+)
+
+// link is the owner's side of one worker.
+type link struct {
+	shard  *Shard
+	client worker.Client
+	close  func()
+	ctx    context.Context
+	stop   context.CancelFunc
+
+	// All below is guarded by the shard's lock.
+	registration worker.Registration
+	listed       bool
+	seen         bool // has answered under the tenure's token
+	lastAnswer   time.Time
+	lastExtend   time.Time // the last moment at which the hold may have been extended
+	clockMillis  int64
+	clockRead    time.Time
+	newestEnd    int64
+	recordedEnd  int64
+	failures     int
+	restUntil    time.Time
+}
+
+// SetWorkers takes the directory's list of workers.
+func (s *Shard) SetWorkers(list []worker.Registration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := map[string]bool{}
+	for _, r := range list {
+		listed[r.ID] = true
+		s.setWorker(r)
+	}
+	for id, l := range s.links {
+		if l.listed && !listed[id] {
+			s.log.Info("workerUnlisted", "worker", id, "placements", len(s.state.Placements(l.key())))
+			l.listed = false
+		}
+	}
+	s.wake()
+}
+
+func (s *Shard) setWorker(r worker.Registration) {
+	l := s.links[r.ID]
+	if l != nil && l.registration.Born == r.Born && l.registration.Address == r.Address {
+		if r.Draining != l.registration.Draining {
+			s.log.Info("workerDraining", "worker", r.ID, "draining", r.Draining)
+		}
+		l.registration = r
+		l.listed = true
+		return
+	}
+	if l != nil {
+		s.dropLink(l, "new life")
+	}
+	s.addLink(r, true)
+}
+
+func (s *Shard) addLink(r worker.Registration, listed bool) *link {
+	client, closeClient := s.options.Dial(r)
+	ctx, stop := context.WithCancel(s.tenure.Context())
+	l := &link{
+		shard:        s,
+		client:       client,
+		close:        closeClient,
+		ctx:          ctx,
+		stop:         stop,
+		registration: r,
+		listed:       listed,
+		// An earlier owner may have extended the hold until its grace ended.
+		lastExtend: time.Now().Add(holdGrace),
+	}
+	s.links[r.ID] = l
+	for _, p := range s.state.Placements(l.key()) {
+		p.Uncertain = true
+	}
+	go l.run()
+	return l
+}
+
+// dropLink ends a link whose worker's life is over: nothing runs there any more.
+func (s *Shard) dropLink(l *link, reason string) {
+	l.stop()
+	l.close()
+	delete(s.links, l.registration.ID)
+	s.loseAll(l.key(), reason)
+}
+
+// loseAll records that nothing that was placed in this life of the worker runs.
+func (s *Shard) loseAll(key job.WorkerKey, reason string) {
+	var records []job.Record
+	for _, p := range s.state.Placements(key) {
+		s.log.Info("attemptLost", "job", p.Task.Job, "step", p.Task.Step, "index", p.Task.Index,
+			"attempt", p.Attempt, "worker", key.ID, "reason", reason)
+		records = s.endAttempt(records, p, job.EndLost, "")
+	}
+	if len(records) > 0 {
+		s.journal.Append(records, nil)
+		s.wake()
+	}
+}
+
+// adoptOrphans lets the placements on workers that the directory does not list
+// lapse, since nobody can ask those workers.
+func (s *Shard) adoptOrphans() {
+	bound := s.lapseTime() + holdGrace
+	time.AfterFunc(bound, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, key := range s.state.WorkersWithPlacements() {
+			if l := s.links[key.ID]; l == nil || l.registration.Born != key.Born {
+				s.loseAll(key, "hold lapsed at a worker that is not listed")
+			}
+		}
+	})
+}
+
+func (s *Shard) lapseTime() time.Duration {
+	return time.Duration(float64(s.options.HoldTime)*clockDrift) + lapseSlack
+}
+
+// expireLinks ends what silent workers have let lapse, and drops links to
+// workers that are neither listed nor used.
+func (s *Shard) expireLinks() {
+	now := time.Now()
+	for _, l := range s.links {
+		if now.Sub(l.lastAnswer) < silentTime || now.Before(l.lastExtend.Add(s.lapseTime())) {
+			continue
+		}
+		s.loseAll(l.key(), "hold lapsed at a silent worker")
+		if !l.listed {
+			s.dropLink(l, "gone")
+		}
+	}
+}
+
+func (l *link) key() job.WorkerKey {
+	return job.WorkerKey{
+		ID:   l.registration.ID,
+		Born: l.registration.Born,
+	}
+}
+
+// view returns what the planner needs to know; the caller holds the lock.
+func (l *link) view() *job.Worker {
+	now := time.Now()
+	r := l.registration
+	return &job.Worker{
+		ID:       r.ID,
+		Born:     r.Born,
+		Service:  r.Service,
+		Zone:     r.Zone,
+		Rack:     r.Rack,
+		Labels:   r.Labels,
+		Capacity: r.Capacity,
+		Usable: l.seen && l.listed && !r.Draining &&
+			now.Sub(l.lastAnswer) < silentTime && now.After(l.restUntil),
+		Penalty: l.failures,
+	}
+}
+
+// until returns the hold's end on the worker's clock, or zero when the hold must
+// not be extended; the caller holds the lock.
+func (l *link) until() int64 {
+	if !l.seen || l.shard.tenure.Remaining() < -holdGrace || time.Since(l.lastAnswer) > silentTime {
+		return 0
+	}
+	l.lastExtend = time.Now()
+	return l.clockMillis + time.Since(l.clockRead).Milliseconds() + l.shard.options.HoldTime.Milliseconds()
+}
+
+// run looks at the worker until the link ends.
+func (l *link) run() {
+	for l.ctx.Err() == nil {
+		look := l.nextLook()
+		sent := time.Now()
+		wait := time.Duration(look.WaitMillis)*time.Millisecond + lookSlack
+		ctx, cancel := context.WithTimeout(l.ctx, wait)
+		report, err := l.client.Look(ctx, look)
+		cancel()
+		if err != nil {
+			l.lookFailed(err)
+			sleep(l.ctx, lookSlack/2)
+			continue
+		}
+		durable := l.observe(report, sent)
+		if durable != nil {
+			select {
+			case <-durable:
+			case <-time.After(lookWait / 2):
+			case <-l.ctx.Done():
+			}
+			sleep(l.ctx, lookPause)
+		}
+		if report.Refused != 0 {
+			sleep(l.ctx, lookSlack)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (l *link) nextLook() worker.Look {
+	s := l.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	look := worker.Look{
+		Token:       s.tenure.Token(),
+		SeenEnd:     l.recordedEnd,
+		UntilMillis: l.until(),
+	}
+	if l.seen && time.Since(l.lastAnswer) < silentTime {
+		look.WaitMillis = lookWait.Milliseconds()
+	}
+	return look
+}
+
+func (l *link) lookFailed(err error) {
+	s := l.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.seen && time.Since(l.lastAnswer) < silentTime && !errors.Is(err, context.Canceled) {
+		s.log.Warn("lookFailed", "worker", l.registration.ID, "sinceAnswer", time.Since(l.lastAnswer), "error", err)
+	}
+}
+
+// observe takes a report. When it brought ends, the returned channel closes once
+// they are durable.
+func (l *link) observe(report worker.Report, sent time.Time) <-chan struct{} {
+	s := l.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.ctx.Err() != nil {
+		return nil
+	}
+	if report.Refused != 0 {
+		s.lookRefused(l, report.Refused)
+		return nil
+	}
+	if report.Born != l.registration.Born {
+		r := l.registration
+		r.Born = report.Born
+		s.log.Info("workerReborn", "worker", r.ID, "born", r.Born, "before", l.registration.Born)
+		s.dropLink(l, "new life")
+		s.addLink(r, l.listed)
+		return nil
+	}
+	first := !l.seen
+	l.seen = true
+	l.lastAnswer = time.Now()
+	l.clockMillis, l.clockRead = report.ClockMillis, sent
+	records, ended := s.takeEnds(l, report.Ended)
+	records = s.compare(records, l, report, ended, sent, first)
+	if first {
+		s.wake()
+	}
+	if len(records) == 0 && l.newestEnd == l.recordedEnd {
+		return nil
+	}
+	s.wake()
+	durable := make(chan struct{})
+	newest := l.newestEnd
+	s.journal.Append(records, func() {
+		s.mu.Lock()
+		l.recordedEnd = max(l.recordedEnd, newest)
+		s.mu.Unlock()
+		close(durable)
+	})
+	return durable
+}
+
+func (s *Shard) lookRefused(l *link, answer worker.Answer) {
+	s.log.Warn("lookRefused", "worker", l.registration.ID, "answer", answer)
+	if answer == worker.RefusedToken {
+		s.tenure.Depose(errors.New("a worker has seen a higher fencing token"))
+	}
+}
+
+// takeEnds records the ends that are new.
+func (s *Shard) takeEnds(l *link, list []worker.Ended) ([]job.Record, map[job.TaskKey]int) {
+	var records []job.Record
+	ended := map[job.TaskKey]int{}
+	for _, e := range list {
+		ended[e.Task] = max(ended[e.Task], e.Attempt)
+		if e.Number <= l.newestEnd {
+			continue
+		}
+		l.newestEnd = e.Number
+		p := s.state.Placement(e.Task)
+		if p == nil || p.Attempt != e.Attempt || p.Worker != l.key() {
+			continue
+		}
+		kind := job.EndLost
+		switch e.How {
+		case worker.Done:
+			kind = job.EndDone
+			l.failures = 0
+		case worker.Failed:
+			kind = job.EndFailed
+			l.countFailure()
+		}
+		if kind != job.EndDone {
+			s.log.Info("attemptEnded", "job", e.Task.Job, "step", e.Task.Step, "index", e.Task.Index,
+				"attempt", e.Attempt, "worker", l.registration.ID, "how", e.How, "number", e.Number)
+		}
+		records = s.endAttempt(records, p, kind, e.Checkpoint)
+	}
+	return records, ended
+}
+
+func (l *link) countFailure() {
+	l.failures++
+	if l.failures < failuresTolerated {
+		return
+	}
+	rest := min(maxRest, restTime*time.Duration(math.Pow(2, float64(l.failures-failuresTolerated))))
+	l.restUntil = time.Now().Add(rest)
+	l.shard.log.Warn("workerRests", "worker", l.registration.ID, "failures", l.failures, "rest", rest)
+}
+
+// endAttempt ends the placement, and its job if that was the last task or one
+// failure too many.
+func (s *Shard) endAttempt(records []job.Record, p *job.Placement, kind job.EndKind, checkpoint string) []job.Record {
+	records = s.apply(records, job.Record{
+		Kind:       job.RecordEnd,
+		Job:        p.Task.Job,
+		Step:       p.Task.Step,
+		Index:      p.Task.Index,
+		Attempt:    p.Attempt,
+		End:        kind,
+		Checkpoint: checkpoint,
+	})
+	j := s.state.Job(p.Task.Job)
+	if j == nil || j.Outcome != job.Open {
+		return records
+	}
+	step := j.Steps[p.Task.Step]
+	switch {
+	case j.Complete():
+		records = s.finish(records, j, job.Completed)
+	case kind == job.EndFailed && !step.Spec.Endless && step.Failures(p.Task.Index) >= s.attempts(j):
+		s.log.Info("jobFailed", "job", j.ID, "team", j.Team, "step", p.Task.Step, "index", p.Task.Index,
+			"failures", step.Failures(p.Task.Index))
+		records = s.finish(records, j, job.Failed)
+	case step.Spec.Gang && kind != job.EndDone && !step.Done():
+		s.stopGang(step)
+	}
+	return records
+}
+
+func (s *Shard) attempts(j *job.Job) int {
+	if q, ok := s.agreement.Rules.Queues[j.Queue]; ok && q.Attempts > 0 {
+		return q.Attempts
+	}
+	return math.MaxInt
+}
+
+// stopGang stops the members that are left, which cannot finish alone.
+func (s *Shard) stopGang(step *job.Step) {
+	for n := range step.Tasks {
+		if p := step.Tasks[n].Place; p != nil {
+			s.stop(p)
+		}
+	}
+}
+
+// compare settles placements by what the worker says that runs.
+func (s *Shard) compare(records []job.Record, l *link, report worker.Report, ended map[job.TaskKey]int, sent time.Time, first bool) []job.Record {
+	running := map[job.TaskKey]worker.Running{}
+	for _, r := range report.Running {
+		running[r.Task] = r
+		p := s.state.Placement(r.Task)
+		if p == nil || p.Worker != l.key() || p.Attempt != r.Attempt {
+			if p != nil && p.Worker == l.key() && p.Attempt > r.Attempt {
+				continue // a stop of the earlier attempt is on its way
+			}
+			s.log.Warn("strayAttempt", "worker", l.registration.ID, "job", r.Task.Job, "step", r.Task.Step,
+				"index", r.Task.Index, "attempt", r.Attempt)
+			go s.stopStray(l, r.Task, r.Attempt)
+			continue
+		}
+		s.confirm(p)
+	}
+	if len(report.Ended) >= endsPerReport {
+		return records
+	}
+	sentMillis := s.epoch + sent.Sub(s.origin).Milliseconds()
+	for key, p := range s.state.Placements(l.key()) {
+		if _, ok := running[key]; ok || ended[key] >= p.Attempt {
+			continue
+		}
+		inherited := first && p.Uncertain
+		stopped := p.Stopped > 0 && p.Stopped < sentMillis
+		vanished := p.Confirmed && p.StartedMillis < sentMillis
+		if !inherited && !stopped && !vanished {
+			continue
+		}
+		s.log.Info("attemptAbsent", "job", key.Job, "step", key.Step, "index", key.Index, "attempt", p.Attempt,
+			"worker", l.registration.ID, "inherited", inherited, "stopped", stopped)
+		records = s.endAttempt(records, p, job.EndLost, "")
+	}
+	return records
+}
+
+// confirm takes the worker's word that the attempt runs.
+func (s *Shard) confirm(p *job.Placement) {
+	p.Uncertain = false
+	if !p.Confirmed {
+		p.Confirmed = true
+		p.StartedMillis = s.now()
+	}
+	if j := s.state.Job(p.Task.Job); j != nil && j.Outcome != job.Open && j.Outcome != job.Completed {
+		s.stop(p)
+	}
+}
--- /dev/null
+++ b/internal/cluster/shard/orders.go
@@ -0,0 +1,204 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/job"
+)
+
+const (
+	// orderTimeout bounds a start or a stop: a hop between regions, and a worker
+	// that answers in a millisecond.
+	orderTimeout = 600 * time.Millisecond
+	// startTries is how often a start without an answer is repeated before it is
+	// taken back.
+	startTries = 2
+	// stopPause is between stops without an answer.
+	stopPause = 150 * time.Millisecond
+)
+
+// startAll gives the orders for placements that are durable.
+func (s *Shard) startAll(records []job.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		p := s.state.Placement(job.TaskKey{
+			Job:   r.Job,
+			Step:  r.Step,
+			Index: r.Index,
+		})
+		if p == nil || p.Attempt != r.Attempt {
+			continue
+		}
+		l := s.links[p.Worker.ID]
+		if l == nil || l.key() != p.Worker {
+			continue // the link's end has ended the placement, or adoptOrphans will
+		}
+		if p.Stopping {
+			s.giveBack(p, "stopped before its start was sent")
+			continue
+		}
+		p.Uncertain = true
+		go s.start(l, p)
+	}
+}
+
+// giveBack ends an attempt that certainly never began; the caller holds the lock.
+func (s *Shard) giveBack(p *job.Placement, reason string) {
+	if !s.current(p) {
+		return
+	}
+	s.log.Info("startGivenBack", "job", p.Task.Job, "step", p.Task.Step, "index", p.Task.Index,
+		"attempt", p.Attempt, "worker", p.Worker.ID, "reason", reason)
+	s.journal.Append(s.endAttempt(nil, p, job.EndLost, ""), nil)
+	s.wake()
+}
+
+// current reports whether the placement is still its task's.
+func (s *Shard) current(p *job.Placement) bool {
+	return s.state.Placement(p.Task) == p
+}
+
+// order returns the start as it stands now, or false when it is not wanted.
+func (s *Shard) order(l *link, p *job.Placement) (worker.Start, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.current(p) || p.Confirmed {
+		return worker.Start{}, false
+	}
+	j := s.state.Job(p.Task.Job)
+	step := j.Steps[p.Task.Step]
+	return worker.Start{
+		Task:        p.Task,
+		Attempt:     p.Attempt,
+		Payload:     j.Payload,
+		UntilMillis: l.until(),
+		Token:       s.tenure.Token(),
+		Checkpoint:  step.Checkpoint(p.Task.Index),
+		Ticket:      step.Ticket(p.Worker),
+	}, true
+}
+
+// start sends the order until it is answered. A refusal ends the attempt only if
+// no earlier copy may still be carried out.
+func (s *Shard) start(l *link, p *job.Placement) {
+	unanswered := false
+	for range startTries {
+		order, wanted := s.order(l, p)
+		if !wanted {
+			return
+		}
+		if order.UntilMillis == 0 {
+			break
+		}
+		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
+		answer, _, err := l.client.Start(ctx, order)
+		cancel()
+		if err == nil {
+			s.answered(l, p, answer, unanswered)
+			return
+		}
+		if l.ctx.Err() != nil {
+			return
+		}
+		if !errors.Is(err, worker.ErrNotSent) {
+			unanswered = true
+		}
+		s.log.Warn("startUnanswered", "job", p.Task.Job, "step", p.Task.Step, "index", p.Task.Index,
+			"attempt", p.Attempt, "worker", p.Worker.ID, "error", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.current(p) || p.Confirmed {
+		return
+	}
+	if !unanswered {
+		s.giveBack(p, "the worker cannot be reached")
+		return
+	}
+	s.stop(p)
+}
+
+// answered takes a worker's answer to a start.
+func (s *Shard) answered(l *link, p *job.Placement, answer worker.Answer, unanswered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.current(p) {
+		return
+	}
+	if answer == worker.Started {
+		s.confirm(p)
+		if p.Stopping {
+			p.Stopping = false
+			s.stop(p)
+		}
+		return
+	}
+	s.log.Warn("startRefused", "job", p.Task.Job, "step", p.Task.Step, "index", p.Task.Index,
+		"attempt", p.Attempt, "worker", p.Worker.ID, "answer", answer)
+	switch answer {
+	case worker.RefusedToken:
+		s.tenure.Depose(errors.New("a worker has seen a higher fencing token"))
+		return
+	case worker.RefusedTicket:
+		s.state.Job(p.Task.Job).Steps[p.Task.Step].DropTicket(p.Worker.ID)
+	case worker.RefusedUnhealthy, worker.RefusedRoom:
+		l.restUntil = time.Now().Add(restTime)
+	}
+	if unanswered {
+		s.stop(p)
+		return
+	}
+	s.giveBack(p, "refused")
+}
+
+// stop wants the attempt ended, and repeats the order until the worker confirms
+// it; the caller holds the lock. The attempt's room stays taken until a report
+// shows that it is gone.
+func (s *Shard) stop(p *job.Placement) {
+	if p.Stopping {
+		return
+	}
+	p.Stopping = true
+	l := s.links[p.Worker.ID]
+	if l == nil || l.key() != p.Worker || (!p.Uncertain && !p.Confirmed) {
+		return
+	}
+	go s.sendStop(l, p)
+}
+
+func (s *Shard) sendStop(l *link, p *job.Placement) {
+	for l.ctx.Err() == nil {
+		err := s.stopOnce(l, p.Task, p.Attempt)
+		s.mu.Lock()
+		over := !s.current(p)
+		if err == nil && !over {
+			p.Stopped = s.now()
+		}
+		s.mu.Unlock()
+		if err == nil || over {
+			return
+		}
+		sleep(l.ctx, stopPause)
+	}
+}
+
+func (s *Shard) stopOnce(l *link, task job.TaskKey, attempt int) error {
+	ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
+	defer cancel()
+	err := l.client.Stop(ctx, task, attempt, s.tenure.Token())
+	if err != nil && l.ctx.Err() == nil {
+		s.log.Warn("stopUnanswered", "job", task.Job, "step", task.Step, "index", task.Index,
+			"attempt", attempt, "worker", l.registration.ID, "error", err)
+	}
+	return err
+}
+
+// stopStray stops an attempt that is not the shard's; the next report shows it
+// again if this order is lost.
+func (s *Shard) stopStray(l *link, task job.TaskKey, attempt int) {
+	_ = s.stopOnce(l, task, attempt)
+}
--- /dev/null
+++ b/internal/cluster/shard/shard.go
@@ -0,0 +1,191 @@
+package shard
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/citronbay/citronbay/internal/cluster/operator"
+	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/job"
+)
+
+const (
+	// planPause gathers events of some milliseconds into one pass of the planner.
+	planPause = 4 * time.Millisecond
+	// planInterval bounds the time between passes, for what only time changes.
+	planInterval = 100 * time.Millisecond
+	// recoveryTimeout bounds the reading of the journal at a takeover.
+	recoveryTimeout = 8 * time.Second
+)
+
+// Advice asks the policy service through some entry of the cluster.
+type Advice struct {
+	// Node names the entry, which takes one call at a time.
+	Node string
+	Ask  func(ctx context.Context, jobID string, step int, workers []string) ([]worker.Ticket, error)
+}
+
+// Options are what a shard needs from its surroundings.
+type Options struct {
+	Store     store.Client
+	Tenure    *store.Tenure
+	Agreement *operator.Agreement
+	// Dial returns the client of a worker and its clean-up function.
+	Dial func(worker.Registration) (worker.Client, func())
+	// Advisors returns the entries that can ask the policy service now.
+	Advisors func() []Advice
+	// StatusTime is how long ended jobs are remembered.
+	StatusTime time.Duration
+	// HoldTime is how long workers keep tasks running without a word.
+	HoldTime time.Duration
+	Log      *slog.Logger
+}
+
+// Shard is the owner's side of one shard. Create it with Open.
+type Shard struct {
+	options Options
+	tenure  *store.Tenure
+	journal *store.Journal[job.Record]
+	log     *slog.Logger
+	origin  time.Time
+	epoch   int64
+	kick    chan struct{}
+	buckets map[string]*bucket
+
+	mu        sync.Mutex
+	state     *job.State
+	agreement *operator.Agreement
+	links     map[string]*link
+	asking    map[string]bool
+	askedLong int
+	lastPlan  time.Time
+}
+
+// Open rebuilds the shard from its journal.
+func Open(ctx context.Context, options Options) (*Shard, error) {
+	s := &Shard{
+		options:   options,
+		tenure:    options.Tenure,
+		log:       options.Log,
+		origin:    time.Now(),
+		epoch:     time.Now().UnixMilli(),
+		kick:      make(chan struct{}, 1),
+		buckets:   map[string]*bucket{},
+		state:     job.NewState(),
+		agreement: options.Agreement,
+		links:     map[string]*link{},
+		asking:    map[string]bool{},
+	}
+	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
+	defer cancel()
+	journal, records, err := store.Open(ctx, options.Store, options.Tenure, s.snapshot, options.Log)
+	if err != nil {
+		return nil, fmt.Errorf("shard: recover: %w", err)
+	}
+	s.journal = journal
+	for _, r := range records {
+		if err := s.state.Apply(r); err != nil {
+			return nil, fmt.Errorf("shard: recover: %w", err)
+		}
+	}
+	s.log.Info("shardRecovered", "token", s.tenure.Token(), "records", len(records),
+		"openJobs", len(s.state.OpenJobs()), "agreement", s.agreement.Version)
+	return s, nil
+}
+
+// snapshot returns records that stand for the state; the journal calls it under
+// the shard's lock.
+func (s *Shard) snapshot() []job.Record {
+	return s.state.Snapshot(s.now() - s.options.StatusTime.Milliseconds())
+}
+
+// now returns the owner's clock: Unix milliseconds that do not jump.
+func (s *Shard) now() int64 {
+	return s.epoch + time.Since(s.origin).Milliseconds()
+}
+
+// Run places work until the tenure ends, and returns why it ended.
+func (s *Shard) Run() error {
+	ctx := s.tenure.Context()
+	done := make(chan error, 1)
+	go func() {
+		done <- s.journal.Run(&s.mu)
+	}()
+	s.adoptOrphans()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-s.kick:
+			select {
+			case <-time.After(planPause):
+			case <-ctx.Done():
+			}
+		case <-time.After(planInterval):
+		}
+		if ctx.Err() == nil {
+			s.plan()
+		}
+	}
+}
+
+// wake asks for a pass of the planner soon.
+func (s *Shard) wake() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+// SetAgreement puts a newer agreement in force; older ones are ignored.
+func (s *Shard) SetAgreement(a *operator.Agreement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.Version <= s.agreement.Version {
+		return
+	}
+	s.log.Info("agreementInForce", "version", a.Version, "before", s.agreement.Version)
+	s.agreement = a
+	s.wake()
+}
+
+// apply changes the state by the record and hands it to the journal; the caller
+// holds the lock.
+func (s *Shard) apply(records []job.Record, r job.Record) []job.Record {
+	if err := s.state.Apply(r); err != nil {
+		s.log.Error("recordRefused", "kind", r.Kind, "job", r.Job, "error", err)
+		return records
+	}
+	return append(records, r)
+}
+
+// plan runs one pass: it lets holds lapse, starts what fits and asks the policy
+// service.
+func (s *Shard) plan() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLinks()
+	now := s.now()
+	planner := job.NewPlanner(s.state, s.agreement.Rules, s.workers(), now)
+	if s.tenure.Remaining() > 0 {
+		if records := planner.Plan(now); len(records) > 0 {
+			s.journal.Append(records, func() {
+				s.startAll(records)
+			})
+		}
+	}
+	s.askPolicy(planner, now)
+}
+
+// workers returns the planner's view of the links.
+func (s *Shard) workers() []*job.Worker {
+	list := make([]*job.Worker, 0, len(s.links))
+	for _, l := range s.links {
+		list = append(list, l.view())
+	}
+	return list
+}
--- /dev/null
+++ b/internal/cluster/store/election.go
@@ -0,0 +1,177 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// LeaseTime is how long an owner stays owner without renewal; a successor
+	// waits for it after a crash.
+	LeaseTime = 2 * time.Second
+	// renewInterval leaves three tries within a lease.
+	renewInterval = 500 * time.Millisecond
+	// callTimeout bounds one call, well above a store that is fifty times slower
+	// than its 4 ms.
+	callTimeout = time.Second
+	// retryPause is between tries while the store does not answer.
+	retryPause = 100 * time.Millisecond
+)
+
+// Owner is what the store tells of a shard's owner.
+type Owner struct {
+	Node    string `cbor:"1,keyasint"`
+	Life    string `cbor:"2,keyasint"`
+	Address string `cbor:"3,keyasint"`
+	// Token is the fencing token of the tenure; it is not part of the value.
+	Token int64 `cbor:"-"`
+	// Lease is the store's lease of the tenure.
+	Lease int64 `cbor:"-"`
+}
+
+// DecodeOwner reads the owner from the item of its key.
+func DecodeOwner(item Item) (Owner, error) {
+	var o Owner
+	if err := cbor.Unmarshal(item.Value, &o); err != nil {
+		return o, fmt.Errorf("store: decode owner: %w", err)
+	}
+	o.Token = item.Created
+	o.Lease = item.Lease
+	return o, nil
+}
+
+// Tenure is the ownership of one shard by this process, until its Done channel
+// closes.
+type Tenure struct {
+	client  Client
+	shard   string
+	token   int64
+	lease   int64
+	expires atomic.Int64
+	ctx     context.Context
+	end     context.CancelCauseFunc
+	log     *slog.Logger
+}
+
+// ErrDeposed is the cause of a tenure's end when the store has ended it.
+var ErrDeposed = errors.New("store: no longer the owner")
+
+// OwnerKey returns the key that holds the shard's owner.
+func OwnerKey(shard string) string {
+	return "citronbay/" + shard + "/owner"
+}
+
+// Claim tries to become the owner of the shard. It returns ErrNotDone when
+// another process is. The clean-up function gives the ownership up.
+func Claim(ctx context.Context, client Client, shard string, self Owner, log *slog.Logger) (*Tenure, func(), error) {
+	value, err := cbor.Marshal(self)
+	if err != nil {
+		return nil, nil, fmt.Errorf("store: encode owner: %w", err)
+	}
+	asked := now()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	lease, ttl, err := client.GrantLease(call, LeaseTime)
+	if err != nil {
+		return nil, nil, fmt.Errorf("store: lease for shard %s: %w", shard, err)
+	}
+	result, err := client.Commit(call, Txn{
+		Expect: map[string]int64{OwnerKey(shard): 0},
+		Puts: []Put{{
+			Key:   OwnerKey(shard),
+			Value: value,
+			Lease: lease,
+		}},
+	})
+	if err != nil || !result.Done {
+		// The lease is ended so that a claim with a lost answer cannot win later.
+		endLease(client, lease, log)
+		if err == nil {
+			err = ErrNotDone
+		}
+		return nil, nil, fmt.Errorf("store: claim shard %s: %w", shard, err)
+	}
+	tenureCtx, end := context.WithCancelCause(context.WithoutCancel(ctx))
+	t := &Tenure{
+		client: client,
+		shard:  shard,
+		token:  result.Revision,
+		lease:  lease,
+		ctx:    tenureCtx,
+		end:    end,
+		log:    log,
+	}
+	t.expires.Store(int64(asked + ttl))
+	go t.renew()
+	return t, t.Release, nil
+}
+
+func endLease(client Client, lease int64, log *slog.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := client.EndLease(ctx, lease); err != nil {
+		log.Warn("leaseNotEnded", "lease", lease, "error", err)
+	}
+}
+
+// Token returns the tenure's fencing token, higher than that of any before.
+func (t *Tenure) Token() int64 {
+	return t.token
+}
+
+// Context ends with the tenure.
+func (t *Tenure) Context() context.Context {
+	return t.ctx
+}
+
+// Remaining returns how long the lease certainly lasts; negative after its end.
+func (t *Tenure) Remaining() time.Duration {
+	return time.Duration(t.expires.Load()) - now()
+}
+
+// Release ends the tenure and tells the store, so that a successor need not
+// wait.
+func (t *Tenure) Release() {
+	if t.ctx.Err() == nil {
+		t.end(context.Canceled)
+	}
+	endLease(t.client, t.lease, t.log)
+}
+
+// Depose ends the tenure with the reason.
+func (t *Tenure) Depose(reason error) {
+	t.end(errors.Join(ErrDeposed, reason))
+}
+
+func (t *Tenure) renew() {
+	for {
+		wait := renewInterval
+		asked := now()
+		ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+		err := t.client.RenewLease(ctx, t.lease)
+		cancel()
+		switch {
+		case err == nil:
+			t.expires.Store(int64(asked + LeaseTime))
+		case errors.Is(err, ErrNotFound):
+			t.Depose(fmt.Errorf("lease %d has ended", t.lease))
+			return
+		case t.ctx.Err() != nil:
+			return
+		default:
+			t.log.Warn("renewFailed", "shard", t.shard, "remaining", t.Remaining(), "error", err)
+			wait = retryPause
+		}
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
--- /dev/null
+++ b/internal/cluster/store/journal.go
@@ -0,0 +1,359 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// ringSize is the number of journal keys that are used in turn.
+	ringSize = 512
+	// snapshotEvery is the number of entries between snapshots; it leaves half of
+	// the ring, so that an entry is never overwritten before a snapshot holds it.
+	snapshotEvery = 256
+	// chunkBytes bounds one value of a snapshot: 1 MB at the store, as base64 text.
+	chunkBytes = 640 << 10
+	// commitPause gathers the changes of some milliseconds into one call, since
+	// the store charges each.
+	commitPause = 6 * time.Millisecond
+	// maxChunks keeps a snapshot's transaction within the store's 32 entries.
+	maxChunks = 30
+)
+
+// head is the journal's newest entry and its newest snapshot.
+type head struct {
+	Entry    int64 `cbor:"1,keyasint"`
+	Snapshot int64 `cbor:"2,keyasint"`
+	Chunks   int   `cbor:"3,keyasint"`
+}
+
+type entry[R any] struct {
+	Number  int64 `cbor:"1,keyasint"`
+	Records []R   `cbor:"2,keyasint"`
+}
+
+// Journal keeps the changes of a shard in order. An entry is written only if
+// the tenure still holds and the entry before it is the newest, so neither an
+// old owner nor a write that arrives late can change it. Create it with Open.
+type Journal[R any] struct {
+	client   Client
+	tenure   *Tenure
+	snapshot func() []R
+	log      *slog.Logger
+
+	mu      sync.Mutex
+	pending []R
+	waiting []func()
+	next    int64
+
+	head    head
+	headRev int64
+	kick    chan struct{}
+}
+
+func headKey(shard string) string {
+	return "citronbay/" + shard + "/head"
+}
+
+func entryPrefix(shard string) string {
+	return "citronbay/" + shard + "/log/"
+}
+
+func chunkPrefix(shard string) string {
+	return "citronbay/" + shard + "/snapshot/"
+}
+
+// Open reads the journal and returns it with all records in order. The snapshot
+// function returns records that stand for everything appended so far; it is
+// called under the lock of Append's callers, see Journal.Append.
+func Open[R any](ctx context.Context, client Client, tenure *Tenure, snapshot func() []R, log *slog.Logger) (*Journal[R], []R, error) {
+	j := &Journal[R]{
+		client:   client,
+		tenure:   tenure,
+		snapshot: snapshot,
+		log:      log,
+		kick:     make(chan struct{}, 1),
+	}
+	item, err := client.Get(ctx, headKey(tenure.shard))
+	switch {
+	case errors.Is(err, ErrNotFound):
+		j.next = 1
+		return j, nil, nil
+	case err != nil:
+		return nil, nil, fmt.Errorf("store: read journal head: %w", err)
+	}
+	if err := cbor.Unmarshal(item.Value, &j.head); err != nil {
+		return nil, nil, fmt.Errorf("store: decode journal head: %w", err)
+	}
+	j.headRev = item.Revision
+	j.next = j.head.Entry + 1
+	records, err := j.read(ctx)
+	return j, records, err
+}
+
+func (j *Journal[R]) read(ctx context.Context) ([]R, error) {
+	chunks, _, err := j.client.Range(ctx, chunkPrefix(j.tenure.shard))
+	if err != nil {
+		return nil, fmt.Errorf("store: read snapshot: %w", err)
+	}
+	slices.SortFunc(chunks, func(a, b Item) int {
+		return strings.Compare(a.Key, b.Key)
+	})
+	if len(chunks) < j.head.Chunks {
+		return nil, fmt.Errorf("store: snapshot has %d chunks of %d", len(chunks), j.head.Chunks)
+	}
+	var records []R
+	for _, c := range chunks[:j.head.Chunks] {
+		var part []R
+		if err := cbor.Unmarshal(c.Value, &part); err != nil {
+			return nil, fmt.Errorf("store: decode %s: %w", c.Key, err)
+		}
+		records = append(records, part...)
+	}
+	items, _, err := j.client.Range(ctx, entryPrefix(j.tenure.shard))
+	if err != nil {
+		return nil, fmt.Errorf("store: read journal: %w", err)
+	}
+	return j.replay(records, items)
+}
+
+func (j *Journal[R]) replay(records []R, items []Item) ([]R, error) {
+	entries := make([]entry[R], 0, len(items))
+	for _, item := range items {
+		var e entry[R]
+		if err := cbor.Unmarshal(item.Value, &e); err != nil {
+			return nil, fmt.Errorf("store: decode %s: %w", item.Key, err)
+		}
+		if e.Number > j.head.Snapshot && e.Number <= j.head.Entry {
+			entries = append(entries, e)
+		}
+	}
+	slices.SortFunc(entries, func(a, b entry[R]) int {
+		return int(a.Number - b.Number)
+	})
+	for n, e := range entries {
+		if want := j.head.Snapshot + int64(n) + 1; e.Number != want {
+			return nil, fmt.Errorf("store: journal entry %d is missing", want)
+		}
+		records = append(records, e.Records...)
+	}
+	if want := j.head.Entry - j.head.Snapshot; int64(len(entries)) != want {
+		return nil, fmt.Errorf("store: journal has %d entries after its snapshot, want %d", len(entries), want)
+	}
+	return records, nil
+}
+
+// Append adds the records and calls done, if any, once they and all before them
+// are durable. Callers hold the lock that also guards what the snapshot function
+// reads, so that order and content agree.
+func (j *Journal[R]) Append(records []R, done func()) {
+	j.mu.Lock()
+	j.pending = append(j.pending, records...)
+	if done != nil {
+		j.waiting = append(j.waiting, done)
+	}
+	j.mu.Unlock()
+	select {
+	case j.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run writes what is appended until the tenure ends. The lock guards appending
+// and the snapshot function.
+func (j *Journal[R]) Run(lock sync.Locker) error {
+	ctx := j.tenure.Context()
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-j.kick:
+		}
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(commitPause):
+		}
+		if err := j.commit(ctx, lock); err != nil {
+			j.tenure.Depose(err)
+			return err
+		}
+	}
+}
+
+func (j *Journal[R]) commit(ctx context.Context, lock sync.Locker) error {
+	txn, next, waiting, err := j.prepare(lock)
+	if err != nil {
+		return err
+	}
+	if txn.Puts != nil {
+		revision, err := j.write(ctx, txn, next)
+		if err != nil {
+			return err
+		}
+		j.head, j.headRev = next, revision
+		j.next = next.Entry + 1
+	}
+	for _, done := range waiting {
+		done()
+	}
+	return nil
+}
+
+// prepare takes what is pending and turns it into an entry, or into a snapshot
+// when one is due. Without pending records it returns a transaction without
+// puts, and the callbacks need not wait.
+func (j *Journal[R]) prepare(lock sync.Locker) (Txn, head, []func(), error) {
+	lock.Lock()
+	j.mu.Lock()
+	records, waiting := j.pending, j.waiting
+	j.pending, j.waiting = nil, nil
+	j.mu.Unlock()
+	next := head{
+		Entry:    j.next,
+		Snapshot: j.head.Snapshot,
+		Chunks:   j.head.Chunks,
+	}
+	whole := j.next-j.head.Snapshot >= snapshotEvery
+	if whole && len(records) > 0 {
+		records = j.snapshot()
+	}
+	lock.Unlock()
+	if len(records) == 0 {
+		return Txn{}, next, waiting, nil
+	}
+	var puts []Put
+	var err error
+	if whole {
+		next.Snapshot = next.Entry
+		puts, err = j.chunks(records)
+		next.Chunks = len(puts)
+	} else {
+		puts, err = j.entry(next.Entry, records)
+	}
+	if err != nil {
+		return Txn{}, next, nil, err
+	}
+	value, err := cbor.Marshal(next)
+	if err != nil {
+		return Txn{}, next, nil, fmt.Errorf("store: encode journal head: %w", err)
+	}
+	return Txn{
+		Expect: map[string]int64{
+			headKey(j.tenure.shard):  j.headRev,
+			OwnerKey(j.tenure.shard): j.tenure.token,
+		},
+		Puts: append(puts, Put{
+			Key:   headKey(j.tenure.shard),
+			Value: value,
+		}),
+	}, next, waiting, nil
+}
+
+func (j *Journal[R]) entry(number int64, records []R) ([]Put, error) {
+	value, err := cbor.Marshal(entry[R]{
+		Number:  number,
+		Records: records,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("store: encode journal entry: %w", err)
+	}
+	return []Put{{
+		Key:   entryPrefix(j.tenure.shard) + strconv.FormatInt(number%ringSize, 10),
+		Value: value,
+	}}, nil
+}
+
+// chunks encodes the records into values of at most chunkBytes each.
+func (j *Journal[R]) chunks(records []R) ([]Put, error) {
+	var puts []Put
+	var part []cbor.RawMessage
+	size := 0
+	flush := func() error {
+		value, err := cbor.Marshal(part)
+		if err != nil {
+			return fmt.Errorf("store: encode snapshot: %w", err)
+		}
+		puts = append(puts, Put{
+			Key:   fmt.Sprintf("%s%03d", chunkPrefix(j.tenure.shard), len(puts)),
+			Value: value,
+		})
+		part, size = nil, 0
+		return nil
+	}
+	for _, r := range records {
+		encoded, err := cbor.Marshal(r)
+		if err != nil {
+			return nil, fmt.Errorf("store: encode snapshot: %w", err)
+		}
+		if size+len(encoded) > chunkBytes {
+			if err := flush(); err != nil {
+				return nil, err
+			}
+		}
+		part = append(part, encoded)
+		size += len(encoded)
+	}
+	if err := flush(); err != nil {
+		return nil, err
+	}
+	if len(puts) > maxChunks {
+		return nil, fmt.Errorf("store: snapshot has %d chunks, at most %d fit", len(puts), maxChunks)
+	}
+	return puts, nil
+}
+
+// write repeats the transaction until its outcome is certain. A repetition is
+// harmless: whichever copy comes first moves the head, and the others fail.
+func (j *Journal[R]) write(ctx context.Context, txn Txn, next head) (int64, error) {
+	for {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		result, err := j.client.Commit(call, txn)
+		cancel()
+		if err == nil && result.Done {
+			return result.Revision, nil
+		}
+		if err == nil {
+			return j.judge(result, next)
+		}
+		if ctx.Err() != nil {
+			return 0, context.Cause(ctx)
+		}
+		j.log.Warn("commitRetried", "shard", j.tenure.shard, "entry", next.Entry, "error", err)
+		select {
+		case <-ctx.Done():
+			return 0, context.Cause(ctx)
+		case <-time.After(retryPause / 4):
+		}
+	}
+}
+
+// judge tells an earlier copy of the same entry that took effect from a
+// deposition.
+func (j *Journal[R]) judge(result TxnResult, next head) (int64, error) {
+	owner, ok := result.Current[OwnerKey(j.tenure.shard)]
+	if !ok || owner.Revision != j.tenure.token {
+		return 0, fmt.Errorf("%w: another owner at revision %d", ErrDeposed, owner.Revision)
+	}
+	item, ok := result.Current[headKey(j.tenure.shard)]
+	if !ok {
+		return 0, errors.New("store: the journal's head is gone")
+	}
+	var current head
+	if err := cbor.Unmarshal(item.Value, &current); err != nil {
+		return 0, fmt.Errorf("store: decode journal head: %w", err)
+	}
+	if current != next {
+		return 0, fmt.Errorf("store: the journal's head is %v, want %v", current, next)
+	}
+	return item.Revision, nil
+}
--- /dev/null
+++ b/internal/decide/job/state.go
@@ -0,0 +1,399 @@
+package job
+
+import "fmt"
+
+// RecordKind says what a record changes.
+type RecordKind uint8
+
+// The kinds of records.
+const (
+	RecordAccept RecordKind = iota + 1
+	RecordPlace
+	RecordEnd
+	RecordFinish
+	RecordTask
+	RecordForget
+)
+
+// EndKind is how an attempt ended, as far as the job is concerned.
+type EndKind uint8
+
+// The ends of an attempt.
+const (
+	// EndLost puts the task back into the queue without counting a failure.
+	EndLost EndKind = iota
+	EndDone
+	EndFailed
+)
+
+// Record is one change of the state; replaying all records rebuilds it.
+type Record struct {
+	Kind       RecordKind  `cbor:"1,keyasint"`
+	Job        string      `cbor:"2,keyasint"`
+	Step       int         `cbor:"3,keyasint,omitempty"`
+	Index      int         `cbor:"4,keyasint,omitempty"`
+	Attempt    int         `cbor:"5,keyasint,omitempty"`
+	Worker     string      `cbor:"6,keyasint,omitempty"`
+	Born       int64       `cbor:"7,keyasint,omitempty"`
+	End        EndKind     `cbor:"8,keyasint,omitempty"`
+	Checkpoint string      `cbor:"9,keyasint,omitempty"`
+	Submission *Submission `cbor:"10,keyasint,omitempty"`
+	Team       string      `cbor:"11,keyasint,omitempty"`
+	Queue      string      `cbor:"12,keyasint,omitempty"`
+	Millis     int64       `cbor:"13,keyasint,omitempty"`
+	Outcome    Outcome     `cbor:"14,keyasint,omitempty"`
+	Excess     bool        `cbor:"15,keyasint,omitempty"`
+	Failures   int         `cbor:"16,keyasint,omitempty"`
+	Done       bool        `cbor:"17,keyasint,omitempty"`
+}
+
+// State is all that a shard knows of its jobs. Create it with NewState.
+type State struct {
+	jobs    map[string]*Job
+	open    map[string]*Job
+	workers map[WorkerKey]map[TaskKey]*Placement
+	used    map[WorkerKey]Resources
+	teams   map[string]Resources
+}
+
+// NewState returns a state without jobs.
+func NewState() *State {
+	return &State{
+		jobs:    map[string]*Job{},
+		open:    map[string]*Job{},
+		workers: map[WorkerKey]map[TaskKey]*Placement{},
+		used:    map[WorkerKey]Resources{},
+		teams:   map[string]Resources{},
+	}
+}
+
+// Job returns the job of the id, or nil.
+func (s *State) Job(id string) *Job {
+	return s.jobs[id]
+}
+
+// OpenJobs returns the jobs that have not ended, by id; callers do not change it.
+func (s *State) OpenJobs() map[string]*Job {
+	return s.open
+}
+
+// Used returns what all placements on the worker take.
+func (s *State) Used(w WorkerKey) Resources {
+	return s.used[w]
+}
+
+// TeamUsed returns what all placements of the team take.
+func (s *State) TeamUsed(team string) Resources {
+	return s.teams[team]
+}
+
+// Placements returns the placements on the worker; callers do not change it.
+func (s *State) Placements(w WorkerKey) map[TaskKey]*Placement {
+	return s.workers[w]
+}
+
+// WorkersWithPlacements returns each worker life that has placements.
+func (s *State) WorkersWithPlacements() []WorkerKey {
+	var keys []WorkerKey
+	for k := range s.workers {
+		keys = append(keys, k)
+	}
+	return keys
+}
+
+// Placement returns the placement of the task, or nil.
+func (s *State) Placement(k TaskKey) *Placement {
+	t := s.Task(k)
+	if t == nil {
+		return nil
+	}
+	return t.Place
+}
+
+// Task returns the task of the key, or nil.
+func (s *State) Task(k TaskKey) *Task {
+	j := s.jobs[k.Job]
+	if j == nil || k.Step < 0 || k.Step >= len(j.Steps) {
+		return nil
+	}
+	tasks := j.Steps[k.Step].Tasks
+	if k.Index < 0 || k.Index >= len(tasks) {
+		return nil
+	}
+	return &tasks[k.Index]
+}
+
+// Apply changes the state by the record, and refuses one that does not match it.
+func (s *State) Apply(r Record) error {
+	switch r.Kind {
+	case RecordAccept:
+		return s.accept(r)
+	case RecordForget:
+		s.forget(r.Job)
+		return nil
+	}
+	j := s.jobs[r.Job]
+	if j == nil {
+		return fmt.Errorf("record of kind %d for unknown job %s", r.Kind, r.Job)
+	}
+	if r.Kind == RecordFinish {
+		s.finish(j, r)
+		return nil
+	}
+	key := TaskKey{
+		Job:   r.Job,
+		Step:  r.Step,
+		Index: r.Index,
+	}
+	t := s.Task(key)
+	if t == nil {
+		return fmt.Errorf("record of kind %d for unknown task %v", r.Kind, key)
+	}
+	switch r.Kind {
+	case RecordPlace:
+		return s.place(j, key, t, r)
+	case RecordEnd:
+		return s.end(j, key, t, r)
+	case RecordTask:
+		s.restore(j.Steps[r.Step], t, r)
+		return nil
+	}
+	return fmt.Errorf("record of unknown kind %d", r.Kind)
+}
+
+func (s *State) accept(r Record) error {
+	if s.jobs[r.Job] != nil {
+		return fmt.Errorf("job %s is accepted twice", r.Job)
+	}
+	j := &Job{
+		ID:              r.Job,
+		Team:            r.Team,
+		Queue:           r.Queue,
+		SubmittedMillis: r.Millis,
+		Excess:          r.Excess,
+	}
+	if r.Submission != nil {
+		j.Payload = r.Submission.Payload
+		for n, spec := range r.Submission.Steps {
+			j.Steps = append(j.Steps, &Step{
+				Job:     j,
+				Number:  n,
+				Spec:    spec,
+				Tasks:   make([]Task, spec.Count),
+				waiting: spec.Count,
+			})
+		}
+	}
+	s.jobs[j.ID] = j
+	s.open[j.ID] = j
+	return nil
+}
+
+func (s *State) forget(id string) {
+	delete(s.jobs, id)
+	delete(s.open, id)
+}
+
+func (s *State) finish(j *Job, r Record) {
+	j.Outcome = r.Outcome
+	j.FinishedMillis = r.Millis
+	delete(s.open, j.ID)
+}
+
+func (s *State) place(j *Job, key TaskKey, t *Task, r Record) error {
+	if t.Place != nil {
+		return fmt.Errorf("task %v is placed twice", key)
+	}
+	step := j.Steps[r.Step]
+	p := &Placement{
+		Task:    key,
+		Attempt: r.Attempt,
+		Worker: WorkerKey{
+			ID:   r.Worker,
+			Born: r.Born,
+		},
+		Team:  j.Team,
+		Needs: step.Spec.Needs,
+	}
+	t.Place = p
+	t.Attempt = r.Attempt
+	if !t.Done {
+		step.waiting--
+	}
+	step.placed++
+	j.Started = true
+	on := s.workers[p.Worker]
+	if on == nil {
+		on = map[TaskKey]*Placement{}
+		s.workers[p.Worker] = on
+	}
+	on[key] = p
+	s.used[p.Worker] = s.used[p.Worker].Plus(p.Needs)
+	s.teams[p.Team] = s.teams[p.Team].Plus(p.Needs)
+	return nil
+}
+
+func (s *State) end(j *Job, key TaskKey, t *Task, r Record) error {
+	if t.Place == nil || t.Place.Attempt != r.Attempt {
+		return fmt.Errorf("end of attempt %d of task %v, which is not placed", r.Attempt, key)
+	}
+	s.release(t.Place)
+	step := j.Steps[r.Step]
+	t.Place = nil
+	step.placed--
+	if r.Checkpoint != "" {
+		t.Checkpoint = r.Checkpoint
+	}
+	if t.Done {
+		return nil
+	}
+	step.waiting++
+	switch r.End {
+	case EndDone:
+		if step.Spec.Endless {
+			break
+		}
+		if step.Spec.Gang {
+			for n := range step.Tasks {
+				step.markDone(&step.Tasks[n])
+			}
+			break
+		}
+		step.markDone(t)
+	case EndFailed:
+		t.Failures++
+	}
+	return nil
+}
+
+// markDone counts the task as done; a member of a gang may still be placed.
+func (s *Step) markDone(t *Task) {
+	if t.Done {
+		return
+	}
+	t.Done = true
+	s.done++
+	if t.Place == nil {
+		s.waiting--
+	}
+}
+
+func (s *State) release(p *Placement) {
+	delete(s.workers[p.Worker], p.Task)
+	s.used[p.Worker] = s.used[p.Worker].Minus(p.Needs)
+	if len(s.workers[p.Worker]) == 0 {
+		delete(s.workers, p.Worker)
+		delete(s.used, p.Worker)
+	}
+	s.teams[p.Team] = s.teams[p.Team].Minus(p.Needs)
+}
+
+func (s *State) restore(step *Step, t *Task, r Record) {
+	t.Attempt = r.Attempt
+	t.Failures = r.Failures
+	t.Checkpoint = r.Checkpoint
+	if r.Attempt > 0 {
+		step.Job.Started = true
+	}
+	if r.Done {
+		step.markDone(t)
+	}
+}
+
+// Failures returns how often the task, or its gang, has failed.
+func (s *Step) Failures(index int) int {
+	if !s.Spec.Gang {
+		return s.Tasks[index].Failures
+	}
+	failures := 0
+	for _, t := range s.Tasks {
+		failures += t.Failures
+	}
+	return failures
+}
+
+// Snapshot returns records that rebuild the state. Ended jobs without placements
+// keep only their outcome, and those that ended before the given Unix
+// millisecond are left out.
+func (s *State) Snapshot(endedBefore int64) []Record {
+	var records []Record
+	for _, j := range s.jobs {
+		placed := j.placed()
+		if j.Outcome != Open && !placed && j.FinishedMillis < endedBefore {
+			continue
+		}
+		records = append(records, j.snapshot(j.Outcome == Open || placed)...)
+	}
+	return records
+}
+
+func (j *Job) placed() bool {
+	for _, step := range j.Steps {
+		if step.placed > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *Job) snapshot(whole bool) []Record {
+	accept := Record{
+		Kind:   RecordAccept,
+		Job:    j.ID,
+		Team:   j.Team,
+		Queue:  j.Queue,
+		Millis: j.SubmittedMillis,
+		Excess: j.Excess,
+	}
+	if whole {
+		accept.Submission = &Submission{Payload: j.Payload}
+		for _, step := range j.Steps {
+			accept.Submission.Steps = append(accept.Submission.Steps, step.Spec)
+		}
+	}
+	records := []Record{accept}
+	if whole {
+		for _, step := range j.Steps {
+			records = append(records, step.snapshot()...)
+		}
+	}
+	if j.Outcome != Open {
+		records = append(records, Record{
+			Kind:    RecordFinish,
+			Job:     j.ID,
+			Outcome: j.Outcome,
+			Millis:  j.FinishedMillis,
+		})
+	}
+	return records
+}
+
+func (s *Step) snapshot() []Record {
+	var records []Record
+	for n, t := range s.Tasks {
+		if t.Attempt > 0 || t.Done {
+			records = append(records, Record{
+				Kind:       RecordTask,
+				Job:        s.Job.ID,
+				Step:       s.Number,
+				Index:      n,
+				Attempt:    t.Attempt,
+				Failures:   t.Failures,
+				Checkpoint: t.Checkpoint,
+				Done:       t.Done,
+			})
+		}
+		if t.Place != nil {
+			records = append(records, Record{
+				Kind:    RecordPlace,
+				Job:     s.Job.ID,
+				Step:    s.Number,
+				Index:   n,
+				Attempt: t.Place.Attempt,
+				Worker:  t.Place.Worker.ID,
+				Born:    t.Place.Worker.Born,
+			})
+		}
+	}
+	return records
+}
