--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -46,6 +46,7 @@
 
 	// All below is guarded by the shard's lock.
 	registration worker.Registration
+	worker       job.Worker // the planner's view, see view
 	listed       bool
 	seen         bool // has answered under the tenure's token
 	lastAnswer   time.Time
@@ -119,6 +120,7 @@
 	l.stop()
 	l.close()
 	delete(s.links, l.registration.ID)
+	l.worker.Usable = false
 	s.loseAll(l.key(), reason)
 }
 
@@ -177,22 +179,17 @@
 	}
 }
 
-// view returns what the planner needs to know; the caller holds the lock.
+// view brings the planner's view up to date; the caller holds the lock.
 func (l *link) view() *job.Worker {
 	now := time.Now()
 	r := l.registration
-	return &job.Worker{
-		ID:       r.ID,
-		Born:     r.Born,
-		Service:  r.Service,
-		Zone:     r.Zone,
-		Rack:     r.Rack,
-		Labels:   r.Labels,
-		Capacity: r.Capacity,
-		Usable: l.seen && l.listed && !r.Draining &&
-			now.Sub(l.lastAnswer) < silentTime && now.After(l.restUntil),
-		Penalty: l.failures,
-	}
+	w := &l.worker
+	w.ID, w.Born, w.Service = r.ID, r.Born, r.Service
+	w.Zone, w.Rack, w.Labels = r.Zone, r.Rack, r.Labels
+	w.Capacity = r.Capacity
+	w.Usable = l.seen && l.listed && !r.Draining && now.Sub(l.lastAnswer) < silentTime && now.After(l.restUntil)
+	w.Penalty = l.failures
+	return w
 }
 
 // until returns the hold's end on the worker's clock, or zero when the hold must
--- a/internal/cluster/shard/orders.go
+++ b/internal/cluster/shard/orders.go
@@ -78,7 +78,7 @@
 		UntilMillis: l.until(),
 		Token:       s.tenure.Token(),
 		Checkpoint:  step.Checkpoint(p.Task.Index),
-		Ticket:      step.Ticket(p.Worker),
+		Ticket:      step.Ticket(&l.worker),
 	}, true
 }
 
@@ -144,7 +144,7 @@
 		s.tenure.Depose(errors.New("a worker has seen a higher fencing token"))
 		return
 	case worker.RefusedTicket:
-		s.state.Job(p.Task.Job).Steps[p.Task.Step].DropTicket(p.Worker.ID)
+		s.state.Job(p.Task.Job).Steps[p.Task.Step].DropTicket(&l.worker)
 	case worker.RefusedUnhealthy, worker.RefusedRoom:
 		l.restUntil = time.Now().Add(restTime)
 	}
--- a/internal/cluster/shard/policy.go
+++ b/internal/cluster/shard/policy.go
@@ -48,7 +48,11 @@
 	limit := time.Duration(q.CostMillis)*time.Millisecond + questionSlack
 	ctx, cancel := context.WithTimeout(s.tenure.Context(), limit)
 	defer cancel()
-	tickets, err := a.Ask(ctx, q.Step.Job.ID, q.Step.Number, q.Workers)
+	ids := make([]string, len(q.Workers))
+	for n, w := range q.Workers {
+		ids[n] = w.ID
+	}
+	tickets, err := a.Ask(ctx, q.Step.Job.ID, q.Step.Number, ids)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.asking[a.Node] = false
@@ -58,27 +62,28 @@
 	if err != nil && s.tenure.Context().Err() == nil {
 		s.log.Warn("adviceFailed", "job", q.Step.Job.ID, "step", q.Step.Number, "node", a.Node, "error", err)
 	}
-	q.Step.Answered(q.Workers, s.tickets(q.Step, tickets), err == nil)
+	q.Answered(s.tickets(q, tickets), err == nil)
 	s.wake()
 }
 
-// tickets dates the answers by the lives of the workers that are known now.
-func (s *Shard) tickets(step *job.Step, answers []worker.Ticket) map[string]job.Ticket {
-	policy := s.agreement.Rules.Queues[step.Job.Queue].Policy
+// tickets dates the answers and assigns them to the workers that were asked about.
+func (s *Shard) tickets(q job.Question, answers []worker.Ticket) map[*job.Worker]job.Ticket {
+	policy := s.agreement.Rules.Queues[q.Step.Job.Queue].Policy
 	if policy == nil {
 		return nil
 	}
+	asked := map[string]*job.Worker{}
+	for _, w := range q.Workers {
+		asked[w.ID] = w
+	}
 	expires := s.now() + policy.ValidMillis - ticketHopMillis
-	allowed := map[string]job.Ticket{}
+	allowed := map[*job.Worker]job.Ticket{}
 	for _, t := range answers {
-		l := s.links[t.Worker]
-		if l == nil {
-			continue
-		}
-		allowed[t.Worker] = job.Ticket{
-			Value:         t.Value,
-			Born:          l.registration.Born,
-			ExpiresMillis: expires,
+		if w := asked[t.Worker]; w != nil {
+			allowed[w] = job.Ticket{
+				Value:         t.Value,
+				ExpiresMillis: expires,
+			}
 		}
 	}
 	return allowed
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -109,6 +109,9 @@
 		}
 	}
 	now := s.now()
+	excess := s.isExcess(team, now)
+	s.log.Info("jobAccepted", "job", id, "team", team, "queue", route.Queue, "excess", excess,
+		"steps", len(r.Submission.Steps), "agreement", s.agreement.Version, "open", len(s.state.OpenJobs()))
 	records := s.apply(nil, job.Record{
 		Kind:       job.RecordAccept,
 		Job:        id,
@@ -116,7 +119,7 @@
 		Queue:      route.Queue,
 		Millis:     now,
 		Submission: r.Submission,
-		Excess:     s.isExcess(team, now),
+		Excess:     excess,
 	})
 	s.wake()
 	return s.afterCommit(ctx, records, caller.Response{Status: caller.OK})
@@ -191,7 +194,6 @@
 	}
 	var records []job.Record
 	if j.Outcome == job.Open {
-		s.log.Info("jobCancelled", "job", id, "team", j.Team, "ageMillis", s.now()-j.SubmittedMillis)
 		records = s.finish(nil, j, job.Cancelled)
 	}
 	return s.afterCommit(ctx, records, caller.Response{Status: caller.OK})
@@ -199,6 +201,8 @@
 
 // finish ends the job and stops what still runs of it; the caller holds the lock.
 func (s *Shard) finish(records []job.Record, j *job.Job, outcome job.Outcome) []job.Record {
+	s.log.Info("jobEnded", "job", j.ID, "team", j.Team, "queue", j.Queue, "outcome", outcome,
+		"ageMillis", s.now()-j.SubmittedMillis)
 	records = s.apply(records, job.Record{
 		Kind:    job.RecordFinish,
 		Job:     j.ID,
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -18,6 +18,9 @@
 	planPause = 4 * time.Millisecond
 	// planInterval bounds the time between passes, for what only time changes.
 	planInterval = 100 * time.Millisecond
+	// planShare bounds the passes' share of the time when a backlog makes them
+	// long: a pause lasts this many times the pass before it.
+	planShare = 6
 	// recoveryTimeout bounds the reading of the journal at a takeover.
 	recoveryTimeout = 8 * time.Second
 )
@@ -55,6 +58,8 @@
 	epoch   int64
 	kick    chan struct{}
 	buckets map[string]*bucket
+	// lastPlan is how long the last pass took; only Run uses it.
+	lastPlan time.Duration
 
 	mu        sync.Mutex
 	state     *job.State
@@ -62,7 +67,6 @@
 	links     map[string]*link
 	asking    map[string]bool
 	askedLong int
-	lastPlan  time.Time
 }
 
 // Open rebuilds the shard from its journal.
@@ -122,13 +126,15 @@
 			return err
 		case <-s.kick:
 			select {
-			case <-time.After(planPause):
+			case <-time.After(max(planPause, planShare*s.lastPlan)):
 			case <-ctx.Done():
 			}
 		case <-time.After(planInterval):
 		}
 		if ctx.Err() == nil {
+			begun := time.Now()
 			s.plan()
+			s.lastPlan = time.Since(begun)
 		}
 	}
 }
@@ -173,6 +179,7 @@
 	planner := job.NewPlanner(s.state, s.agreement.Rules, s.workers(), now)
 	if s.tenure.Remaining() > 0 {
 		if records := planner.Plan(now); len(records) > 0 {
+			s.logPlaced(records, now)
 			s.journal.Append(records, func() {
 				s.startAll(records)
 			})
@@ -189,3 +196,18 @@
 	}
 	return list
 }
+
+// logPlaced writes one line for each step of which tasks were placed.
+func (s *Shard) logPlaced(records []job.Record, now int64) {
+	for n := 0; n < len(records); {
+		r := records[n]
+		same := n
+		for same < len(records) && records[same].Job == r.Job && records[same].Step == r.Step {
+			same++
+		}
+		j := s.state.Job(r.Job)
+		s.log.Info("tasksPlaced", "job", r.Job, "step", r.Step, "tasks", same-n, "attempt", r.Attempt,
+			"worker", r.Worker, "ageMillis", now-j.SubmittedMillis, "agreement", s.agreement.Version)
+		n = same
+	}
+}
--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -15,6 +15,9 @@
 	// askMarginMillis is added to the expected time of a call before its
 	// reservation lapses: two hops between regions and a wait at the service.
 	askMarginMillis = 600
+	// maxExamined bounds the steps that one pass looks at for a question, so that
+	// a long backlog does not cost more time than it is worth.
+	maxExamined = 64
 	// prefetchMillis is how long before the expected end of a step the policy is
 	// asked about the next one.
 	prefetchMillis = 700
@@ -24,73 +27,71 @@
 type Ticket struct {
 	Value         string
 	ExpiresMillis int64
-	Born          int64
 }
 
 // Advice is what the policy service has said about a step.
 type Advice struct {
-	allowed map[string]Ticket
-	asked   map[string]bool
-	asking  bool
+	allowed map[*Worker]Ticket
+	// refused are workers that were asked about and are not allowed.
+	refused map[*Worker]bool
+	// validUntil is the latest end of any ticket.
+	validUntil int64
+	asked      bool
+	asking     bool
 	// reserved holds room for a gang while its tickets are renewed.
-	reserved      map[WorkerKey]int
+	reserved      map[*Worker]int
 	reservedUntil int64
 }
 
 // Question is a call to the policy service that should be made now.
 type Question struct {
 	Step    *Step
-	Workers []string
+	Workers []*Worker
 	// CostMillis is the expected time of the call.
 	CostMillis float64
 	Priority   int
 }
 
-// Answered takes the answer to a question that was asked about the workers;
-// ok is false when the call failed.
-func (s *Step) Answered(asked []string, allowed map[string]Ticket, ok bool) {
-	s.Advice.asking = false
+// Answered takes the answer to a question; ok is false when the call failed.
+func (q Question) Answered(allowed map[*Worker]Ticket, ok bool) {
+	a := &q.Step.Advice
+	a.asking = false
 	if !ok {
-		s.Advice.reserved = nil
+		a.reserved = nil
 		return
 	}
-	if s.Advice.asked == nil {
-		s.Advice.asked = map[string]bool{}
-		s.Advice.allowed = map[string]Ticket{}
+	a.asked = true
+	if a.allowed == nil {
+		a.allowed = map[*Worker]Ticket{}
+		a.refused = map[*Worker]bool{}
 	}
-	for _, id := range asked {
-		s.Advice.asked[id] = true
-	}
-	for id, t := range allowed {
-		s.Advice.allowed[id] = t
+	for _, w := range q.Workers {
+		t, ok := allowed[w]
+		if !ok {
+			a.refused[w] = true
+			delete(a.allowed, w)
+			continue
+		}
+		a.allowed[w] = t
+		a.validUntil = max(a.validUntil, t.ExpiresMillis)
 	}
 }
 
 // DropTicket forgets a ticket that the worker refused.
-func (s *Step) DropTicket(worker string) {
-	if t, ok := s.Advice.allowed[worker]; ok {
+func (s *Step) DropTicket(w *Worker) {
+	if t, ok := s.Advice.allowed[w]; ok {
 		t.ExpiresMillis = 0
-		s.Advice.allowed[worker] = t
+		s.Advice.allowed[w] = t
 	}
 }
 
-// Ticket returns the ticket for the worker, if there is one.
-func (s *Step) Ticket(w WorkerKey) string {
-	t := s.Advice.allowed[w.ID]
-	if t.Born != w.Born {
-		return ""
-	}
-	return t.Value
+// Ticket returns the ticket for the worker, or an empty string.
+func (s *Step) Ticket(w *Worker) string {
+	return s.Advice.allowed[w].Value
 }
 
 func (a *Advice) valid(w *Worker, now int64) bool {
-	t, ok := a.allowed[w.ID]
-	return ok && t.Born == w.Born && t.ExpiresMillis > now
-}
-
-func (a *Advice) knows(w *Worker) bool {
-	t, ok := a.allowed[w.ID]
-	return ok && t.Born == w.Born
+	return a.allowed[w].ExpiresMillis > now
 }
 
 // Questions returns up to limit calls that are worth making now, the most
@@ -101,110 +102,115 @@
 // quick ones do not wait behind them.
 func (p *Planner) Questions(now int64, limit, longLimit int, longMillis float64) []Question {
 	var questions []Question
-	isLong := func(step *Step) bool {
-		policy := p.rules.Queues[step.Job.Queue].Policy
-		return policy != nil && policy.DecisionMillis > longMillis/2
-	}
-	take := func(q Question) {
+	examined := 0
+	consider := func(step *Step, decide func(*Step, Queue) (Question, bool)) {
+		queue := p.rules.Queues[step.Job.Queue]
+		if queue.Policy == nil || step.Advice.asking {
+			return
+		}
+		long := queue.Policy.DecisionMillis > longMillis/2
+		if long && longLimit <= 0 {
+			return
+		}
+		examined++
+		q, ok := decide(step, queue)
+		if !ok {
+			return
+		}
 		questions = append(questions, q)
-		if isLong(q.Step) {
+		if long {
 			longLimit--
 		}
 	}
-	for _, step := range p.order() {
-		if len(questions) == limit {
+	for _, step := range p.steps {
+		if len(questions) == limit || examined == maxExamined {
 			return questions
 		}
-		if isLong(step) && longLimit <= 0 {
-			continue
-		}
-		if q, ok := p.question(step, now); ok {
-			take(q)
-		}
+		consider(step, func(step *Step, queue Queue) (Question, bool) {
+			return p.question(step, queue, now)
+		})
 	}
 	for _, step := range p.upcoming(now) {
-		if len(questions) == limit {
+		if len(questions) == limit || examined == maxExamined {
 			return questions
 		}
-		if isLong(step) && longLimit <= 0 {
-			continue
-		}
-		if q, ok := p.firstQuestion(step, p.rules.Queues[step.Job.Queue]); ok {
-			take(q)
-		}
+		consider(step, p.firstQuestion)
 	}
 	return questions
 }
 
-func (p *Planner) question(step *Step, now int64) (Question, bool) {
-	queue := p.rules.Queues[step.Job.Queue]
-	if queue.Policy == nil || step.Advice.asking {
+func (p *Planner) question(step *Step, queue Queue, now int64) (Question, bool) {
+	if !step.Advice.asked {
+		return p.firstQuestion(step, queue)
+	}
+	if !step.Spec.Needs.FitsIn(p.most) || !p.withinCap(step, 1) {
 		return Question{}, false
 	}
-	if step.Advice.asked == nil {
+	known := p.known(step, queue)
+	if !step.Spec.Gang {
+		renew, valid := p.renewable(step, known, now)
+		if valid {
+			return Question{}, false
+		}
+		if len(renew) > 0 {
+			return p.ask(step, queue, renew), true
+		}
 		return p.firstQuestion(step, queue)
 	}
-	known := p.candidates(step, queue, func(w *Worker) bool {
-		return step.Advice.knows(w)
-	})
-	if step.Spec.Gang {
-		if plan := p.packGang(step, known); plan != nil {
-			if p.allValid(step, plan, now) {
-				return Question{}, false
-			}
-			return p.renewGang(step, queue, plan, now), true
-		}
-	} else if renew := p.renewable(step, known, now); len(renew) > 0 {
-		return p.ask(step, queue, renew), true
+	plan := p.packGang(step, known)
+	switch {
+	case plan == nil:
+		return p.firstQuestion(step, queue)
+	case !p.withinCap(step, step.Spec.Count) || p.allValid(step, plan, now):
+		return Question{}, false
 	}
-	return p.firstQuestion(step, queue)
+	return p.renewGang(step, queue, plan, now), true
 }
 
 // firstQuestion asks about workers that were never asked about for the step.
 func (p *Planner) firstQuestion(step *Step, queue Queue) (Question, bool) {
-	if queue.Policy == nil || step.Advice.asking {
-		return Question{}, false
+	var workers []*Worker
+	for _, w := range p.workers {
+		_, allowed := step.Advice.allowed[w]
+		if allowed || step.Advice.refused[w] || !p.runsOn(step, queue, w) {
+			continue
+		}
+		if step.Advice.asked && !step.Spec.Needs.FitsIn(w.free) {
+			continue
+		}
+		workers = append(workers, w)
 	}
-	workers := p.candidates(step, queue, func(w *Worker) bool {
-		return !step.Advice.asked[w.ID]
-	})
 	if len(workers) == 0 {
 		return Question{}, false
 	}
 	slices.SortStableFunc(workers, func(a, b *Worker) int {
-		return cmp.Compare(p.free(b).MilliCores, p.free(a).MilliCores)
+		return cmp.Compare(b.free.MilliCores, a.free.MilliCores)
 	})
 	n := minAsked
 	if queue.Policy.WorkerMillis > 0 {
 		n = max(n, int(queue.Policy.DecisionMillis/queue.Policy.WorkerMillis/2))
 	}
-	n = min(n, maxAsked, len(workers))
-	ids := make([]string, 0, n)
-	for _, w := range workers[:n] {
-		ids = append(ids, w.ID)
-	}
-	return p.ask(step, queue, ids), true
+	return p.ask(step, queue, workers[:min(n, maxAsked, len(workers))]), true
 }
 
-// renewable returns workers with room whose tickets have expired, when no
+// renewable returns workers with room whose tickets have expired, or true when a
 // worker with room has a valid one.
-func (p *Planner) renewable(step *Step, known []*Worker, now int64) []string {
+func (p *Planner) renewable(step *Step, known []*Worker, now int64) ([]*Worker, bool) {
+	const spare = 2
 	want := step.Waiting()
-	var ids []string
+	var found []*Worker
 	for _, w := range known {
-		n := step.Spec.Needs.copiesIn(p.freeFor(step, w), want)
-		if n == 0 {
+		if !step.Spec.Needs.FitsIn(w.free) {
 			continue
 		}
 		if step.Advice.valid(w, now) {
-			return nil
+			return nil, true
 		}
-		ids = append(ids, w.ID)
-		if len(ids) >= want+2 {
-			break
+		if len(found) < want+spare {
+			found = append(found, w)
 		}
 	}
-	return ids
+	return found, false
 }
 
 func (p *Planner) allValid(step *Step, plan map[*Worker]int, now int64) bool {
@@ -217,24 +223,25 @@
 }
 
 func (p *Planner) renewGang(step *Step, queue Queue, plan map[*Worker]int, now int64) Question {
-	ids := make([]string, 0, len(plan))
-	step.Advice.reserved = map[WorkerKey]int{}
+	workers := make([]*Worker, 0, len(plan))
 	for w, n := range plan {
-		ids = append(ids, w.ID)
-		step.Advice.reserved[w.Key()] = n
+		workers = append(workers, w)
+		w.free = w.free.Minus(step.Spec.Needs.Times(int64(n - step.Advice.reserved[w])))
 	}
-	slices.Sort(ids)
-	q := p.ask(step, queue, ids)
+	step.Advice.reserved = plan
+	slices.SortFunc(workers, func(a, b *Worker) int {
+		return cmp.Compare(a.ID, b.ID)
+	})
+	q := p.ask(step, queue, workers)
 	step.Advice.reservedUntil = now + int64(q.CostMillis) + askMarginMillis
 	return q
 }
 
-func (p *Planner) ask(step *Step, queue Queue, ids []string) Question {
+func (p *Planner) ask(step *Step, queue Queue, workers []*Worker) Question {
 	step.Advice.asking = true
 	return Question{
 		Step:       step,
-		Workers:    ids,
-		CostMillis: queue.Policy.DecisionMillis + queue.Policy.WorkerMillis*float64(len(ids)),
-		Priority:   queue.Priority,
+		Workers:    workers,
+		CostMillis: queue.Policy.DecisionMillis + queue.Policy.WorkerMillis*float64(len(workers)),
 	}
 }
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -44,6 +44,15 @@
 		(limit.Accelerators == 0 || r.Accelerators <= limit.Accelerators)
 }
 
+// most returns the larger amount of both in each dimension.
+func (r Resources) most(o Resources) Resources {
+	return Resources{
+		MilliCores:   max(r.MilliCores, o.MilliCores),
+		MemoryMB:     max(r.MemoryMB, o.MemoryMB),
+		Accelerators: max(r.Accelerators, o.Accelerators),
+	}
+}
+
 // copiesIn returns how many such amounts the room holds, at most limit.
 func (r Resources) copiesIn(room Resources, limit int) int {
 	n := int64(limit)
@@ -150,6 +159,9 @@
 	Tasks  []Task
 	Advice Advice
 
+	// tailMillis is the longest chain of estimated run times from this step on.
+	tailMillis int64
+
 	done    int
 	waiting int
 	placed  int
@@ -170,8 +182,8 @@
 	// Excess marks a job beyond its team's agreed rate.
 	Excess  bool
 	Started bool
-	// Sequence is the journal position of the last change that callers may see.
-	Sequence int64
+	// chainMillis is the longest chain of estimated run times.
+	chainMillis int64
 }
 
 // Done reports whether all tasks of the step are done.
@@ -216,20 +228,18 @@
 	return true
 }
 
-// ChainMillis returns the longest chain of estimated run times, in
-// milliseconds.
-func (j *Job) ChainMillis() int64 {
-	ends := make([]int64, len(j.Steps))
-	var longest int64
-	for n, s := range j.Steps {
-		var begin int64
-		for _, a := range s.Spec.After {
-			begin = max(begin, ends[a])
+// measureChains sets the longest chain of estimated run times of the job, and
+// that from each step on.
+func (j *Job) measureChains() {
+	for n := len(j.Steps) - 1; n >= 0; n-- {
+		step := j.Steps[n]
+		step.tailMillis += step.Spec.EstimateMillis
+		j.chainMillis = max(j.chainMillis, step.tailMillis)
+		for _, a := range step.Spec.After {
+			before := j.Steps[a]
+			before.tailMillis = max(before.tailMillis, step.tailMillis)
 		}
-		ends[n] = begin + s.Spec.EstimateMillis
-		longest = max(longest, ends[n])
 	}
-	return longest
 }
 
 // Checkpoint returns the saved progress from which the task may go on; any
--- a/internal/decide/job/planner.go
+++ b/internal/decide/job/planner.go
@@ -9,7 +9,8 @@
 // decided: a commit to the store, and a hop between regions with its retry.
 const ticketMarginMillis = 150
 
-// Worker is what the shard's owner believes of one life of a worker.
+// Worker is what the shard's owner believes of one life of a worker. The owner
+// keeps one value a life, since tickets refer to it.
 type Worker struct {
 	ID       string
 	Born     int64
@@ -23,6 +24,9 @@
 	Usable bool
 	// Penalty grows with failures without success; workers with less go first.
 	Penalty int
+
+	// free is the room that nobody takes or has reserved, in the present pass.
+	free Resources
 }
 
 // Key returns the worker's identity.
@@ -38,59 +42,37 @@
 	state   *State
 	rules   Rules
 	workers []*Worker
-
-	reserved map[WorkerKey]Resources
+	steps   []*Step
+	// most is the largest room of any usable worker in each dimension; what does
+	// not fit in it fits nowhere.
+	most Resources
 }
 
 // NewPlanner returns a planner of one moment; the workers must not change while
 // it is used.
 func NewPlanner(state *State, rules Rules, workers []*Worker, now int64) *Planner {
 	p := &Planner{
-		state:    state,
-		rules:    rules,
-		workers:  workers,
-		reserved: map[WorkerKey]Resources{},
+		state:   state,
+		rules:   rules,
+		workers: workers,
 	}
-	for _, j := range state.open {
-		for _, step := range j.Steps {
-			p.addReservation(step, now)
+	for _, w := range workers {
+		w.free = w.Capacity.Minus(state.used[w.Key()])
+	}
+	p.collect(now)
+	for _, w := range workers {
+		if w.Usable {
+			p.most = p.most.most(w.free)
 		}
 	}
 	return p
 }
 
-func (p *Planner) addReservation(step *Step, now int64) {
-	a := &step.Advice
-	if a.reserved == nil {
-		return
-	}
-	if a.reservedUntil < now || step.Waiting() == 0 {
-		a.reserved = nil
-		return
-	}
-	for key, n := range a.reserved {
-		p.reserved[key] = p.reserved[key].Plus(step.Spec.Needs.Times(int64(n)))
-	}
-}
-
-// free returns the worker's room that nobody takes or has reserved.
-func (p *Planner) free(w *Worker) Resources {
-	key := w.Key()
-	return w.Capacity.Minus(p.state.used[key]).Minus(p.reserved[key])
-}
-
-// freeFor returns the worker's room for the step, its own reservation included.
-func (p *Planner) freeFor(step *Step, w *Worker) Resources {
-	room := p.free(w)
-	if n := step.Advice.reserved[w.Key()]; n > 0 {
-		room = room.Plus(step.Spec.Needs.Times(int64(n)))
-	}
-	return room
-}
-
-// order returns the steps with tasks to start: operators' priority first, jobs
-// beyond their team's rate behind those within, then the earliest due.
-func (p *Planner) order() []*Step {
+// collect finds the steps with tasks to start and takes the room that gangs have
+// reserved. The order is: jobs within their team's rate before those beyond it,
+// operators' priority, hope, and the earliest due. It answers an overload, in
+// which serving the earliest due first would make every job late.
+func (p *Planner) collect(now int64) {
 	type ranked struct {
 		step *Step
 		band int
@@ -98,23 +80,19 @@
 	}
 	var found []ranked
 	for _, j := range p.state.open {
-		queue := p.rules.Queues[j.Queue]
-		band := queue.Priority
-		if j.Excess {
-			band += 1 << 16
+		queue, ok := p.rules.Queues[j.Queue]
+		if !ok {
+			continue
 		}
-		due := int64(0)
 		for _, step := range j.Steps {
 			if step.Waiting() == 0 || !step.Ready() {
 				continue
 			}
-			if due == 0 {
-				due = j.DueMillis(queue)
-			}
+			p.takeReserved(step, now)
 			found = append(found, ranked{
 				step: step,
-				band: band,
-				due:  due,
+				band: band(step, queue, now),
+				due:  j.DueMillis(queue),
 			})
 		}
 	}
@@ -122,11 +100,42 @@
 		return cmp.Or(cmp.Compare(a.band, b.band), cmp.Compare(a.due, b.due),
 			cmp.Compare(a.step.Job.ID, b.step.Job.ID), cmp.Compare(a.step.Number, b.step.Number))
 	})
-	steps := make([]*Step, len(found))
+	p.steps = make([]*Step, len(found))
 	for n, f := range found {
-		steps[n] = f.step
+		p.steps[n] = f.step
 	}
-	return steps
+}
+
+// band ranks a step by all that goes before its due time.
+func band(step *Step, queue Queue, now int64) int {
+	const excess, priority = 1 << 16, 1 << 2
+	rank := queue.Priority*priority + int(step.hope(queue, now))
+	if step.Job.Excess {
+		rank += excess
+	}
+	return rank
+}
+
+func (p *Planner) takeReserved(step *Step, now int64) {
+	a := &step.Advice
+	if a.reserved == nil {
+		return
+	}
+	if a.reservedUntil < now {
+		a.reserved = nil
+		return
+	}
+	for w, n := range a.reserved {
+		w.free = w.free.Minus(step.Spec.Needs.Times(int64(n)))
+	}
+}
+
+// freeFor returns the worker's room for the step, its own reservation included.
+func (p *Planner) freeFor(step *Step, w *Worker) Resources {
+	if n := step.Advice.reserved[w]; n > 0 {
+		return w.free.Plus(step.Spec.Needs.Times(int64(n)))
+	}
+	return w.free
 }
 
 // upcoming returns steps that wait only for steps that run, and that the policy
@@ -135,7 +144,7 @@
 	var steps []*Step
 	for _, j := range p.state.open {
 		for _, step := range j.Steps {
-			if len(step.Spec.After) == 0 || step.Advice.asked != nil || step.done > 0 || step.Ready() {
+			if len(step.Spec.After) == 0 || step.Advice.asked || step.done > 0 || step.Ready() {
 				continue
 			}
 			if p.nearlyReady(step, now) {
@@ -165,22 +174,46 @@
 	return true
 }
 
-// candidates returns usable workers on which the step may run by service and
-// label, and which the filter takes.
-func (p *Planner) candidates(step *Step, queue Queue, filter func(*Worker) bool) []*Worker {
+// runsOn reports whether the step may run on the worker by service and label.
+func (p *Planner) runsOn(step *Step, queue Queue, w *Worker) bool {
+	return w.Usable && w.Service == queue.Service &&
+		(step.Spec.Label == "" || slices.Contains(w.Labels, step.Spec.Label))
+}
+
+// known returns the usable workers on which the policy, if any, lets the step
+// run, whether or not the ticket is still valid.
+func (p *Planner) known(step *Step, queue Queue) []*Worker {
 	var found []*Worker
-	for _, w := range p.workers {
-		if !w.Usable || w.Service != queue.Service || !filter(w) {
-			continue
+	if queue.Policy == nil {
+		for _, w := range p.workers {
+			if p.runsOn(step, queue, w) {
+				found = append(found, w)
+			}
 		}
-		if step.Spec.Label != "" && !slices.Contains(w.Labels, step.Spec.Label) {
-			continue
+		return found
+	}
+	for w := range step.Advice.allowed {
+		if p.runsOn(step, queue, w) {
+			found = append(found, w)
 		}
-		found = append(found, w)
 	}
+	slices.SortFunc(found, func(a, b *Worker) int {
+		return cmp.Compare(a.ID, b.ID)
+	})
 	return found
 }
 
+// ready returns the workers on which the step can start now.
+func (p *Planner) ready(step *Step, queue Queue, kept map[*Worker]int, now int64) []*Worker {
+	found := p.known(step, queue)
+	return slices.DeleteFunc(found, func(w *Worker) bool {
+		if priority, ok := kept[w]; ok && priority < queue.Priority {
+			return true
+		}
+		return queue.Policy != nil && !step.Advice.valid(w, now+ticketMarginMillis)
+	})
+}
+
 // Plan returns the placements that can be made now and applies them to the
 // state. Wide gangs neither starve nor are overtaken for long: while the first
 // waiting gang lacks room, steps of lower priority keep off the workers that it
@@ -188,24 +221,25 @@
 func (p *Planner) Plan(now int64) []Record {
 	var records []Record
 	kept := map[*Worker]int{}
-	for _, step := range p.order() {
-		queue, ok := p.rules.Queues[step.Job.Queue]
-		if !ok {
+	for _, step := range p.steps {
+		queue := p.rules.Queues[step.Job.Queue]
+		fits := step.Advice.reserved != nil || step.Spec.Needs.FitsIn(p.most)
+		valid := queue.Policy == nil || step.Advice.validUntil > now+ticketMarginMillis
+		if !step.Spec.Gang {
+			if fits && valid {
+				records = append(records, p.placeEach(step, p.ready(step, queue, kept, now))...)
+			}
 			continue
 		}
-		usable := p.candidates(step, queue, func(w *Worker) bool {
-			if priority, ok := kept[w]; ok && priority < queue.Priority {
-				return false
-			}
-			return queue.Policy == nil || step.Advice.valid(w, now+ticketMarginMillis)
-		})
-		if !step.Spec.Gang {
-			records = append(records, p.placeEach(step, usable)...)
+		if !p.withinCap(step, step.Spec.Count) {
 			continue
 		}
-		placed := p.placeGang(step, usable)
-		records = append(records, placed...)
-		if placed == nil && p.withinCap(step, step.Spec.Count) {
+		var placed []Record
+		if fits && valid {
+			placed = p.placeGang(step, p.ready(step, queue, kept, now))
+			records = append(records, placed...)
+		}
+		if placed == nil {
 			p.keepRoom(step, queue, kept)
 		}
 	}
@@ -285,9 +319,6 @@
 }
 
 func (p *Planner) placeGang(step *Step, usable []*Worker) []Record {
-	if !p.withinCap(step, step.Spec.Count) {
-		return nil
-	}
 	plan := p.packGang(step, usable)
 	if plan == nil {
 		return nil
@@ -296,15 +327,16 @@
 	for _, t := range step.Tasks {
 		attempt = max(attempt, t.Attempt)
 	}
+	for w, n := range step.Advice.reserved {
+		w.free = w.free.Plus(step.Spec.Needs.Times(int64(n)))
+	}
+	step.Advice.reserved = nil
 	var records []Record
-	next := 0
 	for w, n := range plan {
 		for range n {
-			records = append(records, p.place(step, next, attempt+1, w))
-			next++
+			records = append(records, p.place(step, len(records), attempt+1, w))
 		}
 	}
-	step.Advice.reserved = nil
 	return records
 }
 
@@ -354,7 +386,7 @@
 		slots = append(slots, slot{
 			worker: w,
 			copies: n,
-			score:  p.distance(step, w) + p.free(w).MilliCores - int64(n)*step.Spec.Needs.MilliCores,
+			score:  p.distance(step, w) + w.free.MilliCores - int64(n)*step.Spec.Needs.MilliCores,
 		})
 	}
 	if total < step.Spec.Count {
@@ -379,12 +411,15 @@
 // keepRoom marks the workers that will hold the gang once they have emptied, the
 // emptiest first, so that lower priorities leave them alone.
 func (p *Planner) keepRoom(step *Step, queue Queue, kept map[*Worker]int) {
-	allowed := p.candidates(step, queue, func(w *Worker) bool {
+	if len(kept) == len(p.workers) {
+		return
+	}
+	allowed := slices.DeleteFunc(p.known(step, queue), func(w *Worker) bool {
 		_, taken := kept[w]
-		return !taken && (queue.Policy == nil || step.Advice.knows(w))
+		return taken
 	})
 	slices.SortFunc(allowed, func(a, b *Worker) int {
-		return cmp.Or(cmp.Compare(p.free(b).MilliCores, p.free(a).MilliCores), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(b.free.MilliCores, a.free.MilliCores), cmp.Compare(a.ID, b.ID))
 	})
 	left := step.Spec.Count
 	for _, w := range allowed {
@@ -409,5 +444,6 @@
 	if err := p.state.Apply(r); err != nil {
 		panic("job: planned a placement that the state refuses: " + err.Error())
 	}
+	w.free = w.free.Minus(step.Spec.Needs)
 	return r
 }
--- /dev/null
+++ b/internal/decide/job/planner_bench_test.go
@@ -0,0 +1,141 @@
+package job_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/citronbay/citronbay/internal/decide/job"
+)
+
+// fleet returns workers of 64 cores, eight to a rack, all usable.
+func fleet(size int) []*job.Worker {
+	var list []*job.Worker
+	for n := range size {
+		list = append(list, &job.Worker{
+			ID:      fmt.Sprintf("w%04d", n),
+			Service: "service",
+			Rack:    fmt.Sprintf("r%d", n/8),
+			Capacity: job.Resources{
+				MilliCores: 64000,
+				MemoryMB:   262144,
+			},
+			Usable: true,
+		})
+	}
+	return list
+}
+
+// teamsAndQueues returns rules with one queue under a policy and one without.
+func teamsAndQueues(teams int) job.Rules {
+	rules := job.Rules{
+		Queues: map[string]job.Queue{
+			"plain": {
+				Name:         "plain",
+				Service:      "service",
+				Attempts:     2,
+				Slack:        2,
+				TargetMillis: 500,
+			},
+			"advised": {
+				Name:         "advised",
+				Service:      "service",
+				Priority:     1,
+				Attempts:     2,
+				Slack:        2,
+				TargetMillis: 1200,
+				Policy: &job.Policy{
+					DecisionMillis: 60,
+					WorkerMillis:   0.8,
+					ValidMillis:    2000,
+				},
+			},
+		},
+		Teams: map[string]job.Team{},
+	}
+	for n := range teams {
+		name := fmt.Sprintf("team%d", n)
+		rules.Teams[name] = job.Team{
+			Name: name,
+			Rate: 100,
+		}
+	}
+	return rules
+}
+
+// mustApply applies the record or ends the test.
+func mustApply(tb testing.TB, state *job.State, r job.Record) {
+	tb.Helper()
+	if err := state.Apply(r); err != nil {
+		tb.Fatal(err)
+	}
+}
+
+// accept adds a job of one step.
+func accept(tb testing.TB, state *job.State, id, team, queue string, millis int64, spec job.StepSpec) {
+	tb.Helper()
+	mustApply(tb, state, job.Record{
+		Kind:   job.RecordAccept,
+		Job:    id,
+		Team:   team,
+		Queue:  queue,
+		Millis: millis,
+		Submission: &job.Submission{
+			Steps: []job.StepSpec{spec},
+		},
+	})
+}
+
+// BenchmarkPlan measures passes over a full fleet with a backlog, the load of a
+// team that sends many times its usual.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ workers, teams, backlog int }{
+		{48, 6, 50},
+		{48, 6, 600},
+		{350, 20, 600},
+		{2700, 260, 600},
+	} {
+		b.Run(fmt.Sprintf("workers%d_backlog%d", size.workers, size.backlog), func(b *testing.B) {
+			state := job.NewState()
+			rules := teamsAndQueues(size.teams)
+			workers := fleet(size.workers)
+			spec := job.StepSpec{
+				Count: 8,
+				Needs: job.Resources{
+					MilliCores: 6000,
+					MemoryMB:   11000,
+				},
+				EstimateMillis: 2700,
+			}
+			for n := range size.workers*10/8 + size.backlog {
+				queue := "plain"
+				if n%2 == 1 {
+					queue = "advised"
+				}
+				accept(b, state, fmt.Sprintf("%016x", n), fmt.Sprintf("team%d", n%size.teams), queue, int64(n), spec)
+			}
+			now := int64(10_000)
+			for range 100 {
+				p := job.NewPlanner(state, rules, workers, now)
+				p.Plan(now)
+				for _, q := range p.Questions(now, 1000, 1000, 200) {
+					allowed := map[*job.Worker]job.Ticket{}
+					for n, w := range q.Workers {
+						if n%2 == 0 {
+							allowed[w] = job.Ticket{ExpiresMillis: now + 1900}
+						}
+					}
+					q.Answered(allowed, true)
+				}
+			}
+			b.ResetTimer()
+			for n := range b.N {
+				at := now + int64(n)%4000
+				p := job.NewPlanner(state, rules, workers, at)
+				p.Plan(at)
+				for _, q := range p.Questions(at, 7, 5, 200) {
+					q.Answered(nil, false)
+				}
+			}
+		})
+	}
+}
--- a/internal/decide/job/rules.go
+++ b/internal/decide/job/rules.go
@@ -40,7 +40,39 @@
 	Teams  map[string]Team
 }
 
+// usefulFactor times its objective is when a job's result stops being useful to
+// its caller, from the users' rules of credit.
+const usefulFactor = 3
+
+// hope says what a step's job can still reach.
+type hope int
+
+const (
+	onTime hope = iota
+	late
+	useless
+)
+
+// objectiveMillis returns the time in which the job should be done.
+func (j *Job) objectiveMillis(q Queue) int64 {
+	return int64(q.Slack*float64(j.chainMillis)) + q.TargetMillis
+}
+
 // DueMillis returns the Unix millisecond by which the job should be done.
 func (j *Job) DueMillis(q Queue) int64 {
-	return j.SubmittedMillis + int64(q.Slack*float64(j.ChainMillis())) + q.TargetMillis
+	return j.SubmittedMillis + j.objectiveMillis(q)
+}
+
+// hope compares the estimated end of the step's chain, if it starts now, with
+// the job's objective.
+func (s *Step) hope(q Queue, now int64) hope {
+	took := now + s.tailMillis - s.Job.SubmittedMillis
+	objective := s.Job.objectiveMillis(q)
+	switch {
+	case took <= objective:
+		return onTime
+	case took <= usefulFactor*objective:
+		return late
+	}
+	return useless
 }
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -184,6 +184,7 @@
 			})
 		}
 	}
+	j.measureChains()
 	s.jobs[j.ID] = j
 	s.open[j.ID] = j
 	return nil
