--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -17,7 +17,7 @@
 	// electInterval is how often a node without an owner looks at the store.
 	electInterval = 250 * time.Millisecond
 	// ownerFresh is how long an owner's last word spares a look at the store.
-	ownerFresh = time.Second
+	ownerFresh = 700 * time.Millisecond
 	// storeTimeout bounds a look at the store.
 	storeTimeout = time.Second
 	// distanceFactor times the round trip to the store is a node's handicap, so
@@ -177,7 +177,7 @@
 		n.ownerSeen = n.ownerSeen.Add(-ownerFresh)
 		return
 	}
-	n.owner = owner
+	n.setOwner(owner)
 }
 
 func (n *Node) readAgreement(ctx context.Context) (*operator.Agreement, error) {
--- a/internal/cluster/node/forward.go
+++ b/internal/cluster/node/forward.go
@@ -60,11 +60,18 @@
 	if s := n.currentShard(); s != nil {
 		return s.Serve(ctx, r), nil
 	}
-	owner := n.currentOwner()
+	owner, changed := n.currentOwner()
 	if owner.Address == "" || owner.Life == n.life {
 		return caller.Response{}, errNoOwner
 	}
 	call, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-call.Done():
+		}
+	}()
 	return peer.Call[caller.Response](call, n.peer(owner.Address), methodServe, r)
 }
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -66,10 +66,13 @@
 	mu        sync.Mutex
 	owner     store.Owner
 	ownerSeen time.Time
-	shard     *shard.Shard
-	members   map[string]member
-	clients   map[string]*peer.Client
-	roundTrip time.Duration
+	// ownerChanged closes when another owner is learned, so that calls to the one
+	// before are given up.
+	ownerChanged chan struct{}
+	shard        *shard.Shard
+	members      map[string]member
+	clients      map[string]*peer.Client
+	roundTrip    time.Duration
 }
 
 // member is another node that the owner has heard of.
@@ -90,8 +93,10 @@
 		identity: identity,
 		log:      options.Log,
 		suspect:  make(chan struct{}, 1),
-		members:  map[string]member{},
-		clients:  map[string]*peer.Client{},
+
+		ownerChanged: make(chan struct{}),
+		members:      map[string]member{},
+		clients:      map[string]*peer.Client{},
 	}, nil
 }
 
@@ -164,10 +169,10 @@
 	return n.shard
 }
 
-func (n *Node) currentOwner() store.Owner {
+func (n *Node) currentOwner() (store.Owner, <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.owner
+	return n.owner, n.ownerChanged
 }
 
 // learnOwner takes a newer owner over an older one.
@@ -178,7 +183,14 @@
 		return
 	}
 	n.log.Info("ownerLearned", "owner", o.Node, "token", o.Token, "before", n.owner.Token)
+	n.setOwner(o)
+}
+
+// setOwner is called under the lock.
+func (n *Node) setOwner(o store.Owner) {
 	n.owner = o
+	close(n.ownerChanged)
+	n.ownerChanged = make(chan struct{})
 }
 
 // raiseSuspicion has the election look at the store soon.
--- a/internal/cluster/node/peers.go
+++ b/internal/cluster/node/peers.go
@@ -18,10 +18,10 @@
 
 	// helloInterval is how often a node reports to the owner, which takes its
 	// silence for helloLimit as a reason not to ask it for advice.
-	helloInterval = 400 * time.Millisecond
+	helloInterval = 300 * time.Millisecond
 	helloLimit    = 1500 * time.Millisecond
 	// helloTimeout bounds one report; a round trip between regions is 40 ms.
-	helloTimeout = 600 * time.Millisecond
+	helloTimeout = 500 * time.Millisecond
 )
 
 // hello is a node's report to another.
@@ -97,7 +97,7 @@
 func (n *Node) greet(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		owner := n.currentOwner()
+		owner, _ := n.currentOwner()
 		if owner.Address != "" && owner.Life != n.life {
 			if n.greetOne(ctx, owner.Address, true) {
 				failures = 0
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"time"
 
 	"github.com/citronbay/citronbay/internal/cluster/caller"
 	"github.com/citronbay/citronbay/internal/cluster/operator"
@@ -12,6 +14,19 @@
 // its jobs count as excess; traffic swings by a seventh over some seconds.
 const burstSeconds = 4
 
+const (
+	// stallLimit is the age of a write without answer from which the store counts
+	// as away; a store a hundred times slower than usual answers within it.
+	stallLimit = 600 * time.Millisecond
+	// stallLook is how often a waiting request looks for that.
+	stallLook = 100 * time.Millisecond
+	// readPatience is how long a caller's question waits for an end to be recorded.
+	readPatience = 400 * time.Millisecond
+	// retryMillis is when a refused caller should come back, plus as much again at
+	// random, so that refused callers do not return all at once.
+	retryMillis = 1000
+)
+
 // bucket counts a team's jobs against its agreed rate.
 type bucket struct {
 	tokens float64
@@ -36,7 +51,10 @@
 
 // Serve answers one request of a caller.
 func (s *Shard) Serve(ctx context.Context, r caller.Request) caller.Response {
-	if !s.Valid() {
+	if s.tenure.Context().Err() != nil {
+		return caller.Response{Status: caller.NotOwner}
+	}
+	if r.Verb != caller.Submit && !s.Valid() {
 		return caller.Response{Status: caller.NotOwner}
 	}
 	s.mu.Lock()
@@ -86,7 +104,11 @@
 func (s *Shard) submit(ctx context.Context, r caller.Request, route operator.Route, team, id string) caller.Response {
 	if s.state.Job(id) != nil {
 		// A copy of an earlier submission: the answer is the same.
-		return s.afterCommit(ctx, nil, caller.Response{Status: caller.OK})
+		return s.accepted(ctx, id, nil)
+	}
+	if !s.Valid() || s.journal.Stalled() > stallLimit {
+		s.mu.Unlock()
+		return refuse(storeAway)
 	}
 	reason := r.Invalid
 	if reason == "" && !validID(id) {
@@ -122,7 +144,76 @@
 		Excess:     excess,
 	})
 	s.wake()
-	return s.afterCommit(ctx, records, caller.Response{Status: caller.OK})
+	return s.accepted(ctx, id, records)
+}
+
+// storeAway is the reason of refusals while nothing can be recorded.
+const storeAway = "the store does not answer"
+
+func refuse(reason string) caller.Response {
+	return caller.Response{
+		Status:      caller.Refused,
+		Reason:      reason,
+		RetryMillis: retryMillis + rand.Int64N(retryMillis),
+	}
+}
+
+// accepted releases the lock and answers a submission once it is durable, or
+// takes it back when the store is away and it has not been sent there.
+func (s *Shard) accepted(ctx context.Context, id string, records []job.Record) caller.Response {
+	durable := make(chan struct{})
+	s.journal.Append(records, func() {
+		close(durable)
+	})
+	s.mu.Unlock()
+	for {
+		select {
+		case <-durable:
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.state.Job(id) == nil {
+				return refuse(storeAway) // withdrawn by another copy's request
+			}
+			return caller.Response{Status: caller.OK}
+		case <-time.After(stallLook):
+			if s.journal.Stalled() > stallLimit && s.withdraw(id) {
+				return refuse(storeAway)
+			}
+		case <-ctx.Done():
+			if s.withdraw(id) {
+				return refuse(storeAway)
+			}
+			return unconfirmed()
+		case <-s.tenure.Context().Done():
+			return unconfirmed()
+		}
+	}
+}
+
+func unconfirmed() caller.Response {
+	return caller.Response{
+		Status: caller.Unknown,
+		Reason: "the store has not confirmed the change in time",
+	}
+}
+
+// withdraw takes a submission back if nothing of it has been sent to the store.
+func (s *Shard) withdraw(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := false
+	s.journal.Withdraw(func(r job.Record) bool {
+		if r.Job != id {
+			return false
+		}
+		found = found || r.Kind == job.RecordAccept
+		return found
+	})
+	if found {
+		s.state.Withdraw(id)
+		s.log.Info("jobWithdrawn", "job", id, "stalled", s.journal.Stalled())
+	}
+	return found || s.state.Job(id) == nil
 }
 
 func (s *Shard) isExcess(team string, now int64) bool {
@@ -155,10 +246,7 @@
 	case <-ctx.Done():
 	case <-s.tenure.Context().Done():
 	}
-	return caller.Response{
-		Status: caller.Unknown,
-		Reason: "the store has not confirmed the change in time",
-	}
+	return unconfirmed()
 }
 
 // read takes over the lock and releases it.
@@ -179,7 +267,16 @@
 		s.mu.Unlock()
 		return response
 	}
-	return s.afterCommit(ctx, nil, response)
+	ctx, cancel := context.WithTimeout(ctx, readPatience)
+	defer cancel()
+	if recorded := s.afterCommit(ctx, nil, response); recorded.Status == caller.OK {
+		return recorded
+	}
+	// What the journal holds for certain is that the job has not ended.
+	return caller.Response{
+		Status: caller.OK,
+		State:  caller.Running,
+	}
 }
 
 // cancel takes over the lock and releases it.
--- a/internal/cluster/store/election.go
+++ b/internal/cluster/store/election.go
@@ -14,9 +14,12 @@
 const (
 	// LeaseTime is how long an owner stays owner without renewal; a successor
 	// waits for it after a crash.
-	LeaseTime = 2 * time.Second
+	LeaseTime = 1200 * time.Millisecond
 	// renewInterval leaves three tries within a lease.
-	renewInterval = 500 * time.Millisecond
+	renewInterval = 300 * time.Millisecond
+	// renewTimeout bounds one try, above a store that is a hundred times slower
+	// than its 4 ms.
+	renewTimeout = 500 * time.Millisecond
 	// callTimeout bounds one call, well above a store that is fifty times slower
 	// than its 4 ms.
 	callTimeout = time.Second
@@ -153,7 +156,7 @@
 	for {
 		wait := renewInterval
 		asked := now()
-		ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(t.ctx, renewTimeout)
 		err := t.client.RenewLease(ctx, t.lease)
 		cancel()
 		switch {
--- a/internal/cluster/store/journal.go
+++ b/internal/cluster/store/journal.go
@@ -54,6 +54,8 @@
 	pending []R
 	waiting []func()
 	next    int64
+	// writing is when the call that is under way was first sent; zero without one.
+	writing time.Time
 
 	head    head
 	headRev int64
@@ -168,6 +170,32 @@
 	}
 }
 
+// Withdraw drops the records that match and have not been sent to the store, and
+// returns how many; these certainly never take effect.
+func (j *Journal[R]) Withdraw(match func(R) bool) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	before := len(j.pending)
+	j.pending = slices.DeleteFunc(j.pending, match)
+	return before - len(j.pending)
+}
+
+// Stalled returns how long the store has left a write without an answer.
+func (j *Journal[R]) Stalled() time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.writing.IsZero() {
+		return 0
+	}
+	return time.Since(j.writing)
+}
+
+func (j *Journal[R]) setWriting(t time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.writing = t
+}
+
 // Run writes what is appended until the tenure ends. The lock guards appending
 // and the snapshot function.
 func (j *Journal[R]) Run(lock sync.Locker) error {
@@ -315,6 +343,8 @@
 // write repeats the transaction until its outcome is certain. A repetition is
 // harmless: whichever copy comes first moves the head, and the others fail.
 func (j *Journal[R]) write(ctx context.Context, txn Txn, next head) (int64, error) {
+	j.setWriting(time.Now())
+	defer j.setWriting(time.Time{})
 	for {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		result, err := j.client.Commit(call, txn)
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -190,6 +190,23 @@
 	return nil
 }
 
+// Withdraw removes a job that was never recorded, with its placements, which
+// were never ordered.
+func (s *State) Withdraw(id string) {
+	j := s.jobs[id]
+	if j == nil {
+		return
+	}
+	for _, step := range j.Steps {
+		for n := range step.Tasks {
+			if p := step.Tasks[n].Place; p != nil {
+				s.release(p)
+			}
+		}
+	}
+	s.forget(id)
+}
+
 func (s *State) forget(id string) {
 	delete(s.jobs, id)
 	delete(s.open, id)
