--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -34,13 +34,25 @@
 			n.idle(ctx)
 			continue
 		}
-		if err := n.contend(ctx); err != nil && ctx.Err() == nil {
-			n.log.Warn("electionFailed", "error", err)
-		}
+		n.noteStore(ctx, n.contend(ctx))
 		n.idle(ctx)
 	}
 }
 
+// noteStore logs when the store is lost and when it is regained.
+func (n *Node) noteStore(ctx context.Context, err error) {
+	lost := err != nil && ctx.Err() == nil
+	if lost == n.storeLost {
+		return
+	}
+	n.storeLost = lost
+	if lost {
+		n.log.Warn("storeLost", "error", err)
+		return
+	}
+	n.log.Info("storeRegained")
+}
+
 func (n *Node) idle(ctx context.Context) {
 	select {
 	case <-ctx.Done():
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -62,6 +62,8 @@
 	log      *slog.Logger
 	leaving  atomic.Bool
 	suspect  chan struct{}
+	// storeLost is the election's last word on the store; only elect uses it.
+	storeLost bool
 
 	mu        sync.Mutex
 	owner     store.Owner
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -21,6 +21,8 @@
 	// planShare bounds the passes' share of the time when a backlog makes them
 	// long: a pause lasts this many times the pass before it.
 	planShare = 6
+	// pruneInterval is how often ended jobs are forgotten.
+	pruneInterval = 5 * time.Second
 	// recoveryTimeout bounds the reading of the journal at a takeover.
 	recoveryTimeout = 8 * time.Second
 )
@@ -58,6 +60,8 @@
 	epoch   int64
 	kick    chan struct{}
 	buckets map[string]*bucket
+	// pruned is when ended jobs were last forgotten; only Run uses it.
+	pruned time.Time
 	// lastPlan is how long the last pass took; only Run uses it.
 	lastPlan time.Duration
 
@@ -176,6 +180,10 @@
 	defer s.mu.Unlock()
 	s.expireLinks()
 	now := s.now()
+	if time.Since(s.pruned) > pruneInterval {
+		s.pruned = time.Now()
+		s.state.Prune(now - s.options.StatusTime.Milliseconds())
+	}
 	planner := job.NewPlanner(s.state, s.agreement.Rules, s.workers(), now)
 	if s.tenure.Remaining() > 0 {
 		if records := planner.Plan(now); len(records) > 0 {
--- a/internal/cluster/store/journal.go
+++ b/internal/cluster/store/journal.go
@@ -164,10 +164,7 @@
 		j.waiting = append(j.waiting, done)
 	}
 	j.mu.Unlock()
-	select {
-	case j.kick <- struct{}{}:
-	default:
-	}
+	j.wake()
 }
 
 // Withdraw drops the records that match and have not been sent to the store, and
@@ -190,10 +187,19 @@
 	return time.Since(j.writing)
 }
 
-func (j *Journal[R]) setWriting(t time.Time) {
+// startWriting notes the time, unless an earlier write still has no success.
+func (j *Journal[R]) startWriting() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.writing = t
+	if j.writing.IsZero() {
+		j.writing = time.Now()
+	}
+}
+
+func (j *Journal[R]) endWriting() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.writing = time.Time{}
 }
 
 // Run writes what is appended until the tenure ends. The lock guards appending
@@ -219,63 +225,97 @@
 }
 
 func (j *Journal[R]) commit(ctx context.Context, lock sync.Locker) error {
-	txn, next, waiting, err := j.prepare(lock)
+	b, err := j.prepare(lock)
 	if err != nil {
 		return err
 	}
-	if txn.Puts != nil {
-		revision, err := j.write(ctx, txn, next)
+	if b.txn.Puts != nil {
+		revision, err := j.write(ctx, b.txn, b.next)
+		if errors.Is(err, ErrNotDone) {
+			j.putBack(ctx, b)
+			return nil
+		}
 		if err != nil {
 			return err
 		}
-		j.head, j.headRev = next, revision
-		j.next = next.Entry + 1
+		j.head, j.headRev = b.next, revision
+		j.next = b.next.Entry + 1
 	}
-	for _, done := range waiting {
+	for _, done := range b.waiting {
 		done()
 	}
 	return nil
 }
 
+// batch is what one transaction takes from what was appended.
+type batch[R any] struct {
+	records []R
+	waiting []func()
+	txn     Txn
+	next    head
+}
+
+// putBack returns a batch that the store has certainly not written, so that its
+// records can still be withdrawn, and tries again soon.
+func (j *Journal[R]) putBack(ctx context.Context, b batch[R]) {
+	j.mu.Lock()
+	j.pending = append(b.records, j.pending...)
+	j.waiting = append(b.waiting, j.waiting...)
+	j.mu.Unlock()
+	pause(ctx, retryPause/4)
+	j.wake()
+}
+
+func (j *Journal[R]) wake() {
+	select {
+	case j.kick <- struct{}{}:
+	default:
+	}
+}
+
 // prepare takes what is pending and turns it into an entry, or into a snapshot
 // when one is due. Without pending records it returns a transaction without
 // puts, and the callbacks need not wait.
-func (j *Journal[R]) prepare(lock sync.Locker) (Txn, head, []func(), error) {
+func (j *Journal[R]) prepare(lock sync.Locker) (batch[R], error) {
 	lock.Lock()
 	j.mu.Lock()
-	records, waiting := j.pending, j.waiting
+	b := batch[R]{
+		records: j.pending,
+		waiting: j.waiting,
+		next: head{
+			Entry:    j.next,
+			Snapshot: j.head.Snapshot,
+			Chunks:   j.head.Chunks,
+		},
+	}
 	j.pending, j.waiting = nil, nil
 	j.mu.Unlock()
-	next := head{
-		Entry:    j.next,
-		Snapshot: j.head.Snapshot,
-		Chunks:   j.head.Chunks,
-	}
-	whole := j.next-j.head.Snapshot >= snapshotEvery
-	if whole && len(records) > 0 {
-		records = j.snapshot()
+	whole := j.next-j.head.Snapshot >= snapshotEvery && len(b.records) > 0
+	var all []R
+	if whole {
+		all = j.snapshot()
 	}
 	lock.Unlock()
-	if len(records) == 0 {
-		return Txn{}, next, waiting, nil
+	if len(b.records) == 0 {
+		return b, nil
 	}
 	var puts []Put
 	var err error
 	if whole {
-		next.Snapshot = next.Entry
-		puts, err = j.chunks(records)
-		next.Chunks = len(puts)
+		b.next.Snapshot = b.next.Entry
+		puts, err = j.chunks(all)
+		b.next.Chunks = len(puts)
 	} else {
-		puts, err = j.entry(next.Entry, records)
+		puts, err = j.entry(b.next.Entry, b.records)
 	}
 	if err != nil {
-		return Txn{}, next, nil, err
+		return b, err
 	}
-	value, err := cbor.Marshal(next)
+	value, err := cbor.Marshal(b.next)
 	if err != nil {
-		return Txn{}, next, nil, fmt.Errorf("store: encode journal head: %w", err)
+		return b, fmt.Errorf("store: encode journal head: %w", err)
 	}
-	return Txn{
+	b.txn = Txn{
 		Expect: map[string]int64{
 			headKey(j.tenure.shard):  j.headRev,
 			OwnerKey(j.tenure.shard): j.tenure.token,
@@ -284,7 +324,8 @@
 			Key:   headKey(j.tenure.shard),
 			Value: value,
 		}),
-	}, next, waiting, nil
+	}
+	return b, nil
 }
 
 func (j *Journal[R]) entry(number int64, records []R) ([]Put, error) {
@@ -341,14 +382,18 @@
 }
 
 // write repeats the transaction until its outcome is certain. A repetition is
-// harmless: whichever copy comes first moves the head, and the others fail.
+// harmless: whichever copy comes first moves the head, and the others fail. It
+// returns ErrNotDone only if no copy can take effect any more.
 func (j *Journal[R]) write(ctx context.Context, txn Txn, next head) (int64, error) {
-	j.setWriting(time.Now())
-	defer j.setWriting(time.Time{})
+	j.startWriting()
+	unknown := false
 	for {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		result, err := j.client.Commit(call, txn)
 		cancel()
+		if err == nil {
+			j.endWriting()
+		}
 		if err == nil && result.Done {
 			return result.Revision, nil
 		}
@@ -358,12 +403,12 @@
 		if ctx.Err() != nil {
 			return 0, context.Cause(ctx)
 		}
-		j.log.Warn("commitRetried", "shard", j.tenure.shard, "entry", next.Entry, "error", err)
-		select {
-		case <-ctx.Done():
-			return 0, context.Cause(ctx)
-		case <-time.After(retryPause / 4):
+		unknown = unknown || !errors.Is(err, ErrNotDone)
+		if !unknown {
+			return 0, err
 		}
+		j.log.Warn("commitRepeated", "shard", j.tenure.shard, "entry", next.Entry, "error", err)
+		pause(ctx, retryPause/4)
 	}
 }
 
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -12,7 +12,6 @@
 	RecordEnd
 	RecordFinish
 	RecordTask
-	RecordForget
 )
 
 // EndKind is how an attempt ended, as far as the job is concerned.
@@ -125,12 +124,8 @@
 
 // Apply changes the state by the record, and refuses one that does not match it.
 func (s *State) Apply(r Record) error {
-	switch r.Kind {
-	case RecordAccept:
+	if r.Kind == RecordAccept {
 		return s.accept(r)
-	case RecordForget:
-		s.forget(r.Job)
-		return nil
 	}
 	j := s.jobs[r.Job]
 	if j == nil {
@@ -345,6 +340,16 @@
 	return records
 }
 
+// Prune forgets the jobs without placements that ended before the Unix
+// millisecond; a snapshot of that moment leaves the same ones out.
+func (s *State) Prune(endedBefore int64) {
+	for id, j := range s.jobs {
+		if j.Outcome != Open && j.FinishedMillis < endedBefore && !j.placed() {
+			s.forget(id)
+		}
+	}
+}
+
 func (j *Job) placed() bool {
 	for _, step := range j.Steps {
 		if step.placed > 0 {
