Move work that stands still; name a successor; read side by side at a takeover

Change: an attempt is moved when it stands still for longer than the work that would be lost takes, that of the farthest member for a gang; its worker rests. A stopping owner names the node near the store that was started last. Reads of ends wait while the store answers.

--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -23,12 +23,15 @@
 	// distanceFactor times the round trip to the store is a node's handicap, so
 	// that a node in the store's region becomes the owner.
 	distanceFactor = 20
+	// nomineeTime is how long the others leave the claim to a named successor.
+	nomineeTime = 600 * time.Millisecond
 	// maxHandicap bounds it while the store is slow.
 	maxHandicap = time.Second
 )
 
 // elect watches for the absence of an owner, and owns the shard while it can.
 func (n *Node) elect(ctx context.Context) {
+	n.noteStore(ctx, n.contend(ctx))
 	for ctx.Err() == nil {
 		if n.leaving.Load() || n.ownerIsFresh() {
 			n.idle(ctx)
@@ -57,7 +60,9 @@
 	select {
 	case <-ctx.Done():
 	case <-n.suspect:
-		wait(ctx, electInterval/2)
+		if !n.isNominee() {
+			wait(ctx, electInterval/2)
+		}
 	case <-time.After(electInterval):
 	}
 }
@@ -70,6 +75,9 @@
 
 // contend looks at the store and becomes the owner if there is none.
 func (n *Node) contend(ctx context.Context) error {
+	if n.isNominee() {
+		return n.claim(ctx)
+	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	asked := time.Now()
@@ -104,11 +112,29 @@
 	}
 }
 
-func (n *Node) claim(ctx context.Context) error {
+// isNominee reports whether the last owner has named this node as its successor.
+func (n *Node) isNominee() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.nominee == n.options.Address && time.Since(n.nominated) < nomineeTime
+}
+
+// handicap returns how long the node waits before it claims.
+func (n *Node) handicap() time.Duration {
+	if n.isNominee() {
+		return 0
+	}
 	n.mu.Lock()
-	handicap := min(maxHandicap, n.roundTrip*distanceFactor)
-	n.mu.Unlock()
-	wait(ctx, handicap+rand.N(electInterval/2))
+	defer n.mu.Unlock()
+	d := min(maxHandicap, n.roundTrip*distanceFactor) + rand.N(electInterval/2)
+	if n.nominee != "" && time.Since(n.nominated) < nomineeTime {
+		d += nomineeTime
+	}
+	return d
+}
+
+func (n *Node) claim(ctx context.Context) error {
+	wait(ctx, n.handicap())
 	if n.ownerIsFresh() || n.leaving.Load() {
 		return nil
 	}
@@ -133,14 +159,14 @@
 // own runs the shard until the tenure ends or the node leaves.
 func (n *Node) own(ctx context.Context, tenure *store.Tenure) error {
 	taken := time.Now()
-	agreement, err := n.readAgreement(tenure.Context())
-	if err != nil {
-		return err
-	}
+	agreed := make(chan *operator.Agreement, 1)
+	go func() {
+		agreed <- n.readAgreement(tenure.Context())
+	}()
 	s, err := shard.Open(tenure.Context(), shard.Options{
 		Store:      n.options.Store,
 		Tenure:     tenure,
-		Agreement:  agreement,
+		Agreement:  func() *operator.Agreement { return <-agreed },
 		Dial:       n.options.Dial,
 		Advisors:   n.advisors,
 		StatusTime: n.options.StatusTime,
@@ -174,6 +200,7 @@
 	for tenure.Context().Err() == nil {
 		if n.leaving.Load() || ctx.Err() != nil {
 			tenure.Release()
+			n.tellReleased()
 			return
 		}
 		wait(tenure.Context(), look)
@@ -192,19 +219,23 @@
 	n.setOwner(owner)
 }
 
-func (n *Node) readAgreement(ctx context.Context) (*operator.Agreement, error) {
-	for {
+// readAgreement returns the agreement in force, or nil when the context ends
+// first.
+func (n *Node) readAgreement(ctx context.Context) *operator.Agreement {
+	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		item, err := n.options.Store.Get(call, n.options.Agreements.Key)
 		cancel()
 		if err == nil {
-			return n.options.Agreements.Decode(item.Value)
-		}
-		if ctx.Err() != nil {
-			return nil, fmt.Errorf("node: read agreement: %w", err)
+			a, err := n.options.Agreements.Decode(item.Value)
+			if err == nil {
+				return a
+			}
+			n.log.Error("agreementUnreadable", "revision", item.Revision, "error", err)
 		}
 		wait(ctx, electInterval)
 	}
+	return nil
 }
 
 func (n *Node) takeAgreement(s *shard.Shard, items map[string]store.Item) {
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -58,6 +58,7 @@
 type Node struct {
 	options  Options
 	life     string
+	born     time.Time
 	identity *tls.Config
 	log      *slog.Logger
 	leaving  atomic.Bool
@@ -76,12 +77,20 @@
 	members      map[string]member
 	clients      map[string]*peer.Client
 	roundTrip    time.Duration
+	// nominee is the address of the node that the last owner wants as its
+	// successor, and nominated when it said so.
+	nominee   string
+	nominated time.Time
 }
 
 // member is another node that the owner has heard of.
 type member struct {
 	address string
 	seen    time.Time
+	// born is when its process was started.
+	born time.Time
+	// storeMillis is its shortest round trip to the store.
+	storeMillis float64
 }
 
 // New returns a node that does nothing until Run.
@@ -94,6 +103,7 @@
 		options:  options,
 		seeds:    options.Seeds,
 		life:     rand.Text(),
+		born:     time.Now(),
 		identity: identity,
 		log:      options.Log,
 		suspect:  make(chan struct{}, 1),
--- a/internal/cluster/node/peers.go
+++ b/internal/cluster/node/peers.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/api/peer"
@@ -22,6 +25,8 @@
 	helloLimit    = 1500 * time.Millisecond
 	// helloTimeout bounds one report; a round trip between regions is 40 ms.
 	helloTimeout = 500 * time.Millisecond
+	// nearFactor times the shortest round trip to the store still counts as near.
+	nearFactor = 3
 )
 
 // hello is a node's report to another.
@@ -29,6 +34,14 @@
 	Node    string `cbor:"1,keyasint"`
 	Address string `cbor:"2,keyasint"`
 	Leaving bool   `cbor:"3,keyasint,omitempty"`
+	// Released is the token of a tenure that the node has given up, and Successor
+	// the address of the node that should claim the next.
+	Released  int64  `cbor:"4,keyasint,omitempty"`
+	Successor string `cbor:"5,keyasint,omitempty"`
+	// AgeMillis is how long the node's process has run.
+	AgeMillis int64 `cbor:"6,keyasint,omitempty"`
+	// StoreMillis is its shortest round trip to the store.
+	StoreMillis float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // welcome answers a hello.
@@ -77,10 +90,18 @@
 		delete(n.members, h.Node)
 	} else {
 		n.members[h.Node] = member{
-			address: h.Address,
-			seen:    time.Now(),
+			address:     h.Address,
+			seen:        time.Now(),
+			born:        time.Now().Add(-time.Duration(h.AgeMillis) * time.Millisecond),
+			storeMillis: h.StoreMillis,
 		}
 	}
+	if h.Released > 0 && h.Released == n.owner.Token {
+		n.ownerSeen = time.Time{}
+		n.nominee = h.Successor
+		n.nominated = time.Now()
+		n.raiseSuspicion()
+	}
 	w := welcome{
 		Owner:   n.owner,
 		Token:   n.owner.Token,
@@ -114,16 +135,72 @@
 	}
 }
 
+func (n *Node) hello() hello {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return hello{
+		Node:        n.options.Name,
+		Address:     n.options.Address,
+		Leaving:     n.leaving.Load(),
+		AgeMillis:   time.Since(n.born).Milliseconds(),
+		StoreMillis: n.roundTrip.Seconds() * 1000,
+	}
+}
+
+// successor returns the address of the node that should own the shard next: near
+// the store, and the one that was started last, since machines are stopped and
+// started in turn and it has had its turn.
+func (n *Node) successor() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var fresh []member
+	nearest := math.Inf(1)
+	for _, m := range n.members {
+		if time.Since(m.seen) > helloLimit || m.address == n.options.Address {
+			continue
+		}
+		if m.storeMillis == 0 {
+			m.storeMillis = math.Inf(1) // it has not reached the store yet
+		}
+		fresh = append(fresh, m)
+		nearest = min(nearest, m.storeMillis)
+	}
+	var best member
+	for _, m := range fresh {
+		if m.storeMillis <= nearest*nearFactor && m.born.After(best.born) {
+			best = m
+		}
+	}
+	return best.address
+}
+
+// tellReleased tells the other nodes that this one has given ownership up, so
+// that a successor need not wait for silence.
+func (n *Node) tellReleased() {
+	owner, _ := n.currentOwner()
+	message := n.hello()
+	message.Leaving = true
+	message.Released = owner.Token
+	message.Successor = n.successor()
+	n.log.Info("ownershipReleased", "token", owner.Token, "successor", message.Successor)
+	for _, address := range n.addresses(n.options.Address) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), helloTimeout)
+			defer cancel()
+			_, err := peer.Call[welcome](ctx, n.peer(address), methodHello, message)
+			if err != nil {
+				n.log.Info("releaseNotTold", "address", address, "error", err)
+			}
+		}()
+	}
+}
+
 // greetOne reports to the address and takes what it says; it returns whether an
 // owner answered there.
 func (n *Node) greetOne(ctx context.Context, address string, expected bool) bool {
 	call, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	w, err := peer.Call[welcome](call, n.peer(address), methodHello, hello{
-		Node:    n.options.Name,
-		Address: n.options.Address,
-		Leaving: n.leaving.Load(),
-	})
+	w, err := peer.Call[welcome](call, n.peer(address), methodHello, n.hello())
 	if err != nil {
 		if expected && ctx.Err() == nil {
 			n.log.Warn("ownerSilent", "address", address, "error", err)
@@ -148,20 +225,25 @@
 }
 
 func (n *Node) askOthers(ctx context.Context, except string) {
-	addresses := map[string]bool{}
+	for _, a := range n.addresses(except) {
+		go n.greetOne(ctx, a, false)
+	}
+}
+
+// addresses returns those of all other nodes that are known, but for one.
+func (n *Node) addresses(except string) []string {
 	n.mu.Lock()
+	defer n.mu.Unlock()
+	known := map[string]bool{}
 	for _, a := range n.seeds {
-		addresses[a] = true
+		known[a] = true
 	}
 	for _, m := range n.members {
-		addresses[m.address] = true
-	}
-	n.mu.Unlock()
-	delete(addresses, except)
-	delete(addresses, n.options.Address)
-	for a := range addresses {
-		go n.greetOne(ctx, a, false)
+		known[m.address] = true
 	}
+	delete(known, except)
+	delete(known, n.options.Address)
+	return slices.Collect(maps.Keys(known))
 }
 
 // advisors returns this node and those that have reported of late.
--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -418,6 +418,7 @@
 			continue
 		}
 		s.confirm(p)
+		s.watchProgress(l, p, r.Percent)
 	}
 	if len(report.Ended) >= endsPerReport {
 		return records
@@ -440,6 +441,20 @@
 	return records
 }
 
+// watchProgress stops an attempt that stands still, so that it goes on elsewhere,
+// and rests its worker. It answers workers that take work and do not do it.
+func (s *Shard) watchProgress(l *link, p *job.Placement, percent float64) {
+	step := s.state.Job(p.Task.Job).Steps[p.Task.Step]
+	if p.Stopping || step.Spec.Endless || !step.Progress(p, percent, s.now()) {
+		return
+	}
+	s.log.Warn("attemptStalled", "job", p.Task.Job, "step", p.Task.Step, "index", p.Task.Index,
+		"attempt", p.Attempt, "worker", l.registration.ID, "percent", percent, "since", s.now()-p.ProgressMillis)
+	l.countFailure()
+	l.failures = max(l.failures, failuresTolerated-1)
+	s.stop(p)
+}
+
 // confirm takes the worker's word that the attempt runs.
 func (s *Shard) confirm(p *job.Placement) {
 	p.Uncertain = false
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -20,8 +20,6 @@
 	stallLimit = 600 * time.Millisecond
 	// stallLook is how often a waiting request looks for that.
 	stallLook = 100 * time.Millisecond
-	// readPatience is how long a caller's question waits for an end to be recorded.
-	readPatience = 400 * time.Millisecond
 	// retryMillis is when a refused caller should come back, plus as much again at
 	// random, so that refused callers do not return all at once.
 	retryMillis = 1000
@@ -267,15 +265,34 @@
 		s.mu.Unlock()
 		return response
 	}
-	ctx, cancel := context.WithTimeout(ctx, readPatience)
-	defer cancel()
-	if recorded := s.afterCommit(ctx, nil, response); recorded.Status == caller.OK {
-		return recorded
-	}
-	// What the journal holds for certain is that the job has not ended.
-	return caller.Response{
-		Status: caller.OK,
-		State:  caller.Running,
+	return s.readEnd(ctx, response)
+}
+
+// readEnd releases the lock and answers that the job has ended once that is
+// recorded; if the store is away, what the journal holds for certain is that the
+// job has not ended.
+func (s *Shard) readEnd(ctx context.Context, ended caller.Response) caller.Response {
+	durable := make(chan struct{})
+	s.journal.Append(nil, func() {
+		close(durable)
+	})
+	s.mu.Unlock()
+	for {
+		select {
+		case <-durable:
+			return ended
+		case <-time.After(stallLook):
+			if s.journal.Stalled() < stallLimit {
+				continue
+			}
+		case <-ctx.Done():
+		case <-s.tenure.Context().Done():
+			return caller.Response{Status: caller.NotOwner}
+		}
+		return caller.Response{
+			Status: caller.OK,
+			State:  caller.Running,
+		}
 	}
 }
 
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -36,9 +37,10 @@
 
 // Options are what a shard needs from its surroundings.
 type Options struct {
-	Store     store.Client
-	Tenure    *store.Tenure
-	Agreement *operator.Agreement
+	Store  store.Client
+	Tenure *store.Tenure
+	// Agreement returns the agreement in force, once it has been read, or nil.
+	Agreement func() *operator.Agreement
 	// Dial returns the client of a worker and its clean-up function.
 	Dial func(worker.Registration) (worker.Client, func())
 	// Advisors returns the entries that can ask the policy service now.
@@ -76,17 +78,16 @@
 // Open rebuilds the shard from its journal.
 func Open(ctx context.Context, options Options) (*Shard, error) {
 	s := &Shard{
-		options:   options,
-		tenure:    options.Tenure,
-		log:       options.Log,
-		origin:    time.Now(),
-		epoch:     time.Now().UnixMilli(),
-		kick:      make(chan struct{}, 1),
-		buckets:   map[string]*bucket{},
-		state:     job.NewState(),
-		agreement: options.Agreement,
-		links:     map[string]*link{},
-		asking:    map[string]bool{},
+		options: options,
+		tenure:  options.Tenure,
+		log:     options.Log,
+		origin:  time.Now(),
+		epoch:   time.Now().UnixMilli(),
+		kick:    make(chan struct{}, 1),
+		buckets: map[string]*bucket{},
+		state:   job.NewState(),
+		links:   map[string]*link{},
+		asking:  map[string]bool{},
 	}
 	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
@@ -100,6 +101,9 @@
 			return nil, fmt.Errorf("shard: recover: %w", err)
 		}
 	}
+	if s.agreement = options.Agreement(); s.agreement == nil {
+		return nil, errors.New("shard: recover: the tenure ended before the agreement was read")
+	}
 	s.log.Info("shardRecovered", "token", s.tenure.Token(), "records", len(records),
 		"openJobs", len(s.state.OpenJobs()), "agreement", s.agreement.Version)
 	return s, nil
--- a/internal/cluster/store/journal.go
+++ b/internal/cluster/store/journal.go
@@ -12,14 +12,16 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
 )
 
 const (
-	// ringSize is the number of journal keys that are used in turn.
-	ringSize = 512
+	// ringSize is the number of journal keys that are used in turn; one page of the
+	// store's answers holds them.
+	ringSize = 480
 	// snapshotEvery is the number of entries between snapshots; it leaves half of
 	// the ring, so that an entry is never overwritten before a snapshot holds it.
-	snapshotEvery = 256
+	snapshotEvery = 240
 	// chunkBytes bounds one value of a snapshot: 1 MB at the store, as base64 text.
 	chunkBytes = 640 << 10
 	// commitPause gathers the changes of some milliseconds into one call, since
@@ -85,28 +87,49 @@
 		log:      log,
 		kick:     make(chan struct{}, 1),
 	}
-	item, err := client.Get(ctx, headKey(tenure.shard))
+	item, chunks, entries, err := j.read(ctx)
 	switch {
 	case errors.Is(err, ErrNotFound):
 		j.next = 1
 		return j, nil, nil
 	case err != nil:
-		return nil, nil, fmt.Errorf("store: read journal head: %w", err)
+		return nil, nil, fmt.Errorf("store: read journal: %w", err)
 	}
 	if err := cbor.Unmarshal(item.Value, &j.head); err != nil {
 		return nil, nil, fmt.Errorf("store: decode journal head: %w", err)
 	}
 	j.headRev = item.Revision
 	j.next = j.head.Entry + 1
-	records, err := j.read(ctx)
+	records, err := j.decodeSnapshot(chunks)
+	if err != nil {
+		return nil, nil, err
+	}
+	records, err = j.replay(records, entries)
 	return j, records, err
 }
 
-func (j *Journal[R]) read(ctx context.Context) ([]R, error) {
-	chunks, _, err := j.client.Range(ctx, chunkPrefix(j.tenure.shard))
-	if err != nil {
-		return nil, fmt.Errorf("store: read snapshot: %w", err)
-	}
+// read reads head, snapshot and ring side by side, which is one answer's time
+// instead of three; nobody else writes them while the tenure lasts.
+func (j *Journal[R]) read(ctx context.Context) (item Item, chunks, entries []Item, err error) {
+	shard := j.tenure.shard
+	var group errgroup.Group
+	group.Go(func() (err error) {
+		item, err = j.client.Get(ctx, headKey(shard))
+		return err
+	})
+	group.Go(func() (err error) {
+		chunks, _, err = j.client.Range(ctx, chunkPrefix(shard))
+		return err
+	})
+	group.Go(func() (err error) {
+		entries, _, err = j.client.Range(ctx, entryPrefix(shard))
+		return err
+	})
+	err = group.Wait()
+	return item, chunks, entries, err
+}
+
+func (j *Journal[R]) decodeSnapshot(chunks []Item) ([]R, error) {
 	slices.SortFunc(chunks, func(a, b Item) int {
 		return strings.Compare(a.Key, b.Key)
 	})
@@ -121,11 +144,7 @@
 		}
 		records = append(records, part...)
 	}
-	items, _, err := j.client.Range(ctx, entryPrefix(j.tenure.shard))
-	if err != nil {
-		return nil, fmt.Errorf("store: read journal: %w", err)
-	}
-	return j.replay(records, items)
+	return records, nil
 }
 
 func (j *Journal[R]) replay(records []R, items []Item) ([]R, error) {
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -140,6 +140,53 @@
 	Stopped int64
 	// StartedMillis is the owner's clock when the start was confirmed.
 	StartedMillis int64
+	// Percent is the progress last reported, and ProgressMillis the owner's clock
+	// when it last changed.
+	Percent        float64
+	ProgressMillis int64
+}
+
+const (
+	// stallMillis, and stallShare of the estimated run time, is how long an attempt
+	// may report the same progress: a worker seven times slower than estimated
+	// moves by a hundredth in less.
+	stallMillis = 1500
+	stallShare  = 0.1
+)
+
+// Progress takes a report of the placed attempt and returns whether it stands
+// still for so long that it should be moved. It waits the longer the more time
+// would be lost, since workers that hang often go on. Finished members of a gang
+// report 100 while they wait for the others.
+func (s *Step) Progress(p *Placement, percent float64, now int64) bool {
+	if percent != p.Percent || p.ProgressMillis == 0 {
+		p.Percent, p.ProgressMillis = percent, now
+		return false
+	}
+	if percent >= 100 {
+		return false
+	}
+	estimate := float64(s.Spec.EstimateMillis)
+	patience := stallMillis + stallShare*estimate
+	if !s.Spec.Checkpoints {
+		patience += s.progressLost(p) / 100 * estimate
+	}
+	return float64(now-p.ProgressMillis) > patience
+}
+
+// progressLost returns how much progress, in hundredths, moving the attempt would
+// undo: that of the member that is farthest, when the whole gang must move.
+func (s *Step) progressLost(p *Placement) float64 {
+	if !s.Spec.Gang {
+		return p.Percent
+	}
+	farthest := 0.0
+	for _, t := range s.Tasks {
+		if t.Place != nil {
+			farthest = max(farthest, t.Place.Percent)
+		}
+	}
+	return farthest
 }
 
 // Task is the fate of one task so far.
