Send a write again when its answer is overdue

Ruled out: a shorter limit, which a store eighty times slower than usual would meet with every write.

Slow stores remain: a change waits for the write under way.

--- a/internal/cluster/store/journal.go
+++ b/internal/cluster/store/journal.go
@@ -27,6 +27,13 @@
 	// commitPause gathers the changes of some milliseconds into one call, since
 	// the store charges each.
 	commitPause = 6 * time.Millisecond
+	// maxCopies bounds the copies of one write that are under way; with a third of
+	// the answers lost, one in a hundred writes needs more.
+	maxCopies = 4
+	// leastPatience and patienceFactor times the usual time of an answer is when
+	// another copy is sent.
+	leastPatience  = 60 * time.Millisecond
+	patienceFactor = 3
 	// maxChunks keeps a snapshot's transaction within the store's 32 entries.
 	maxChunks = 30
 )
@@ -58,6 +65,8 @@
 	next    int64
 	// writing is when the call that is under way was first sent; zero without one.
 	writing time.Time
+	// usual is the moving average of the time of an answer.
+	usual time.Duration
 
 	head    head
 	headRev int64
@@ -215,10 +224,13 @@
 	}
 }
 
-func (j *Journal[R]) endWriting() {
+// endWriting takes the time of an answer into the usual one.
+func (j *Journal[R]) endWriting(took time.Duration) {
+	const weight = 4
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.writing = time.Time{}
+	j.usual += (took - j.usual) / weight
 }
 
 // Run writes what is appended until the tenure ends. The lock guards appending
@@ -400,37 +412,83 @@
 	return puts, nil
 }
 
-// write repeats the transaction until its outcome is certain. A repetition is
-// harmless: whichever copy comes first moves the head, and the others fail. It
-// returns ErrNotDone only if no copy can take effect any more.
+// answer is the outcome of one copy of a write.
+type answer struct {
+	result TxnResult
+	err    error
+	took   time.Duration
+}
+
+// write sends copies of the transaction until its outcome is certain. Copies are
+// harmless: whichever comes first moves the head, and the others fail. Another
+// copy goes out when the one before takes much longer than usual, since an answer
+// that is lost never comes. It returns ErrNotDone only if no copy can take effect
+// any more.
 func (j *Journal[R]) write(ctx context.Context, txn Txn, next head) (int64, error) {
 	j.startWriting()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer, maxCopies)
+	inFlight := 0
+	send := func() {
+		inFlight++
+		go j.sendCopy(ctx, txn, answers)
+	}
 	unknown := false
+	send()
 	for {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		result, err := j.client.Commit(call, txn)
-		cancel()
-		if err == nil {
-			j.endWriting()
-		}
-		if err == nil && result.Done {
-			return result.Revision, nil
-		}
-		if err == nil {
-			return j.judge(result, next)
-		}
-		if ctx.Err() != nil {
+		select {
+		case <-ctx.Done():
 			return 0, context.Cause(ctx)
+		case <-time.After(j.patience()):
+			if inFlight < maxCopies {
+				send()
+			}
+			continue
+		case a := <-answers:
+			inFlight--
+			if a.err == nil {
+				j.endWriting(a.took)
+				if a.result.Done {
+					return a.result.Revision, nil
+				}
+				return j.judge(a.result, next)
+			}
+			if ctx.Err() != nil {
+				return 0, context.Cause(ctx)
+			}
+			unknown = unknown || !errors.Is(a.err, ErrNotDone)
+			if !unknown && inFlight == 0 {
+				return 0, a.err
+			}
+			j.log.Warn("commitRepeated", "shard", j.tenure.shard, "entry", next.Entry, "error", a.err)
 		}
-		unknown = unknown || !errors.Is(err, ErrNotDone)
-		if !unknown {
-			return 0, err
+		if inFlight == 0 {
+			pause(ctx, retryPause/4)
+			send()
 		}
-		j.log.Warn("commitRepeated", "shard", j.tenure.shard, "entry", next.Entry, "error", err)
-		pause(ctx, retryPause/4)
 	}
 }
 
+func (j *Journal[R]) sendCopy(ctx context.Context, txn Txn, answers chan<- answer) {
+	begun := time.Now()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	result, err := j.client.Commit(call, txn)
+	answers <- answer{
+		result: result,
+		err:    err,
+		took:   time.Since(begun),
+	}
+}
+
+// patience returns how long a copy may take before another is sent.
+func (j *Journal[R]) patience() time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return max(leastPatience, patienceFactor*j.usual)
+}
+
 // judge tells an earlier copy of the same entry that took effect from a
 // deposition.
 func (j *Journal[R]) judge(result TxnResult, next head) (int64, error) {
