Hand over when the store turns the owner away

Ruled out: a shorter lease (the store's least is 1 s).

Change: renewals overlap; an owner without a renewal for some time asks the others whether the store serves them, gives up if it does, and the first that answered ends the old lease and claims.

--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -23,6 +23,11 @@
 	// distanceFactor times the round trip to the store is a node's handicap, so
 	// that a node in the store's region becomes the owner.
 	distanceFactor = 20
+	// turnedAwayTime is the age of the last renewal from which an owner asks whether
+	// the store serves others, and turnedAwayLook how often it looks. Renewals come
+	// every 300 ms, and a store eighty times slower than usual answers in as much.
+	turnedAwayTime = 700 * time.Millisecond
+	turnedAwayLook = 50 * time.Millisecond
 	// nomineeTime is how long the others leave the claim to a named successor.
 	nomineeTime = 600 * time.Millisecond
 	// maxHandicap bounds it while the store is slow.
@@ -75,9 +80,6 @@
 
 // contend looks at the store and becomes the owner if there is none.
 func (n *Node) contend(ctx context.Context) error {
-	if n.isNominee() {
-		return n.claim(ctx)
-	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	asked := time.Now()
@@ -97,10 +99,45 @@
 		n.log.Info("earlierLifeEnded", "token", owner.Token)
 		return n.options.Store.EndLease(call, owner.Lease)
 	}
+	if n.isNominee() && owner.Token == n.releasedToken() {
+		// Its owner cannot reach the store to end the lease itself.
+		if err := n.options.Store.EndLease(call, owner.Lease); err != nil {
+			return fmt.Errorf("node: end lease of the last owner: %w", err)
+		}
+		return n.claim(ctx)
+	}
 	n.learnOwner(owner)
 	return nil
 }
 
+// endWhenTurnedAway gives the tenure up when the store leaves this node without
+// answers while it serves another, which then is the successor. It answers an
+// outage for single machines, in which waiting for the lease to lapse would stop
+// all work.
+func (n *Node) endWhenTurnedAway(tenure *store.Tenure) {
+	for tenure.Context().Err() == nil {
+		wait(tenure.Context(), turnedAwayLook)
+		if tenure.Remaining() > store.LeaseTime-turnedAwayTime {
+			continue
+		}
+		successor := n.findConnected(tenure.Context())
+		if successor == "" || tenure.Remaining() > store.LeaseTime-turnedAwayTime {
+			continue
+		}
+		n.log.Warn("turnedAway", "token", tenure.Token(), "remaining", tenure.Remaining(), "successor", successor)
+		tenure.Depose(errors.New("the store does not answer this node"))
+		n.tellReleased(successor)
+		return
+	}
+}
+
+// releasedToken returns the token of the tenure that was given up last.
+func (n *Node) releasedToken() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.released
+}
+
 func (n *Node) measure(d time.Duration, err error) {
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return
@@ -191,6 +228,7 @@
 	defer n.setShard(nil, store.Owner{})
 	n.log.Info("takeoverDone", "token", tenure.Token(), "took", time.Since(taken))
 	go n.endWhenLeaving(ctx, tenure)
+	go n.endWhenTurnedAway(tenure)
 	return s.Run()
 }
 
@@ -200,7 +238,7 @@
 	for tenure.Context().Err() == nil {
 		if n.leaving.Load() || ctx.Err() != nil {
 			tenure.Release()
-			n.tellReleased()
+			n.tellReleased(n.successor())
 			return
 		}
 		wait(tenure.Context(), look)
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -79,7 +79,9 @@
 	roundTrip    time.Duration
 	// nominee is the address of the node that the last owner wants as its
 	// successor, and nominated when it said so.
-	nominee   string
+	nominee string
+	// released is the token of the tenure that the last owner has given up.
+	released  int64
 	nominated time.Time
 }
 
--- a/internal/cluster/node/peers.go
+++ b/internal/cluster/node/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math"
 	"slices"
@@ -18,6 +19,7 @@
 	methodServe  = "serve"
 	methodHello  = "hello"
 	methodAdvise = "advise"
+	methodProbe  = "probe"
 
 	// helloInterval is how often a node reports to the owner, which takes its
 	// silence for helloLimit as a reason not to ask it for advice.
@@ -25,6 +27,8 @@
 	helloLimit    = 1500 * time.Millisecond
 	// helloTimeout bounds one report; a round trip between regions is 40 ms.
 	helloTimeout = 500 * time.Millisecond
+	// probeTimeout bounds the question whether a node reaches the store.
+	probeTimeout = 300 * time.Millisecond
 	// nearFactor times the shortest round trip to the store still counts as near.
 	nearFactor = 3
 )
@@ -71,9 +75,42 @@
 		tickets, err := n.options.Advisor.Advise(ctx, r.Job, r.Step, r.Workers)
 		return adviseResponse{Tickets: tickets}, err
 	})
+	peer.Handle(server, methodProbe, func(ctx context.Context, _ probe) (probe, error) {
+		_, err := n.options.Store.Get(ctx, store.OwnerKey(n.options.Shard))
+		return probe{Reached: err == nil || errors.Is(err, store.ErrNotFound)}, nil
+	})
 	return server
 }
 
+// probe asks, and answers, whether a node reaches the store.
+type probe struct {
+	Reached bool `cbor:"1,keyasint,omitempty"`
+}
+
+// findConnected returns the address of a node that reaches the store, the first
+// to answer, or an empty string.
+func (n *Node) findConnected(ctx context.Context) string {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	addresses := n.addresses("")
+	found := make(chan string, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			answer, err := peer.Call[probe](ctx, n.peer(address), methodProbe, probe{})
+			if err != nil || !answer.Reached {
+				address = ""
+			}
+			found <- address
+		}()
+	}
+	for range addresses {
+		if address := <-found; address != "" {
+			return address
+		}
+	}
+	return ""
+}
+
 // serveLocal answers a request if this node is the owner.
 func (n *Node) serveLocal(ctx context.Context, r caller.Request) (caller.Response, error) {
 	s := n.currentShard()
@@ -99,6 +136,7 @@
 	if h.Released > 0 && h.Released == n.owner.Token {
 		n.ownerSeen = time.Time{}
 		n.nominee = h.Successor
+		n.released = h.Released
 		n.nominated = time.Now()
 		n.raiseSuspicion()
 	}
@@ -176,12 +214,11 @@
 
 // tellReleased tells the other nodes that this one has given ownership up, so
 // that a successor need not wait for silence.
-func (n *Node) tellReleased() {
+func (n *Node) tellReleased(successor string) {
 	owner, _ := n.currentOwner()
 	message := n.hello()
-	message.Leaving = true
 	message.Released = owner.Token
-	message.Successor = n.successor()
+	message.Successor = successor
 	n.log.Info("ownershipReleased", "token", owner.Token, "successor", message.Successor)
 	for _, address := range n.addresses(n.options.Address) {
 		go func() {
--- a/internal/cluster/store/election.go
+++ b/internal/cluster/store/election.go
@@ -15,11 +15,10 @@
 	// LeaseTime is how long an owner stays owner without renewal; a successor
 	// waits for it after a crash.
 	LeaseTime = 1200 * time.Millisecond
-	// renewInterval leaves three tries within a lease.
+	// renewInterval is between renewals; four fit into a lease.
 	renewInterval = 300 * time.Millisecond
-	// renewTimeout bounds one try, above a store that is a hundred times slower
-	// than its 4 ms.
-	renewTimeout = 500 * time.Millisecond
+	// renewTimeout bounds a renewal; a later answer would find the lease at its end.
+	renewTimeout = time.Second
 	// callTimeout bounds one call, well above a store that is fifty times slower
 	// than its 4 ms.
 	callTimeout = time.Second
@@ -57,6 +56,7 @@
 	token   int64
 	lease   int64
 	expires atomic.Int64
+	failing atomic.Bool
 	ctx     context.Context
 	end     context.CancelCauseFunc
 	log     *slog.Logger
@@ -152,29 +152,39 @@
 	t.end(errors.Join(ErrDeposed, reason))
 }
 
+// renew starts a renewal every interval, whether or not the one before has been
+// answered, so that one lost or slow answer does not cost the lease.
 func (t *Tenure) renew() {
-	for {
-		wait := renewInterval
-		asked := now()
-		ctx, cancel := context.WithTimeout(t.ctx, renewTimeout)
-		err := t.client.RenewLease(ctx, t.lease)
-		cancel()
-		switch {
-		case err == nil:
-			t.expires.Store(int64(asked + LeaseTime))
-		case errors.Is(err, ErrNotFound):
-			t.Depose(fmt.Errorf("lease %d has ended", t.lease))
-			return
-		case t.ctx.Err() != nil:
-			return
-		default:
-			t.log.Warn("renewFailed", "shard", t.shard, "remaining", t.Remaining(), "error", err)
-			wait = retryPause
+	for t.ctx.Err() == nil {
+		go t.renewOnce()
+		pause(t.ctx, renewInterval)
+	}
+}
+
+func (t *Tenure) renewOnce() {
+	asked := now()
+	ctx, cancel := context.WithTimeout(t.ctx, renewTimeout)
+	defer cancel()
+	err := t.client.RenewLease(ctx, t.lease)
+	switch {
+	case err == nil:
+		t.extend(int64(asked + LeaseTime))
+		if t.failing.CompareAndSwap(true, false) {
+			t.log.Info("renewalsRegained", "shard", t.shard)
 		}
-		select {
-		case <-t.ctx.Done():
+	case errors.Is(err, ErrNotFound):
+		t.Depose(fmt.Errorf("lease %d has ended", t.lease))
+	case t.ctx.Err() == nil && t.failing.CompareAndSwap(false, true):
+		t.log.Warn("renewalsFail", "shard", t.shard, "remaining", t.Remaining(), "error", err)
+	}
+}
+
+// extend moves the lease's end forward, never back.
+func (t *Tenure) extend(end int64) {
+	for {
+		before := t.expires.Load()
+		if end <= before || t.expires.CompareAndSwap(before, end) {
 			return
-		case <-time.After(wait):
 		}
 	}
 }
