Replace an owner that nobody hears

Change: two hellos without answer, confirmed by another node that has not heard the owner for 0.4 s, let a node end the lease and claim. Safe whether or not the owner lives: its writes and orders fail from then on. An owner that reaches the store itself does not count as turned away.

--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -26,7 +26,7 @@
 	// turnedAwayTime is the age of the last renewal from which an owner asks whether
 	// the store serves others, and turnedAwayLook how often it looks. Renewals come
 	// every 300 ms, and a store eighty times slower than usual answers in as much.
-	turnedAwayTime = 700 * time.Millisecond
+	turnedAwayTime = 500 * time.Millisecond
 	turnedAwayLook = 50 * time.Millisecond
 	// nomineeTime is how long the others leave the claim to a named successor.
 	nomineeTime = 600 * time.Millisecond
@@ -121,7 +121,7 @@
 			continue
 		}
 		successor := n.findConnected(tenure.Context())
-		if successor == "" || tenure.Remaining() > store.LeaseTime-turnedAwayTime {
+		if successor == "" || n.reachesStore(tenure.Context()) {
 			continue
 		}
 		n.log.Warn("turnedAway", "token", tenure.Token(), "remaining", tenure.Remaining(), "successor", successor)
@@ -131,6 +131,14 @@
 	}
 }
 
+// reachesStore tells an outage for this node from one that has just ended for all.
+func (n *Node) reachesStore(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := n.options.Store.Get(ctx, store.OwnerKey(n.options.Shard))
+	return err == nil || errors.Is(err, store.ErrNotFound)
+}
+
 // releasedToken returns the token of the tenure that was given up last.
 func (n *Node) releasedToken() int64 {
 	n.mu.Lock()
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -66,10 +66,13 @@
 	// storeLost is the election's last word on the store; only elect uses it.
 	storeLost bool
 
-	mu        sync.Mutex
-	seeds     []string
-	owner     store.Owner
-	ownerSeen time.Time
+	mu    sync.Mutex
+	seeds []string
+	owner store.Owner
+	// ownerSeen is when the owner last said that it serves, and ownerHeard when it
+	// last said anything.
+	ownerSeen  time.Time
+	ownerHeard time.Time
 	// ownerChanged closes when another owner is learned, so that calls to the one
 	// before are given up.
 	ownerChanged chan struct{}
--- a/internal/cluster/node/peers.go
+++ b/internal/cluster/node/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"math"
 	"slices"
@@ -23,10 +22,15 @@
 
 	// helloInterval is how often a node reports to the owner, which takes its
 	// silence for helloLimit as a reason not to ask it for advice.
-	helloInterval = 300 * time.Millisecond
+	helloInterval = 200 * time.Millisecond
 	helloLimit    = 1500 * time.Millisecond
 	// helloTimeout bounds one report; a round trip between regions is 40 ms.
-	helloTimeout = 500 * time.Millisecond
+	helloTimeout = 300 * time.Millisecond
+	// silentHellos is the number of hellos without answer after which a node doubts
+	// the owner, and silentTime the age of another node's last word from the owner
+	// that confirms the doubt.
+	silentHellos = 2
+	silentTime   = 400 * time.Millisecond
 	// probeTimeout bounds the question whether a node reaches the store.
 	probeTimeout = 300 * time.Millisecond
 	// nearFactor times the shortest round trip to the store still counts as near.
@@ -55,6 +59,8 @@
 	// Serving tells that the answering node is the owner and its lease lasts.
 	Serving bool     `cbor:"3,keyasint"`
 	Members []string `cbor:"4,keyasint,omitempty"`
+	// OwnerAgeMillis is the age of the answering node's last word from the owner.
+	OwnerAgeMillis int64 `cbor:"5,keyasint,omitempty"`
 }
 
 type adviseRequest struct {
@@ -76,8 +82,7 @@
 		return adviseResponse{Tickets: tickets}, err
 	})
 	peer.Handle(server, methodProbe, func(ctx context.Context, _ probe) (probe, error) {
-		_, err := n.options.Store.Get(ctx, store.OwnerKey(n.options.Shard))
-		return probe{Reached: err == nil || errors.Is(err, store.ErrNotFound)}, nil
+		return probe{Reached: n.reachesStore(ctx)}, nil
 	})
 	return server
 }
@@ -145,6 +150,9 @@
 		Token:   n.owner.Token,
 		Serving: n.shard != nil && n.shard.Valid(),
 	}
+	if n.shard == nil {
+		w.OwnerAgeMillis = time.Since(n.ownerHeard).Milliseconds()
+	}
 	for _, m := range n.members {
 		w.Members = append(w.Members, m.address)
 	}
@@ -157,22 +165,109 @@
 	failures := 0
 	for ctx.Err() == nil {
 		owner, _ := n.currentOwner()
-		if owner.Address != "" && owner.Life != n.life {
-			if n.greetOne(ctx, owner.Address, true) {
-				failures = 0
-			} else {
-				failures++
-				n.peer(owner.Address).Reset()
-				n.raiseSuspicion()
-			}
-		}
-		if failures > 1 || owner.Address == "" {
+		switch {
+		case owner.Address == "":
+			n.askOthers(ctx, "")
+		case owner.Life == n.life:
+			failures = 0
+		case n.greetOne(ctx, owner.Address, true):
+			failures = 0
+		default:
+			failures++
+			n.peer(owner.Address).Reset()
+			n.raiseSuspicion()
 			n.askOthers(ctx, owner.Address)
 		}
+		if failures == 1 {
+			continue // the next hello, over a new connection, decides
+		}
+		if failures >= silentHellos && n.ownerIsSilent(ctx, owner) {
+			n.replaceOwner(owner)
+		}
 		wait(ctx, helloInterval)
 	}
 }
 
+// ownerIsSilent reports whether others have not heard of the owner of late either,
+// and nobody has.
+func (n *Node) ownerIsSilent(ctx context.Context, owner store.Owner) bool {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	addresses := n.addresses(owner.Address)
+	answers := make(chan welcome, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			w, err := peer.Call[welcome](ctx, n.peer(address), methodHello, n.hello())
+			if err != nil {
+				w = welcome{}
+			}
+			answers <- w
+		}()
+	}
+	confirmed := false
+	for range addresses {
+		w := <-answers
+		switch {
+		case w.Token == 0:
+		case w.Token > owner.Token || w.OwnerAgeMillis < silentTime.Milliseconds():
+			return false
+		case w.Token == owner.Token:
+			confirmed = true
+		}
+	}
+	return confirmed
+}
+
+// replaceOwner has the election end the silent owner's lease, if it is still the
+// owner, and claim. An owner that lives loses its tenure without harm.
+func (n *Node) replaceOwner(owner store.Owner) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.owner.Token != owner.Token || n.leaving.Load() {
+		return
+	}
+	n.log.Warn("ownerReplaced", "owner", owner.Node, "token", owner.Token)
+	n.nominee = n.options.Address
+	n.nominated = time.Now()
+	n.released = owner.Token
+	n.ownerSeen = time.Time{}
+	n.raiseSuspicion()
+}
+
+// greetOne reports to the address and takes what it says; it returns whether a
+// node answered there.
+func (n *Node) greetOne(ctx context.Context, address string, expected bool) bool {
+	call, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	w, err := peer.Call[welcome](call, n.peer(address), methodHello, n.hello())
+	if err != nil {
+		if expected && ctx.Err() == nil {
+			n.log.Warn("ownerSilent", "address", address, "error", err)
+		}
+		return false
+	}
+	w.Owner.Token = w.Token
+	if w.Token > 0 {
+		n.learnOwner(w.Owner)
+	}
+	if expected {
+		n.mu.Lock()
+		n.ownerHeard = time.Now()
+		n.mu.Unlock()
+	}
+	if w.Serving {
+		n.mu.Lock()
+		n.ownerSeen = time.Now()
+		for _, m := range w.Members {
+			if n.members[m].address == "" {
+				n.members[m] = member{address: m}
+			}
+		}
+		n.mu.Unlock()
+	}
+	return true
+}
+
 func (n *Node) hello() hello {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -232,35 +327,6 @@
 	}
 }
 
-// greetOne reports to the address and takes what it says; it returns whether an
-// owner answered there.
-func (n *Node) greetOne(ctx context.Context, address string, expected bool) bool {
-	call, cancel := context.WithTimeout(ctx, helloTimeout)
-	defer cancel()
-	w, err := peer.Call[welcome](call, n.peer(address), methodHello, n.hello())
-	if err != nil {
-		if expected && ctx.Err() == nil {
-			n.log.Warn("ownerSilent", "address", address, "error", err)
-		}
-		return false
-	}
-	w.Owner.Token = w.Token
-	if w.Token > 0 {
-		n.learnOwner(w.Owner)
-	}
-	if w.Serving {
-		n.mu.Lock()
-		n.ownerSeen = time.Now()
-		for _, m := range w.Members {
-			if n.members[m].address == "" {
-				n.members[m] = member{address: m}
-			}
-		}
-		n.mu.Unlock()
-	}
-	return w.Serving
-}
-
 func (n *Node) askOthers(ctx context.Context, except string) {
 	for _, a := range n.addresses(except) {
 		go n.greetOne(ctx, a, false)
