Ask the others when the owner does not serve

Ruled out: work that waits too long (the owner finished 97 of 100 lookups in 1.8 s).

Change: a node without a serving owner asks the others.

--- a/internal/cluster/node/peers.go
+++ b/internal/cluster/node/peers.go
@@ -160,28 +160,35 @@
 }
 
 // greet reports to the owner in turn, and asks others for the owner when it does
-// not answer.
+// not serve.
 func (n *Node) greet(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
 		owner, _ := n.currentOwner()
-		switch {
-		case owner.Address == "":
-			n.askOthers(ctx, "")
-		case owner.Life == n.life:
-			failures = 0
-		case n.greetOne(ctx, owner.Address, true):
+		if n.currentShard() != nil {
 			failures = 0
-		default:
-			failures++
-			n.peer(owner.Address).Reset()
+			wait(ctx, helloInterval)
+			continue
+		}
+		answered, serving := false, false
+		if owner.Address != "" && owner.Life != n.life {
+			answered, serving = n.greetOne(ctx, owner.Address, true)
+		}
+		if !serving {
 			n.raiseSuspicion()
 			n.askOthers(ctx, owner.Address)
 		}
-		if failures == 1 {
+		if answered || owner.Life == n.life || owner.Address == "" {
+			failures = 0
+			wait(ctx, helloInterval)
+			continue
+		}
+		failures++
+		n.peer(owner.Address).Reset()
+		if failures < silentHellos {
 			continue // the next hello, over a new connection, decides
 		}
-		if failures >= silentHellos && n.ownerIsSilent(ctx, owner) {
+		if n.ownerIsSilent(ctx, owner) {
 			n.replaceOwner(owner)
 		}
 		wait(ctx, helloInterval)
@@ -235,8 +242,8 @@
 }
 
 // greetOne reports to the address and takes what it says; it returns whether a
-// node answered there.
-func (n *Node) greetOne(ctx context.Context, address string, expected bool) bool {
+// node answered there, and whether it is the owner and serves.
+func (n *Node) greetOne(ctx context.Context, address string, expected bool) (answered, serving bool) {
 	call, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	w, err := peer.Call[welcome](call, n.peer(address), methodHello, n.hello())
@@ -244,7 +251,7 @@
 		if expected && ctx.Err() == nil {
 			n.log.Warn("ownerSilent", "address", address, "error", err)
 		}
-		return false
+		return false, false
 	}
 	w.Owner.Token = w.Token
 	if w.Token > 0 {
@@ -265,7 +272,7 @@
 		}
 		n.mu.Unlock()
 	}
-	return true
+	return true, w.Serving
 }
 
 func (n *Node) hello() hello {
