Notice a restarted peer at once

Ruled out: the message's order (the lease ended 0.3 s earlier or later made no difference to the successor that never heard).

Change: peers answer packets of connections they do not know with a stateless reset, from a key that all lives of a node share; a released ownership is told beside the end of the lease. TestRestartedPeerIsNoticed fails before (1 s without answer) and passes after.

--- a/internal/api/peer/identity.go
+++ b/internal/api/peer/identity.go
@@ -11,6 +11,8 @@
 	"fmt"
 	"math/big"
 	"time"
+
+	"github.com/quic-go/quic-go"
 )
 
 const (
@@ -53,6 +55,17 @@
 	}, nil
 }
 
+// resetKey derives the key with which a restarted process tells its peers that it
+// has forgotten their connections.
+func resetKey(identity *tls.Config) *quic.StatelessResetKey {
+	private, ok := identity.Certificates[0].PrivateKey.(ed25519.PrivateKey)
+	if !ok {
+		return nil
+	}
+	key := quic.StatelessResetKey(sha256.Sum256(append([]byte("reset "), private.Seed()...)))
+	return &key
+}
+
 func verify(state tls.ConnectionState, expected ed25519.PublicKey) error {
 	if len(state.PeerCertificates) == 0 {
 		return errStranger
--- a/internal/api/peer/peer_test.go
+++ b/internal/api/peer/peer_test.go
@@ -107,3 +107,34 @@
 		client.Reset()
 	}
 }
+
+// TestRestartedPeerIsNoticed replaces a peer's process by another at the same
+// address: a call over the forgotten connection must fail at once, not after the
+// connection's idle time.
+func TestRestartedPeerIsNoticed(t *testing.T) {
+	identity, err := Identity(secret)
+	assert.NilError(t, err)
+	before := serve(t, secret)
+	address := before.Address()
+	client := dial(t, address, secret)
+	_, err = Call[echo](t.Context(), client, "echo", echo{})
+	assert.NilError(t, err)
+	assert.NilError(t, before.socket.Close())
+	after, closeAfter, err := Listen(address, identity)
+	assert.NilError(t, err)
+	t.Cleanup(closeAfter)
+	server := NewServer()
+	Handle(server, "echo", func(_ context.Context, request echo) (echo, error) {
+		return request, nil
+	})
+	go func() { _ = server.Serve(t.Context(), after) }()
+	ctx, cancel := context.WithTimeout(t.Context(), maxSilence/2)
+	defer cancel()
+	for {
+		_, err = Call[echo](ctx, client, "echo", echo{})
+		if err == nil {
+			return
+		}
+		assert.NilError(t, ctx.Err(), "%v", err)
+	}
+}
--- a/internal/api/peer/server.go
+++ b/internal/api/peer/server.go
@@ -67,7 +67,10 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("peer: listen on %s: %w", address, err)
 	}
-	transport := &quic.Transport{Conn: socket}
+	transport := &quic.Transport{
+		Conn:              socket,
+		StatelessResetKey: resetKey(identity),
+	}
 	listener, err := transport.Listen(identity, configuration())
 	if err != nil {
 		_ = socket.Close()
--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -243,7 +243,8 @@
 	const look = 50 * time.Millisecond
 	for tenure.Context().Err() == nil {
 		if n.leaving.Load() || ctx.Err() != nil {
-			tenure.Release()
+			// The lease ends beside the message; whichever comes first will do.
+			go tenure.Release()
 			n.tellReleased(n.successor())
 			return
 		}
