--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/citronbay/citronbay/internal/cluster/operator"
 	"github.com/citronbay/citronbay/internal/cluster/shard"
 	"github.com/citronbay/citronbay/internal/cluster/store"
@@ -232,6 +234,7 @@
 		Token:   tenure.Token(),
 	})
 	defer n.setShard(nil, store.Owner{})
+	metrics.GetOrCreateHistogram("citronbay_takeover_seconds").Update(time.Since(taken).Seconds())
 	n.log.Info("takeoverDone", "token", tenure.Token(), "took", time.Since(taken))
 	go n.endWhenLeaving(ctx, tenure)
 	go n.endWhenTurnedAway(tenure)
--- a/internal/cluster/node/forward.go
+++ b/internal/cluster/node/forward.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/citronbay/citronbay/internal/api/peer"
 	"github.com/citronbay/citronbay/internal/cluster/caller"
 )
@@ -21,6 +23,16 @@
 	retryAfterMillis = 1000
 )
 
+// Explain tells why a job waits, one fact a line, if this node is the owner, and
+// otherwise which node is.
+func (n *Node) Explain(job string) []string {
+	if s := n.currentShard(); s != nil {
+		return s.Explain(job)
+	}
+	owner, _ := n.currentOwner()
+	return []string{"this node does not own the shard; ask " + owner.Node}
+}
+
 // Serve answers a request through the owner, before the context's deadline.
 func (n *Node) Serve(ctx context.Context, r caller.Request) caller.Response {
 	uncertain := false
@@ -43,11 +55,14 @@
 		wait(ctx, tryPause)
 	}
 	if uncertain {
+		metrics.GetOrCreateCounter("citronbay_requests_unknown_total").Inc()
+		n.log.Warn("requestUnknown", "path", r.Path, "verb", r.Verb, "waited", time.Since(begun))
 		return caller.Response{
 			Status: caller.Unknown,
 			Reason: "the owner has not answered in time",
 		}
 	}
+	metrics.GetOrCreateCounter("citronbay_requests_refused_total{reason=\"noOwner\"}").Inc()
 	n.log.Warn("requestRefused", "path", r.Path, "verb", r.Verb, "reason", "noOwner", "waited", time.Since(begun))
 	return caller.Response{
 		Status:      caller.Refused,
--- /dev/null
+++ b/internal/cluster/shard/explain.go
@@ -0,0 +1,29 @@
+package shard
+
+import (
+	"fmt"
+
+	"github.com/citronbay/citronbay/internal/decide/job"
+)
+
+// Explain tells why the job waits or stands where it does, one fact a line.
+func (s *Shard) Explain(id string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.state.Job(id)
+	if j == nil {
+		return []string{"no such job"}
+	}
+	now := s.now()
+	queue := s.agreement.Rules.Queues[j.Queue]
+	lines := []string{fmt.Sprintf("job %s of team %s in queue %s: %s, submitted %d ms ago, due in %d ms, beyond its team's rate: %v",
+		j.ID, j.Team, j.Queue, j.Outcome, now-j.SubmittedMillis, j.DueMillis(queue)-now, j.Excess)}
+	team := s.agreement.Rules.Teams[j.Team]
+	lines = append(lines, fmt.Sprintf("team %s uses %d of %d thousandths of a core (0: no cap)",
+		j.Team, s.state.TeamUsed(j.Team).MilliCores, team.Cap.MilliCores))
+	planner := job.NewPlanner(s.state, s.agreement.Rules, s.workers(), now)
+	for _, step := range j.Steps {
+		lines = append(lines, planner.Explain(step, now)...)
+	}
+	return lines
+}
--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -128,6 +128,7 @@
 func (s *Shard) loseAll(key job.WorkerKey, reason string) {
 	var records []job.Record
 	for _, p := range s.state.Placements(key) {
+		countLost("workerGone")
 		s.log.Info("attemptLost", "job", p.Task.Job, "step", p.Task.Step, "index", p.Task.Index,
 			"attempt", p.Attempt, "worker", key.ID, "reason", reason)
 		records = s.endAttempt(records, p, job.EndLost, "")
@@ -434,6 +435,7 @@
 		if !inherited && !stopped && !vanished {
 			continue
 		}
+		countLost("absent")
 		s.log.Info("attemptAbsent", "job", key.Job, "step", key.Step, "index", key.Index, "attempt", p.Attempt,
 			"worker", l.registration.ID, "inherited", inherited, "stopped", stopped)
 		records = s.endAttempt(records, p, job.EndLost, "")
@@ -448,6 +450,7 @@
 	if p.Stopping || step.Spec.Endless || !step.Progress(p, percent, s.now()) {
 		return
 	}
+	countLost("stalled")
 	s.log.Warn("attemptStalled", "job", p.Task.Job, "step", p.Task.Step, "index", p.Task.Index,
 		"attempt", p.Attempt, "worker", l.registration.ID, "percent", percent, "since", s.now()-p.ProgressMillis)
 	l.countFailure()
--- /dev/null
+++ b/internal/cluster/shard/metrics.go
@@ -0,0 +1,70 @@
+package shard
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/job"
+)
+
+// reason is why a request was not served; it labels log lines and metrics alike.
+type reason string
+
+// The reasons.
+const (
+	reasonStoreAway   reason = "storeAway"
+	reasonUnconfirmed reason = "unconfirmed"
+	reasonInvalid     reason = "invalid"
+	reasonNoQueue     reason = "noQueue"
+	reasonBadKey      reason = "badKey"
+)
+
+func countSubmission(outcome string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_submissions_total{outcome=%q}", outcome)).Inc()
+}
+
+func countEnd(queue string, outcome job.Outcome, age time.Duration) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_jobs_ended_total{queue=%q,outcome=%q}", queue, outcome)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf("citronbay_job_seconds{queue=%q}", queue)).Update(age.Seconds())
+}
+
+func countFirstStart(priority int, waited time.Duration) {
+	metrics.GetOrCreateHistogram(fmt.Sprintf("citronbay_first_start_seconds{priority=\"%d\"}", priority)).Update(waited.Seconds())
+}
+
+func countStart(answer worker.Answer) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_starts_total{answer=%q}", answer)).Inc()
+}
+
+func countUnanswered(order string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_orders_unanswered_total{order=%q}", order)).Inc()
+}
+
+func countLost(why string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_attempts_lost_total{reason=%q}", why)).Inc()
+}
+
+// setGauges tells the shard's present state; the caller holds the lock.
+func (s *Shard) setGauges(workers []*job.Worker) {
+	metrics.GetOrCreateGauge("citronbay_open_jobs", nil).Set(float64(len(s.state.OpenJobs())))
+	metrics.GetOrCreateGauge("citronbay_agreement_version", nil).Set(float64(s.agreement.Version))
+	usable := 0
+	var used, room job.Resources
+	for _, w := range workers {
+		if w.Usable {
+			usable++
+		}
+		used = used.Plus(s.state.Used(w.Key()))
+		room = room.Plus(w.Capacity)
+	}
+	metrics.GetOrCreateGauge("citronbay_workers_usable", nil).Set(float64(usable))
+	metrics.GetOrCreateGauge("citronbay_cores_used", nil).Set(float64(used.MilliCores) / 1000)
+	metrics.GetOrCreateGauge("citronbay_cores", nil).Set(float64(room.MilliCores) / 1000)
+	for name := range s.agreement.Rules.Teams {
+		metrics.GetOrCreateGauge(fmt.Sprintf("citronbay_team_cores{team=%q}", name), nil).
+			Set(float64(s.state.TeamUsed(name).MilliCores) / 1000)
+	}
+}
--- a/internal/cluster/shard/orders.go
+++ b/internal/cluster/shard/orders.go
@@ -51,6 +51,7 @@
 	if !s.current(p) {
 		return
 	}
+	countLost("givenBack")
 	s.log.Info("startGivenBack", "job", p.Task.Job, "step", p.Task.Step, "index", p.Task.Index,
 		"attempt", p.Attempt, "worker", p.Worker.ID, "reason", reason)
 	s.journal.Append(s.endAttempt(nil, p, job.EndLost, ""), nil)
@@ -98,6 +99,7 @@
 		answer, _, err := l.client.Start(ctx, order)
 		cancel()
 		if err == nil {
+			countStart(answer)
 			s.answered(l, p, answer, unanswered)
 			return
 		}
@@ -107,6 +109,7 @@
 		if !errors.Is(err, worker.ErrNotSent) {
 			unanswered = true
 		}
+		countUnanswered("start")
 		s.log.Warn("startUnanswered", "job", p.Task.Job, "step", p.Task.Step, "index", p.Task.Index,
 			"attempt", p.Attempt, "worker", p.Worker.ID, "error", err)
 	}
@@ -191,6 +194,7 @@
 	defer cancel()
 	err := l.client.Stop(ctx, task, attempt, s.tenure.Token())
 	if err != nil && l.ctx.Err() == nil {
+		countUnanswered("stop")
 		s.log.Warn("stopUnanswered", "job", task.Job, "step", task.Step, "index", task.Index,
 			"attempt", attempt, "worker", l.registration.ID, "error", err)
 	}
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -58,19 +58,13 @@
 	s.mu.Lock()
 	route, id, ok := s.agreement.Resolve(r.Host, r.Path)
 	if !ok {
-		s.mu.Unlock()
-		return caller.Response{
-			Status: caller.NoQueue,
-			Reason: "no queue at " + r.Host + r.Path,
-		}
+		defer s.mu.Unlock()
+		return s.turnAway(r, caller.NoQueue, reasonNoQueue)
 	}
 	team, known := s.agreement.TeamByKey[r.Key]
 	if !known && !route.Open {
-		s.mu.Unlock()
-		return caller.Response{
-			Status: caller.BadKey,
-			Reason: "the key is not granted",
-		}
+		defer s.mu.Unlock()
+		return s.turnAway(r, caller.BadKey, reasonBadKey)
 	}
 	switch {
 	case r.Verb == caller.Submit:
@@ -88,6 +82,17 @@
 	return s.read(ctx, id, team)
 }
 
+// turnAway answers a request that the agreement does not allow; the caller holds
+// the lock.
+func (s *Shard) turnAway(r caller.Request, status caller.Status, why reason) caller.Response {
+	countSubmission(string(why))
+	s.log.Info("requestTurnedAway", "host", r.Host, "path", r.Path, "reason", why, "agreement", s.agreement.Version)
+	return caller.Response{
+		Status: status,
+		Reason: string(why),
+	}
+}
+
 func (s *Shard) pending(queue string) int {
 	n := 0
 	for _, j := range s.state.OpenJobs() {
@@ -106,26 +111,27 @@
 	}
 	if !s.Valid() || s.journal.Stalled() > stallLimit {
 		s.mu.Unlock()
-		return refuse(storeAway)
+		return s.refuse(id, reasonStoreAway)
 	}
-	reason := r.Invalid
-	if reason == "" && !validID(id) {
-		reason = "a job's id has 16 hexadecimal digits"
+	problem := r.Invalid
+	if problem == "" && !validID(id) {
+		problem = "a job's id has 16 hexadecimal digits"
 	}
-	if reason == "" && r.Submission == nil {
-		reason = "the submission is empty"
+	if problem == "" && r.Submission == nil {
+		problem = "the submission is empty"
 	}
-	if reason == "" {
+	if problem == "" {
 		if err := r.Submission.Validate(); err != nil {
-			reason = err.Error()
+			problem = err.Error()
 		}
 	}
-	if reason != "" {
+	if problem != "" {
 		s.mu.Unlock()
-		s.log.Info("jobInvalid", "job", id, "reason", reason)
+		countSubmission(string(reasonInvalid))
+		s.log.Info("jobRefused", "job", id, "reason", reasonInvalid, "problem", problem)
 		return caller.Response{
 			Status: caller.Invalid,
-			Reason: reason,
+			Reason: problem,
 		}
 	}
 	now := s.now()
@@ -145,13 +151,13 @@
 	return s.accepted(ctx, id, records)
 }
 
-// storeAway is the reason of refusals while nothing can be recorded.
-const storeAway = "the store does not answer"
-
-func refuse(reason string) caller.Response {
+// refuse answers a submission that certainly never runs.
+func (s *Shard) refuse(id string, why reason) caller.Response {
+	countSubmission(string(why))
+	s.log.Info("jobRefused", "job", id, "reason", why, "stalled", s.journal.Stalled(), "leaseRemaining", s.tenure.Remaining())
 	return caller.Response{
 		Status:      caller.Refused,
-		Reason:      reason,
+		Reason:      string(why),
 		RetryMillis: retryMillis + rand.Int64N(retryMillis),
 	}
 }
@@ -170,24 +176,32 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if s.state.Job(id) == nil {
-				return refuse(storeAway) // withdrawn by another copy's request
+				return s.refuse(id, reasonStoreAway) // withdrawn by another copy's request
 			}
+			countSubmission("accepted")
 			return caller.Response{Status: caller.OK}
 		case <-time.After(stallLook):
 			if s.journal.Stalled() > stallLimit && s.withdraw(id) {
-				return refuse(storeAway)
+				return s.refuse(id, reasonStoreAway)
 			}
 		case <-ctx.Done():
 			if s.withdraw(id) {
-				return refuse(storeAway)
+				return s.refuse(id, reasonStoreAway)
 			}
-			return unconfirmed()
+			return s.leaveOpen(id)
 		case <-s.tenure.Context().Done():
-			return unconfirmed()
+			return s.leaveOpen(id)
 		}
 	}
 }
 
+// leaveOpen answers a submission that may or may not have been accepted.
+func (s *Shard) leaveOpen(id string) caller.Response {
+	countSubmission(string(reasonUnconfirmed))
+	s.log.Warn("jobUnconfirmed", "job", id, "stalled", s.journal.Stalled(), "leaseRemaining", s.tenure.Remaining())
+	return unconfirmed()
+}
+
 func unconfirmed() caller.Response {
 	return caller.Response{
 		Status: caller.Unknown,
@@ -315,6 +329,7 @@
 
 // finish ends the job and stops what still runs of it; the caller holds the lock.
 func (s *Shard) finish(records []job.Record, j *job.Job, outcome job.Outcome) []job.Record {
+	countEnd(j.Queue, outcome, time.Duration(s.now()-j.SubmittedMillis)*time.Millisecond)
 	s.log.Info("jobEnded", "job", j.ID, "team", j.Team, "queue", j.Queue, "outcome", outcome,
 		"ageMillis", s.now()-j.SubmittedMillis)
 	records = s.apply(records, job.Record{
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -22,6 +22,8 @@
 	// planShare bounds the passes' share of the time when a backlog makes them
 	// long: a pause lasts this many times the pass before it.
 	planShare = 6
+	// gaugeMillis is between settings of the gauges.
+	gaugeMillis = 500
 	// pruneInterval is how often ended jobs are forgotten.
 	pruneInterval = 5 * time.Second
 	// recoveryTimeout bounds the reading of the journal at a takeover.
@@ -62,6 +64,8 @@
 	epoch   int64
 	kick    chan struct{}
 	buckets map[string]*bucket
+	// gaugesSet is when the gauges were last set.
+	gaugesSet int64
 	// pruned is when ended jobs were last forgotten; only Run uses it.
 	pruned time.Time
 	// lastPlan is how long the last pass took; only Run uses it.
@@ -188,7 +192,12 @@
 		s.pruned = time.Now()
 		s.state.Prune(now - s.options.StatusTime.Milliseconds())
 	}
-	planner := job.NewPlanner(s.state, s.agreement.Rules, s.workers(), now)
+	workers := s.workers()
+	if now-s.gaugesSet > gaugeMillis {
+		s.gaugesSet = now
+		s.setGauges(workers)
+	}
+	planner := job.NewPlanner(s.state, s.agreement.Rules, workers, now)
 	if s.tenure.Remaining() > 0 {
 		if records := planner.Plan(now); len(records) > 0 {
 			s.logPlaced(records, now)
@@ -218,6 +227,9 @@
 			same++
 		}
 		j := s.state.Job(r.Job)
+		if r.Step == 0 && r.Attempt == 1 {
+			countFirstStart(s.agreement.Rules.Queues[j.Queue].Priority, time.Duration(now-j.SubmittedMillis)*time.Millisecond)
+		}
 		s.log.Info("tasksPlaced", "job", r.Job, "step", r.Step, "tasks", same-n, "attempt", r.Attempt,
 			"worker", r.Worker, "ageMillis", now-j.SubmittedMillis, "agreement", s.agreement.Version)
 		n = same
--- a/internal/cluster/worker/worker.go
+++ b/internal/cluster/worker/worker.go
@@ -57,6 +57,23 @@
 	WrongLife
 )
 
+var answerNames = map[Answer]string{
+	Started:          "started",
+	RefusedToken:     "refusedToken",
+	RefusedOld:       "refusedOld",
+	RefusedLate:      "refusedLate",
+	RefusedRoom:      "refusedRoom",
+	RefusedTicket:    "refusedTicket",
+	RefusedUnhealthy: "refusedUnhealthy",
+	RefusedInvalid:   "refusedInvalid",
+	WrongLife:        "wrongLife",
+}
+
+// String returns the answer's name in logs and metrics.
+func (a Answer) String() string {
+	return answerNames[a]
+}
+
 // Look renews the hold and asks what runs and what ended.
 type Look struct {
 	Token int64
@@ -84,6 +101,20 @@
 	Alone
 )
 
+var howNames = map[How]string{
+	Done:    "done",
+	Failed:  "failed",
+	Stopped: "stopped",
+	Lapsed:  "lapsed",
+	Broken:  "broken",
+	Alone:   "alone",
+}
+
+// String returns the end's name in logs.
+func (h How) String() string {
+	return howNames[h]
+}
+
 // Running is an attempt that runs.
 type Running struct {
 	Task       job.TaskKey
--- a/internal/command/operator/agreement.go
+++ b/internal/command/operator/agreement.go
@@ -30,6 +30,7 @@
 	registerJob(ctx, app, out)
 	registerRequest(ctx, app, out)
 	registerExplain(ctx, app, out)
+	registerLogs(app, out)
 }
 
 func changeRows(response operator.ChangeResponse) [][]string {
--- /dev/null
+++ b/internal/command/operator/logs.go
@@ -0,0 +1,76 @@
+package operator
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// maxLogLine bounds a line of a log, in bytes.
+const maxLogLine = 1 << 20
+
+// registerLogs adds the command that puts the lines of several processes about one
+// job in order.
+func registerLogs(app *kingpin.Application, out io.Writer) {
+	command := app.Command("logs", "Print the log lines about a job, from the logs of all nodes, in the order of time.")
+	id := command.Arg("job", "The job's id.").Required().String()
+	files := command.Arg("file", "Log files; standard input when none is given.").Strings()
+	command.Action(func(*kingpin.ParseContext) error {
+		readers := []io.Reader{os.Stdin}
+		if len(*files) > 0 {
+			readers = nil
+		}
+		for _, name := range *files {
+			file, err := os.Open(name)
+			if err != nil {
+				return fmt.Errorf("logs: %w", err)
+			}
+			defer func() {
+				_ = file.Close()
+			}()
+			readers = append(readers, file)
+		}
+		return printLogs(out, *id, readers...)
+	})
+}
+
+// printLogs writes the lines that contain the id, sorted by their time.
+func printLogs(out io.Writer, id string, readers ...io.Reader) error {
+	type line struct {
+		time, text string
+	}
+	var lines []line
+	for _, r := range readers {
+		scanner := bufio.NewScanner(r)
+		scanner.Buffer(nil, maxLogLine)
+		for scanner.Scan() {
+			text := scanner.Text()
+			if !strings.Contains(text, id) {
+				continue
+			}
+			_, after, _ := strings.Cut(text, "time=")
+			time, _, _ := strings.Cut(after, " ")
+			lines = append(lines, line{
+				time: time,
+				text: text,
+			})
+		}
+		if err := scanner.Err(); err != nil {
+			return fmt.Errorf("logs: %w", err)
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b line) int {
+		return strings.Compare(a.time, b.time)
+	})
+	for _, l := range lines {
+		if _, err := fmt.Fprintln(out, l.text); err != nil {
+			return fmt.Errorf("logs: %w", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/decide/job/explain.go
@@ -0,0 +1,71 @@
+package job
+
+import "fmt"
+
+var outcomeNames = map[Outcome]string{
+	Open:      "open",
+	Completed: "completed",
+	Failed:    "failed",
+	Cancelled: "cancelled",
+}
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	return outcomeNames[o]
+}
+
+// Explain tells where the step's tasks are and what the waiting ones lack, one
+// fact a line.
+func (p *Planner) Explain(step *Step, now int64) []string {
+	lines := []string{fmt.Sprintf("step %d: %d of %d tasks done, %d placed, %d waiting",
+		step.Number, step.done, len(step.Tasks), step.placed, step.waiting)}
+	for n, t := range step.Tasks {
+		if t.Place != nil {
+			lines = append(lines, fmt.Sprintf("step %d task %d: attempt %d at worker %s, confirmed %v, uncertain %v, stopping %v, %.0f %%",
+				step.Number, n, t.Place.Attempt, t.Place.Worker.ID, t.Place.Confirmed, t.Place.Uncertain, t.Place.Stopping, t.Place.Percent))
+		}
+	}
+	if step.Waiting() == 0 || step.Job.Outcome != Open {
+		return lines
+	}
+	return append(lines, fmt.Sprintf("step %d waits: %s", step.Number, p.lack(step, now)))
+}
+
+// lack returns the first thing that keeps the step's tasks from starting.
+func (p *Planner) lack(step *Step, now int64) string {
+	if !step.Ready() {
+		return "an earlier step is not done"
+	}
+	queue, ok := p.rules.Queues[step.Job.Queue]
+	if !ok {
+		return "its queue is not in the agreement in force"
+	}
+	want := 1
+	if step.Spec.Gang {
+		want = step.Spec.Count
+	}
+	if !p.withinCap(step, want) {
+		return "its team is at its cap"
+	}
+	known := p.known(step, queue)
+	if queue.Policy != nil && !step.Advice.asked {
+		return "the policy service has not been asked yet"
+	}
+	fitting := 0
+	for _, w := range known {
+		if step.Spec.Needs.FitsIn(p.freeFor(step, w)) {
+			fitting++
+		}
+	}
+	switch {
+	case len(known) == 0:
+		return "no usable worker is allowed"
+	case fitting == 0:
+		return fmt.Sprintf("none of %d allowed workers has room for a task", len(known))
+	case step.Spec.Gang && p.packGang(step, known) == nil:
+		return fmt.Sprintf("the gang does not fit on %d allowed workers at once", len(known))
+	case queue.Policy != nil && step.Advice.validUntil <= now+ticketMarginMillis:
+		return "its tickets have expired and are being renewed"
+	}
+	return "its turn, or room kept for a gang"
+}
