--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -134,7 +134,7 @@
 		records = s.endAttempt(records, p, job.EndLost, "")
 	}
 	if len(records) > 0 {
-		s.journal.Append(records, nil)
+		s.record(records, nil)
 		s.wake()
 	}
 }
@@ -299,7 +299,7 @@
 	s.wake()
 	durable := make(chan struct{})
 	newest := l.newestEnd
-	s.journal.Append(records, func() {
+	s.record(records, func() {
 		s.mu.Lock()
 		l.recordedEnd = max(l.recordedEnd, newest)
 		s.mu.Unlock()
--- a/internal/cluster/shard/orders.go
+++ b/internal/cluster/shard/orders.go
@@ -54,7 +54,7 @@
 	countLost("givenBack")
 	s.log.Info("startGivenBack", "job", p.Task.Job, "step", p.Task.Step, "index", p.Task.Index,
 		"attempt", p.Attempt, "worker", p.Worker.ID, "reason", reason)
-	s.journal.Append(s.endAttempt(nil, p, job.EndLost, ""), nil)
+	s.record(s.endAttempt(nil, p, job.EndLost, ""), nil)
 	s.wake()
 }
 
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -52,9 +52,6 @@
 	if s.tenure.Context().Err() != nil {
 		return caller.Response{Status: caller.NotOwner}
 	}
-	if r.Verb != caller.Submit && !s.Valid() {
-		return caller.Response{Status: caller.NotOwner}
-	}
 	s.mu.Lock()
 	route, id, ok := s.agreement.Resolve(r.Host, r.Path)
 	if !ok {
@@ -66,9 +63,16 @@
 		defer s.mu.Unlock()
 		return s.turnAway(r, caller.BadKey, reasonBadKey)
 	}
+	if response, ok := s.known(r, team, id); ok {
+		defer s.mu.Unlock()
+		return response
+	}
 	switch {
 	case r.Verb == caller.Submit:
 		return s.submit(ctx, r, route, team, id)
+	case !s.Valid():
+		defer s.mu.Unlock()
+		return caller.Response{Status: caller.NotOwner}
 	case r.Verb == caller.Cancel:
 		return s.cancel(ctx, id, team)
 	case id == "":
@@ -82,6 +86,25 @@
 	return s.read(ctx, id, team)
 }
 
+// known answers what the journal holds for good, which is true whether or not the
+// store answers now and the lease lasts: that a job was accepted, and how it ended.
+func (s *Shard) known(r caller.Request, team, id string) (caller.Response, bool) {
+	j := s.state.Job(id)
+	if j == nil || team != "" && j.Team != team {
+		return caller.Response{}, false
+	}
+	switch {
+	case r.Verb == caller.Submit && j.Recorded, r.Verb == caller.Cancel && j.EndRecorded:
+		return caller.Response{Status: caller.OK}, true
+	case r.Verb == caller.Read && j.EndRecorded:
+		return caller.Response{
+			Status: caller.OK,
+			State:  stateOf(j),
+		}, true
+	}
+	return caller.Response{}, false
+}
+
 // turnAway answers a request that the agreement does not allow; the caller holds
 // the lock.
 func (s *Shard) turnAway(r caller.Request, status caller.Status, why reason) caller.Response {
@@ -166,7 +189,7 @@
 // takes it back when the store is away and it has not been sent there.
 func (s *Shard) accepted(ctx context.Context, id string, records []job.Record) caller.Response {
 	durable := make(chan struct{})
-	s.journal.Append(records, func() {
+	s.record(records, func() {
 		close(durable)
 	})
 	s.mu.Unlock()
@@ -248,7 +271,7 @@
 // are durable. If that stays open, so does the answer.
 func (s *Shard) afterCommit(ctx context.Context, records []job.Record, response caller.Response) caller.Response {
 	durable := make(chan struct{})
-	s.journal.Append(records, func() {
+	s.record(records, func() {
 		close(durable)
 	})
 	s.mu.Unlock()
@@ -287,7 +310,7 @@
 // job has not ended.
 func (s *Shard) readEnd(ctx context.Context, ended caller.Response) caller.Response {
 	durable := make(chan struct{})
-	s.journal.Append(nil, func() {
+	s.record(nil, func() {
 		close(durable)
 	})
 	s.mu.Unlock()
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -105,6 +105,7 @@
 			return nil, fmt.Errorf("shard: recover: %w", err)
 		}
 	}
+	s.state.MarkRecorded()
 	if s.agreement = options.Agreement(); s.agreement == nil {
 		return nil, errors.New("shard: recover: the tenure ended before the agreement was read")
 	}
@@ -181,6 +182,36 @@
 	return append(records, r)
 }
 
+// record hands the records to the journal, and calls done, if any, once they are
+// durable. Jobs are marked when their acceptance and their end are, so that later
+// questions about them need not wait; the caller holds the lock.
+func (s *Shard) record(records []job.Record, done func()) {
+	var accepted, ended []*job.Job
+	for _, r := range records {
+		switch r.Kind {
+		case job.RecordAccept:
+			accepted = append(accepted, s.state.Job(r.Job))
+		case job.RecordFinish:
+			ended = append(ended, s.state.Job(r.Job))
+		}
+	}
+	s.journal.Append(records, func() {
+		if len(accepted)+len(ended) > 0 {
+			s.mu.Lock()
+			for _, j := range accepted {
+				j.Recorded = true
+			}
+			for _, j := range ended {
+				j.EndRecorded = true
+			}
+			s.mu.Unlock()
+		}
+		if done != nil {
+			done()
+		}
+	})
+}
+
 // plan runs one pass: it lets holds lapse, starts what fits and asks the policy
 // service.
 func (s *Shard) plan() {
@@ -197,11 +228,13 @@
 		s.gaugesSet = now
 		s.setGauges(workers)
 	}
-	planner := job.NewPlanner(s.state, s.agreement.Rules, workers, now)
-	if s.tenure.Remaining() > 0 {
+	planner := job.NewPlanner(s.state, s.agreement.Rules, workers, now).WithCommitMillis(s.journal.Usual().Milliseconds())
+	// What is placed while the store is away would hold room until its tickets have
+	// expired.
+	if s.tenure.Remaining() > 0 && s.journal.Stalled() < stallLimit {
 		if records := planner.Plan(now); len(records) > 0 {
 			s.logPlaced(records, now)
-			s.journal.Append(records, func() {
+			s.record(records, func() {
 				s.startAll(records)
 			})
 		}
--- a/internal/cluster/store/journal.go
+++ b/internal/cluster/store/journal.go
@@ -110,6 +110,13 @@
 	return j.stalled()
 }
 
+// Usual returns the moving average of the time of an answer of the store.
+func (j *Journal[R]) Usual() time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.usual
+}
+
 func (j *Journal[R]) stalled() time.Duration {
 	switch {
 	case !j.refused.IsZero():
--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -203,7 +203,7 @@
 		if !step.Spec.Needs.FitsIn(w.free) {
 			continue
 		}
-		if step.Advice.valid(w, now) {
+		if step.Advice.valid(w, p.startBy(now)) {
 			return nil, true
 		}
 		if len(found) < want+spare {
@@ -215,7 +215,7 @@
 
 func (p *Planner) allValid(step *Step, plan map[*Worker]int, now int64) bool {
 	for w := range plan {
-		if !step.Advice.valid(w, now) {
+		if !step.Advice.valid(w, p.startBy(now)) {
 			return false
 		}
 	}
--- a/internal/decide/job/explain.go
+++ b/internal/decide/job/explain.go
@@ -64,7 +64,7 @@
 		return fmt.Sprintf("none of %d allowed workers has room for a task", len(known))
 	case step.Spec.Gang && p.packGang(step, known) == nil:
 		return fmt.Sprintf("the gang does not fit on %d allowed workers at once", len(known))
-	case queue.Policy != nil && step.Advice.validUntil <= now+ticketMarginMillis:
+	case queue.Policy != nil && step.Advice.validUntil <= p.startBy(now):
 		return "its tickets have expired and are being renewed"
 	}
 	return "its turn, or room kept for a gang"
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -229,6 +229,9 @@
 	// Excess marks a job beyond its team's agreed rate.
 	Excess  bool
 	Started bool
+	// Recorded and EndRecorded tell that acceptance and end are durable.
+	Recorded    bool
+	EndRecorded bool
 	// chainMillis is the longest chain of estimated run times.
 	chainMillis int64
 }
--- a/internal/decide/job/planner.go
+++ b/internal/decide/job/planner.go
@@ -5,9 +5,9 @@
 	"slices"
 )
 
-// ticketMarginMillis is what a ticket must still be valid when a start is
-// decided: a commit to the store, and a hop between regions with its retry.
-const ticketMarginMillis = 150
+// ticketMarginMillis is what a ticket must still be valid when a start is decided,
+// beside the time of a commit: a hop between regions, and its repetition.
+const ticketMarginMillis = 140
 
 // Worker is what the shard's owner believes of one life of a worker. The owner
 // keeps one value a life, since tickets refer to it.
@@ -46,6 +46,21 @@
 	// most is the largest room of any usable worker in each dimension; what does
 	// not fit in it fits nowhere.
 	most Resources
+	// commitMillis is how long a decision takes to be recorded.
+	commitMillis int64
+}
+
+// WithCommitMillis returns the planner for decisions that take so long to be
+// recorded, in milliseconds; tickets must outlast that.
+func (p *Planner) WithCommitMillis(millis int64) *Planner {
+	with := *p
+	with.commitMillis = millis
+	return &with
+}
+
+// startBy returns when a ticket must still be valid for a start decided now.
+func (p *Planner) startBy(now int64) int64 {
+	return now + ticketMarginMillis + p.commitMillis
 }
 
 // NewPlanner returns a planner of one moment; the workers must not change while
@@ -210,7 +225,7 @@
 		if priority, ok := kept[w]; ok && priority < queue.Priority {
 			return true
 		}
-		return queue.Policy != nil && !step.Advice.valid(w, now+ticketMarginMillis)
+		return queue.Policy != nil && !step.Advice.valid(w, p.startBy(now))
 	})
 }
 
@@ -224,7 +239,7 @@
 	for _, step := range p.steps {
 		queue := p.rules.Queues[step.Job.Queue]
 		fits := step.Advice.reserved != nil || step.Spec.Needs.FitsIn(p.most)
-		valid := queue.Policy == nil || step.Advice.validUntil > now+ticketMarginMillis
+		valid := queue.Policy == nil || step.Advice.validUntil > p.startBy(now)
 		if !step.Spec.Gang {
 			if fits && valid {
 				records = append(records, p.placeEach(step, p.ready(step, queue, kept, now))...)
--- a/internal/decide/job/planner_test.go
+++ b/internal/decide/job/planner_test.go
@@ -221,3 +221,31 @@
 		}
 	}
 }
+
+// TestTicketsOutlastTheCommit replays a slow store: a ticket that would expire
+// before the start is recorded is not used, but renewed.
+func TestTicketsOutlastTheCommit(t *testing.T) {
+	for name, test := range map[string]struct {
+		commitMillis int64
+		placed       int
+	}{
+		"quick store": {commitMillis: 5, placed: 1},
+		"slow store":  {commitMillis: 320, placed: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			workers := fleet(1)
+			accept(t, state, "a", "team0", "advised", 0, job.StepSpec{
+				Count: 1,
+				Needs: cores(1),
+			})
+			p := job.NewPlanner(state, teamsAndQueues(1), workers, 0)
+			p.Questions(0, 1, 1, 200)[0].Answered(map[*job.Worker]job.Ticket{
+				workers[0]: {ExpiresMillis: 400},
+			}, true)
+			p = job.NewPlanner(state, teamsAndQueues(1), workers, 0).WithCommitMillis(test.commitMillis)
+			assert.Equal(t, len(p.Plan(0)), test.placed)
+			assert.Equal(t, len(p.Questions(0, 1, 1, 200)), 1-test.placed)
+		})
+	}
+}
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -350,6 +350,14 @@
 	}
 }
 
+// MarkRecorded marks all jobs as durable, as a state is that was just rebuilt.
+func (s *State) MarkRecorded() {
+	for _, j := range s.jobs {
+		j.Recorded = true
+		j.EndRecorded = j.Outcome != Open
+	}
+}
+
 func (j *Job) placed() bool {
 	for _, step := range j.Steps {
 		if step.placed > 0 {
