--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -284,15 +284,19 @@
 	return unconfirmed()
 }
 
+func gone() caller.Response {
+	return caller.Response{
+		Status: caller.Gone,
+		Reason: "no such job",
+	}
+}
+
 // read takes over the lock and releases it.
 func (s *Shard) read(ctx context.Context, id, team string) caller.Response {
 	j := s.state.Job(id)
 	if j == nil || (team != "" && j.Team != team) {
 		s.mu.Unlock()
-		return caller.Response{
-			Status: caller.Gone,
-			Reason: "no such job",
-		}
+		return gone()
 	}
 	response := caller.Response{
 		Status: caller.OK,
@@ -338,10 +342,7 @@
 	j := s.state.Job(id)
 	if j == nil || (team != "" && j.Team != team) {
 		s.mu.Unlock()
-		return caller.Response{
-			Status: caller.Gone,
-			Reason: "no such job",
-		}
+		return gone()
 	}
 	var records []job.Record
 	if j.Outcome == job.Open {
