Ignore old and foreign directory entries of a worker that is known

Cause: read as a newcomer: an entry of the directory with an earlier birth or another address was taken for a new life, so that all that ran there counted as lost and was started a second time. A watch that falls behind, a flapping worker or another writer can bring such an entry.

Ruled out: waiting for the worker's own word first (its report already names its birth and is taken before the directory's).

Change: only a later birth is a new life; other entries are logged and ignored.

--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -77,20 +77,26 @@
 	s.wake()
 }
 
+// setWorker takes one entry of the directory. An entry of an earlier life is old
+// news, and one of the same life at another address is somebody else's: neither
+// says that what runs has ended.
 func (s *Shard) setWorker(r worker.Registration) {
 	l := s.links[r.ID]
-	if l != nil && l.registration.Born == r.Born && l.registration.Address == r.Address {
+	switch {
+	case l == nil:
+		s.addLink(r, true)
+	case r.Born > l.registration.Born:
+		s.dropLink(l, "new life")
+		s.addLink(r, true)
+	case r.Born == l.registration.Born && r.Address == l.registration.Address:
 		if r.Draining != l.registration.Draining {
 			s.log.Info("workerDraining", "worker", r.ID, "draining", r.Draining)
 		}
 		l.registration = r
 		l.listed = true
-		return
-	}
-	if l != nil {
-		s.dropLink(l, "new life")
+	default:
+		s.log.Warn("workerEntryIgnored", "worker", r.ID, "born", r.Born, "known", l.registration.Born, "address", r.Address)
 	}
-	s.addLink(r, true)
 }
 
 func (s *Shard) addLink(r worker.Registration, listed bool) *link {
