Wait for the holds of an owner whose lease was ended early

Cause: read as a newcomer: a successor counted 4 s of grace for holds that an earlier owner may still extend, from its own claim. Since leases are ended early (silent owner, handover), an owner that is cut off may believe in its lease for 1.2 s more. A worker that only the old owner reaches could then run a task that the successor starts elsewhere.

Ruled out: ending leases early only when the old owner confirms (it is silent).

Change: the successor adds the lease's time.

--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"github.com/citronbay/citronbay/internal/cluster/store"
 	"github.com/citronbay/citronbay/internal/cluster/worker"
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
@@ -24,9 +25,12 @@
 	// clockDrift is how much slower a worker's clock may run, from its protocol.
 	clockDrift = 1.02
 	// holdGrace is how long an owner goes on extending holds after its lease ran
-	// out, so that an outage of the store does not end what runs. A successor adds
-	// it to the time after which holds must have lapsed.
+	// out, so that an outage of the store does not end what runs.
 	holdGrace = 4 * time.Second
+	// foreignExtension is how long after a claim an earlier owner may go on extending
+	// holds: it may not know yet that its lease was ended early, and then has its
+	// grace.
+	foreignExtension = store.LeaseTime + holdGrace
 	// endsPerReport is the most ends that a report lists.
 	endsPerReport = 500
 	// failuresTolerated is the number of failures in a row after which a worker
@@ -99,10 +103,19 @@
 	}
 }
 
-func (s *Shard) addLink(r worker.Registration, listed bool) *link {
+func (s *Shard) addLink(r worker.Registration, listed bool) {
+	l := s.newLink(s.tenure.Context(), r, listed)
+	s.links[r.ID] = l
+	for _, p := range s.state.Placements(l.key()) {
+		p.Uncertain = true
+	}
+	go l.run()
+}
+
+func (s *Shard) newLink(ctx context.Context, r worker.Registration, listed bool) *link {
 	client, closeClient := s.options.Dial(r)
-	ctx, stop := context.WithCancel(s.tenure.Context())
-	l := &link{
+	ctx, stop := context.WithCancel(ctx)
+	return &link{
 		shard:        s,
 		client:       client,
 		close:        closeClient,
@@ -110,15 +123,8 @@
 		stop:         stop,
 		registration: r,
 		listed:       listed,
-		// An earlier owner may have extended the hold until its grace ended.
-		lastExtend: time.Now().Add(holdGrace),
-	}
-	s.links[r.ID] = l
-	for _, p := range s.state.Placements(l.key()) {
-		p.Uncertain = true
+		lastExtend:   time.Now().Add(foreignExtension),
 	}
-	go l.run()
-	return l
 }
 
 // dropLink ends a link whose worker's life is over: nothing runs there any more.
@@ -148,8 +154,7 @@
 // adoptOrphans lets the placements on workers that the directory does not list
 // lapse, since nobody can ask those workers.
 func (s *Shard) adoptOrphans() {
-	bound := s.lapseTime() + holdGrace
-	time.AfterFunc(bound, func() {
+	time.AfterFunc(s.lapseTime()+foreignExtension, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for _, key := range s.state.WorkersWithPlacements() {
