--- a/internal/api/peer/client.go
+++ b/internal/api/peer/client.go
@@ -112,7 +112,7 @@
 		Body:   body,
 	}
 	if deadline, ok := ctx.Deadline(); ok {
-		frame.RemainingMillis = max(1, time.Until(deadline).Milliseconds())
+		frame.RemainingMillis = remainingMillis(time.Until(deadline))
 	}
 	reply, err := c.exchange(ctx, frame)
 	if err != nil {
@@ -127,6 +127,12 @@
 	return response, nil
 }
 
+// remainingMillis rounds the caller's time left up, so that the peer, which counts
+// from the call's arrival, never gives up before the caller does.
+func remainingMillis(left time.Duration) int64 {
+	return max(1, int64((left+time.Millisecond-1)/time.Millisecond))
+}
+
 func (c *Client) exchange(ctx context.Context, frame callFrame) (replyFrame, error) {
 	var reply replyFrame
 	conn, err := c.connect(ctx)
--- a/internal/api/peer/peer_test.go
+++ b/internal/api/peer/peer_test.go
@@ -94,6 +94,21 @@
 	}
 }
 
+func TestPeerIsGivenNoLessTimeThanTheCallerHas(t *testing.T) {
+	for name, test := range map[string]struct {
+		left time.Duration
+		want int64
+	}{
+		"whole":    {2 * time.Millisecond, 2},
+		"fraction": {499*time.Millisecond + time.Microsecond, 500},
+		"over":     {-time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, remainingMillis(test.left), test.want)
+		})
+	}
+}
+
 func TestShortSecretIsRefused(t *testing.T) {
 	_, err := Identity("short")
 	assert.ErrorContains(t, err, "16")
