--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// planPause gathers events of some milliseconds into one pass of the planner.
-	planPause = 4 * time.Millisecond
+	// planPause gathers events of some milliseconds into one pass of the planner,
+	// whose decisions wait as long for the journal's next entry.
+	planPause = 10 * time.Millisecond
 	// planInterval bounds the time between passes, for what only time changes.
 	planInterval = 100 * time.Millisecond
 	// planShare bounds the passes' share of the time when a backlog makes them
