Few nodes watch the owner closely; a new owner announces itself

Cause: each node reports to the owner five times a second: 175 calls a second on the grown deployment, as many as its jobs, and it grows with the number of nodes. Each answer lists all members. Ruled out: fewer reports of all, which would make a killed owner noticed later; a majority is not needed to notice it, two nodes are. Change: the seven first nodes by address report as before, the others every 0.9 s. What the others would learn late they are told: a new owner says so to all nodes.

--- a/internal/cluster/node/doubt.go
+++ b/internal/cluster/node/doubt.go
@@ -43,7 +43,7 @@
 		}
 		if answered || owner.Life == n.life || owner.Address == "" {
 			failures = 0
-			wait(ctx, helloInterval)
+			wait(ctx, n.reportInterval())
 			continue
 		}
 		failures++
@@ -216,22 +216,36 @@
 	return best.address
 }
 
-// tellReleased tells the other nodes that this one has given ownership up, so
-// that a successor need not wait for silence.
-func (n *Node) tellReleased(successor string) {
-	owner, _ := n.currentOwner()
+// announce tells the other nodes that this one has become the owner, so that they
+// need not find out.
+func (n *Node) announce(owner store.Owner) {
 	message := n.hello()
-	message.Released = owner.Token
-	message.Successor = successor
-	n.log.Info("ownershipReleased", "token", owner.Token, "successor", message.Successor)
+	message.Owner = owner
+	message.Token = owner.Token
+	n.tell(message, "ownerNotAnnounced")
+}
+
+// tell sends the message to all other nodes and does not wait for them.
+func (n *Node) tell(message hello, failure string) {
 	for _, address := range n.addresses(n.options.Address) {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), helloTimeout)
 			defer cancel()
 			_, err := peer.Call[welcome](ctx, n.peer(address), methodHello, message)
 			if err != nil {
-				n.log.Info("releaseNotTold", "address", address, "error", err)
+				n.log.Info(failure, "address", address, "error", err)
 			}
 		}()
 	}
 }
+
+// tellReleased tells the other nodes that this one has given ownership up, so
+// that a successor need not wait for silence.
+func (n *Node) tellReleased(successor string) {
+	owner, _ := n.currentOwner()
+	message := n.hello()
+	message.Released = owner.Token
+	message.Successor = successor
+	n.log.Info("ownershipReleased", "token", owner.Token, "successor", message.Successor)
+	n.tell(message, "releaseNotTold")
+}
--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -18,8 +18,9 @@
 const (
 	// electInterval is how often a node without an owner looks at the store.
 	electInterval = 250 * time.Millisecond
-	// ownerFresh is how long an owner's last word spares a look at the store.
-	ownerFresh = 700 * time.Millisecond
+	// ownerFresh is how long beyond the interval of reports an owner's last word
+	// spares a look at the store.
+	ownerFresh = 500 * time.Millisecond
 	// storeTimeout bounds a look at the store.
 	storeTimeout = time.Second
 	// distanceFactor times the round trip to the store is a node's handicap, so
@@ -75,9 +76,10 @@
 }
 
 func (n *Node) ownerIsFresh() bool {
+	limit := n.reportInterval() + ownerFresh
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return time.Since(n.ownerSeen) < ownerFresh
+	return time.Since(n.ownerSeen) < limit
 }
 
 // contend looks at the store and becomes the owner if there is none.
@@ -227,13 +229,15 @@
 	go store.Follow(tenure.Context(), n.options.Store, n.options.Agreements.Key, n.log, func(items map[string]store.Item) {
 		n.takeAgreement(s, items)
 	})
-	n.setShard(s, store.Owner{
+	self := store.Owner{
 		Node:    n.options.Name,
 		Life:    n.life,
 		Address: n.options.Address,
 		Token:   tenure.Token(),
-	})
+	}
+	n.setShard(s, self)
 	defer n.setShard(nil, store.Owner{})
+	n.announce(self)
 	metrics.GetOrCreateHistogram("citronbay_takeover_seconds").Update(time.Since(taken).Seconds())
 	n.log.Info("takeoverDone", "token", tenure.Token(), "took", time.Since(taken))
 	go n.endWhenLeaving(ctx, tenure)
@@ -259,11 +263,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.shard = s
-	n.ownerSeen = time.Now()
 	if s == nil {
-		n.ownerSeen = n.ownerSeen.Add(-ownerFresh)
+		n.ownerSeen = time.Time{}
 		return
 	}
+	n.ownerSeen = time.Now()
 	n.setOwner(owner)
 }
 
--- a/internal/cluster/node/peers.go
+++ b/internal/cluster/node/peers.go
@@ -19,10 +19,15 @@
 	methodAdvise = "advise"
 	methodProbe  = "probe"
 
-	// helloInterval is how often a node reports to the owner, which takes its
-	// silence for helloLimit as a reason not to ask it for advice.
-	helloInterval = 200 * time.Millisecond
-	helloLimit    = 1500 * time.Millisecond
+	// helloInterval is how often each of the first watchers among the nodes reports
+	// to the owner, and so notices its silence; the others report every
+	// slowHelloInterval, so that the owner's cost hardly grows with their number. The
+	// owner takes a silence of helloLimit as a reason not to ask for advice.
+	helloInterval     = 200 * time.Millisecond
+	slowHelloInterval = 900 * time.Millisecond
+	helloLimit        = 2200 * time.Millisecond
+	// watchers is a whole cell of today's size.
+	watchers = 7
 	// helloTimeout bounds one report; a round trip between regions is 40 ms.
 	helloTimeout = 300 * time.Millisecond
 )
@@ -40,6 +45,9 @@
 	AgeMillis int64 `cbor:"6,keyasint,omitempty"`
 	// StoreMillis is its shortest round trip to the store.
 	StoreMillis float64 `cbor:"7,keyasint,omitempty"`
+	// Owner is the node itself when it has become the owner, at Token.
+	Owner store.Owner `cbor:"8,keyasint"`
+	Token int64       `cbor:"9,keyasint,omitempty"`
 }
 
 // welcome answers a hello.
@@ -99,6 +107,12 @@
 			storeMillis: h.StoreMillis,
 		}
 	}
+	h.Owner.Token = h.Token
+	if h.Token > n.owner.Token {
+		n.log.Info("ownerLearned", "owner", h.Owner.Node, "token", h.Token, "before", n.owner.Token, "announced", true)
+		n.setOwner(h.Owner)
+		n.ownerSeen = time.Now()
+	}
 	if h.Released > 0 && h.Released == n.owner.Token {
 		n.ownerSeen = time.Time{}
 		n.nominee = h.Successor
@@ -132,6 +146,26 @@
 	}
 }
 
+// watches reports whether this node is among the first by address, which notice
+// first that the owner is silent.
+func (n *Node) watches() bool {
+	before := 0
+	for _, address := range n.addresses("") {
+		if address < n.options.Address {
+			before++
+		}
+	}
+	return before < watchers
+}
+
+// reportInterval returns how long the node waits between reports to the owner.
+func (n *Node) reportInterval() time.Duration {
+	if n.watches() {
+		return helloInterval
+	}
+	return slowHelloInterval
+}
+
 func (n *Node) askOthers(ctx context.Context, except string) {
 	for _, a := range n.addresses(except) {
 		go n.greetOne(ctx, a, false)
