Let the owner be where there is room

Cause: on the grown deployments entry VMs have 0.192 to 0.8 of a core, and any of them became owner after a loss of the last one. A weak one carries a quarter of the load. Ruled out: moving admission only; the owner's own core is what is full (0.61 of 0.8). Change: nodes tell each other their cores, from the settings. A successor is named, and a claim made first, among the strong ones near the store; an owner hands over to a node with 1.5 times its cores that the store answers; a weak node doubts an owner later.

--- a/internal/cluster/node/doubt.go
+++ b/internal/cluster/node/doubt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/api/peer"
@@ -18,8 +17,6 @@
 	// probeSlack is what this node's own call to the store may take beyond twice the
 	// time of another's.
 	probeSlack = 100 * time.Millisecond
-	// nearFactor times the shortest round trip to the store still counts as near.
-	nearFactor = 3
 )
 
 // greet reports to the owner in turn, and asks others for the owner when it does
@@ -48,7 +45,7 @@
 		}
 		failures++
 		n.peer(owner.Address).Reset()
-		if failures < silentHellos {
+		if failures < n.patience() {
 			continue // the next hello, over a new connection, decides
 		}
 		if n.ownerIsSilent(ctx, owner) {
@@ -58,6 +55,17 @@
 	}
 }
 
+// patience returns the number of hellos without answer after which this node doubts
+// the owner; a weak one leaves the claim to others for longer.
+func (n *Node) patience() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.isWeak() {
+		return 2 * silentHellos
+	}
+	return silentHellos
+}
+
 // ownerIsSilent reports whether another node confirms that the owner is silent and
 // none contradicts.
 func (n *Node) ownerIsSilent(ctx context.Context, owner store.Owner) bool {
@@ -120,6 +128,9 @@
 	if w.Token > 0 {
 		n.learnOwner(w.Owner)
 	}
+	n.mu.Lock()
+	n.strongest = w.Strongest
+	n.mu.Unlock()
 	if expected {
 		n.mu.Lock()
 		n.ownerHeard = time.Now()
@@ -189,33 +200,6 @@
 	return ""
 }
 
-// successor returns the address of the node that should own the shard next: near
-// the store, and the one that was started last, since machines are stopped and
-// started in turn and it has had its turn.
-func (n *Node) successor() string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	var fresh []member
-	nearest := math.Inf(1)
-	for _, m := range n.members {
-		if time.Since(m.seen) > helloLimit || m.address == n.options.Address {
-			continue
-		}
-		if m.storeMillis == 0 {
-			m.storeMillis = math.Inf(1) // it has not reached the store yet
-		}
-		fresh = append(fresh, m)
-		nearest = min(nearest, m.storeMillis)
-	}
-	var best member
-	for _, m := range fresh {
-		if m.storeMillis <= nearest*nearFactor && m.born.After(best.born) {
-			best = m
-		}
-	}
-	return best.address
-}
-
 // announce tells the other nodes that this one has become the owner, so that they
 // need not find out.
 func (n *Node) announce(owner store.Owner) {
--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -174,6 +174,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	d := min(maxHandicap, n.roundTrip*distanceFactor) + rand.N(electInterval/2)
+	if n.isWeak() {
+		d += weakHandicap
+	}
 	if n.nominee != "" && time.Since(n.nominated) < nomineeTime {
 		d += nomineeTime
 	}
@@ -242,6 +245,7 @@
 	n.log.Info("takeoverDone", "token", tenure.Token(), "took", time.Since(taken))
 	go n.endWhenLeaving(ctx, tenure)
 	go n.endWhenTurnedAway(tenure)
+	go n.endWhenStronger(tenure)
 	return s.Run()
 }
 
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -51,7 +51,9 @@
 	Advisor    worker.Advisor
 	StatusTime time.Duration
 	HoldTime   time.Duration
-	Log        *slog.Logger
+	// Cores is the processor time that the node may use, in cores.
+	Cores float64
+	Log   *slog.Logger
 }
 
 // Node is one process of the cluster. Create it with New.
@@ -80,6 +82,8 @@
 	members      map[string]member
 	clients      map[string]*peer.Client
 	roundTrip    time.Duration
+	// strongest is the cores of the strongest good owner that another node knows of.
+	strongest float64
 	// nominee is the address of the node that the last owner wants as its
 	// successor, and nominated when it said so.
 	nominee string
@@ -88,16 +92,6 @@
 	nominated time.Time
 }
 
-// member is another node that the owner has heard of.
-type member struct {
-	address string
-	seen    time.Time
-	// born is when its process was started.
-	born time.Time
-	// storeMillis is its shortest round trip to the store.
-	storeMillis float64
-}
-
 // New returns a node that does nothing until Run.
 func New(options Options) (*Node, error) {
 	identity, err := peer.Identity(options.Secret)
--- a/internal/cluster/node/peers.go
+++ b/internal/cluster/node/peers.go
@@ -48,6 +48,8 @@
 	// Owner is the node itself when it has become the owner, at Token.
 	Owner store.Owner `cbor:"8,keyasint"`
 	Token int64       `cbor:"9,keyasint,omitempty"`
+	// Cores is the processor time that the node may use, in cores.
+	Cores float64 `cbor:"10,keyasint,omitempty"`
 }
 
 // welcome answers a hello.
@@ -59,6 +61,8 @@
 	Members []string `cbor:"4,keyasint,omitempty"`
 	// OwnerAgeMillis is the age of the answering node's last word from the owner.
 	OwnerAgeMillis int64 `cbor:"5,keyasint,omitempty"`
+	// Strongest is the cores of the strongest good owner that the node knows of.
+	Strongest float64 `cbor:"6,keyasint,omitempty"`
 }
 
 type adviseRequest struct {
@@ -105,6 +109,7 @@
 			seen:        time.Now(),
 			born:        time.Now().Add(-time.Duration(h.AgeMillis) * time.Millisecond),
 			storeMillis: h.StoreMillis,
+			cores:       h.Cores,
 		}
 	}
 	h.Owner.Token = h.Token
@@ -124,6 +129,8 @@
 		Owner:   n.owner,
 		Token:   n.owner.Token,
 		Serving: n.shard != nil && n.shard.Valid(),
+
+		Strongest: n.strongestKnown(),
 	}
 	if n.shard == nil {
 		w.OwnerAgeMillis = time.Since(n.ownerHeard).Milliseconds()
@@ -143,6 +150,7 @@
 		Leaving:     n.leaving.Load(),
 		AgeMillis:   time.Since(n.born).Milliseconds(),
 		StoreMillis: n.roundTrip.Seconds() * 1000,
+		Cores:       n.options.Cores,
 	}
 }
 
--- a/internal/cluster/settings/settings.go
+++ b/internal/cluster/settings/settings.go
@@ -30,6 +30,10 @@
 	MetricsPort    int    `yaml:"metricsPort"`
 	StoreAddress   string `yaml:"storeAddress"`
 	AdvisorAddress string `yaml:"advisorAddress"`
+	// ProcessorShare is the share of a core that the process may use, and
+	// ProcessorSpeed how many times as fast as usual that core is.
+	ProcessorShare float64 `yaml:"processorShare"`
+	ProcessorSpeed float64 `yaml:"processorSpeed"`
 	// MemoryMB is what the process may use.
 	MemoryMB int64 `yaml:"memoryMB"`
 	// StatusSeconds is how long ended jobs are remembered.
@@ -82,6 +86,19 @@
 	return errors.Join(problems...)
 }
 
+// Cores returns the processor time that the process may use, in cores; one when
+// the settings do not say.
+func (s Settings) Cores() float64 {
+	cores := 1.0
+	if s.ProcessorShare > 0 {
+		cores *= s.ProcessorShare
+	}
+	if s.ProcessorSpeed > 0 {
+		cores *= s.ProcessorSpeed
+	}
+	return cores
+}
+
 // PeerAddress returns the node's address for its peers.
 func (s Settings) PeerAddress() string {
 	return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPorts[0]))
