Tell the caller of a repeated try that its job was taken

Change: an entry says when an earlier try of the same call may have taken effect. An owner that has the job then answers as for any copy, whatever the agreement says now. New calls with a withdrawn key are turned away as before.

TestRepeatedSubmissionIsNotTurnedAway failed before.

--- a/internal/cluster/caller/caller.go
+++ b/internal/cluster/caller/caller.go
@@ -22,6 +22,9 @@
 	Submission *job.Submission `cbor:"5,keyasint,omitempty"`
 	// Invalid says why the body of a Submit cannot be accepted.
 	Invalid string `cbor:"6,keyasint,omitempty"`
+	// Repeated tells that an earlier try at the same call has no answer and may
+	// have taken effect.
+	Repeated bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Status is how a request ended.
--- a/internal/cluster/node/forward.go
+++ b/internal/cluster/node/forward.go
@@ -38,6 +38,7 @@
 	uncertain := false
 	begun := time.Now()
 	for ctx.Err() == nil {
+		r.Repeated = uncertain
 		response, err := n.try(ctx, r)
 		if err == nil && response.Status != caller.NotOwner && response.Status != caller.Unknown {
 			return response
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"path"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/cluster/caller"
@@ -54,12 +55,15 @@
 	}
 	s.mu.Lock()
 	route, id, ok := s.agreement.Resolve(r.Host, r.Path)
-	if !ok {
+	team, known := s.agreement.TeamByKey[r.Key]
+	switch {
+	case ok && (known || route.Open):
+	case s.takenBefore(r):
+		return s.accepted(ctx, path.Base(r.Path), nil)
+	case !ok:
 		defer s.mu.Unlock()
 		return s.turnAway(r, caller.NoQueue, reasonNoQueue)
-	}
-	team, known := s.agreement.TeamByKey[r.Key]
-	if !known && !route.Open {
+	default:
 		defer s.mu.Unlock()
 		return s.turnAway(r, caller.BadKey, reasonBadKey)
 	}
@@ -86,6 +90,13 @@
 	return s.read(ctx, id, team)
 }
 
+// takenBefore reports whether an earlier try at the same submission was taken. It was
+// allowed then, and its job runs, whatever the agreement in force now says of its route
+// and key; the caller holds the lock.
+func (s *Shard) takenBefore(r caller.Request) bool {
+	return r.Verb == caller.Submit && r.Repeated && s.state.Job(path.Base(r.Path)) != nil
+}
+
 // known answers what the journal holds for good, which is true whether or not the
 // store answers now and the lease lasts: that a job was accepted, and how it ended.
 func (s *Shard) known(r caller.Request, team, id string) (caller.Response, bool) {
@@ -188,6 +199,10 @@
 // accepted releases the lock and answers a submission once it is durable, or
 // takes it back when the store is away and it has not been sent there.
 func (s *Shard) accepted(ctx context.Context, id string, records []job.Record) caller.Response {
+	if j := s.state.Job(id); j != nil && j.Recorded {
+		s.mu.Unlock()
+		return caller.Response{Status: caller.OK}
+	}
 	durable := make(chan struct{})
 	s.record(records, func() {
 		close(durable)
--- /dev/null
+++ b/internal/cluster/shard/requests_test.go
@@ -0,0 +1,122 @@
+package shard
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/cluster/caller"
+	"github.com/citronbay/citronbay/internal/cluster/operator"
+	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/decide/job"
+)
+
+const (
+	acceptedID = "0123456789abcdef"
+	unknownID  = "fedcba9876543210"
+)
+
+// grantingStore grants each lease and carries out each transaction.
+type grantingStore struct {
+	store.Client
+}
+
+func (grantingStore) GrantLease(context.Context, time.Duration) (int64, time.Duration, error) {
+	return 1, time.Hour, nil
+}
+
+func (grantingStore) Commit(context.Context, store.Txn) (store.TxnResult, error) {
+	return store.TxnResult{
+		Done:     true,
+		Revision: 1,
+	}, nil
+}
+
+func (grantingStore) RenewLease(context.Context, int64) error {
+	return nil
+}
+
+func (grantingStore) EndLease(context.Context, int64) error {
+	return nil
+}
+
+// TestRepeatedSubmissionIsNotTurnedAway repeats a submission whose first try was
+// accepted by the owner before, after which the operators withdrew its key or its
+// route. Its caller must not hear that the job never runs; a new call is turned away.
+func TestRepeatedSubmissionIsNotTurnedAway(t *testing.T) {
+	for name, c := range map[string]struct {
+		host     string
+		id       string
+		repeated bool
+		want     caller.Status
+	}{
+		"withdrawn key": {
+			host:     "jobs.example",
+			id:       acceptedID,
+			repeated: true,
+			want:     caller.OK,
+		},
+		"withdrawn route": {
+			host:     "other.example",
+			id:       acceptedID,
+			repeated: true,
+			want:     caller.OK,
+		},
+		"withdrawn key, new call": {
+			host: "jobs.example",
+			id:   acceptedID,
+			want: caller.BadKey,
+		},
+		"withdrawn key, nothing accepted": {
+			host:     "jobs.example",
+			id:       unknownID,
+			repeated: true,
+			want:     caller.BadKey,
+		},
+		"withdrawn route, nothing accepted": {
+			host:     "other.example",
+			id:       unknownID,
+			repeated: true,
+			want:     caller.NoQueue,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			assert.NilError(t, state.Apply(job.Record{
+				Kind:  job.RecordAccept,
+				Job:   acceptedID,
+				Team:  "team",
+				Queue: "queue",
+			}))
+			state.MarkRecorded()
+			log := slog.New(slog.NewTextHandler(io.Discard, nil))
+			tenure, release, err := store.Claim(t.Context(), grantingStore{}, "fleet", store.Owner{}, log)
+			assert.NilError(t, err)
+			defer release()
+			s := &Shard{
+				tenure: tenure,
+				state:  state,
+				log:    log,
+				agreement: &operator.Agreement{
+					Routes: []operator.Route{{
+						Host:   "jobs.example",
+						Prefix: "/queue/",
+						Queue:  "queue",
+					}},
+				},
+			}
+			response := s.Serve(t.Context(), caller.Request{
+				Verb:     caller.Submit,
+				Host:     c.host,
+				Path:     "/queue/" + c.id,
+				Key:      "withdrawn",
+				Repeated: c.repeated,
+			})
+			assert.Equal(t, response.Status, c.want)
+		})
+	}
+}
