Write log lines of 20 ms at once

Cause: under the grown load the owner makes 7,000 system calls a second, which are charged there; some 400 of them write one log line each. Ruled out: fewer lines; each is a decision that on-call engineers ask about. Change: lines wait up to 20 ms for others. Budgets and the queue's bound are as before.

--- a/internal/cluster/operator/log.go
+++ b/internal/cluster/operator/log.go
@@ -23,6 +23,9 @@
 	eventBudget = 400
 	// byteBudget is the bytes a second of all lines.
 	byteBudget = 256 << 10
+	// gatherTime is how long lines wait for others, so that a busy process does not
+	// make a system call for each.
+	gatherTime = 20 * time.Millisecond
 )
 
 // NewLogger returns a logger that writes one line of key=value pairs an event and
@@ -134,19 +137,36 @@
 	for {
 		select {
 		case line := <-s.lines:
-			_, _ = w.Write(line) // nobody is left to tell
+			s.gather()
+			s.writeQueued(w, line)
 		case <-tick.C:
 			s.summarize(w)
 		case <-s.stop:
-			for len(s.lines) > 0 {
-				_, _ = w.Write(<-s.lines)
-			}
+			s.writeQueued(w, nil)
 			s.summarize(w)
 			return
 		}
 	}
 }
 
+// gather waits for more lines, but not for a logger that ends.
+func (s *logSink) gather() {
+	select {
+	case <-time.After(gatherTime):
+	case <-s.stop:
+	}
+}
+
+// writeQueued writes the first line and all that are queued at once.
+func (s *logSink) writeQueued(w io.Writer, first []byte) {
+	var text bytes.Buffer
+	text.Write(first)
+	for range len(s.lines) {
+		text.Write(<-s.lines)
+	}
+	_, _ = w.Write(text.Bytes()) // nobody is left to tell
+}
+
 // summarize writes how many lines were left out since the last time.
 func (s *logSink) summarize(w io.Writer) {
 	s.mu.Lock()
