--- a/internal/standin/proxy/tcp.go
+++ b/internal/standin/proxy/tcp.go
@@ -21,6 +21,7 @@
 	target   string
 	cut      bool
 	silent   bool
+	oneWay   bool
 	delay    time.Duration
 	cutAfter int64
 	pairs    map[*pair]struct{}
@@ -89,6 +90,14 @@
 	}
 }
 
+// SetOneWay drops all answers while requests still arrive, until it is unset;
+// connections that lost an answer stay silent.
+func (p *TCP) SetOneWay(oneWay bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.oneWay = oneWay
+}
+
 // SilenceOpen lets the open connections go silent for good; new ones work. It
 // returns how many they were.
 func (p *TCP) SilenceOpen() int {
@@ -214,6 +223,9 @@
 	time.Sleep(delay)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if answers && p.oneWay {
+		c.silent = true
+	}
 	if c.silent {
 		return nil, false, false
 	}
