Keep ownership near the store

Ruled out: weak machines (the owners had 0.8 of a core). Change: an owner that the store turns away prefers good owners, near the store and strong, that answer within 50 ms of the first; and an owner that is itself no good one beside a better, weak or far, hands over.

Tests: TestOwnershipGoesToBetterNodes, TestConnectedNodeIsAGoodOwner.

--- a/internal/cluster/node/candidate.go
+++ b/internal/cluster/node/candidate.go
@@ -18,11 +18,14 @@
 	// weakHandicap is how long a node waits before it claims when a stronger one is
 	// known, which most often has claimed by then.
 	weakHandicap = 500 * time.Millisecond
-	// strongerLook is how often an owner looks for a stronger node.
-	strongerLook = time.Second
+	// betterLook is how often an owner looks for a better one.
+	betterLook = time.Second
 	// candidateProbe bounds the question whether a candidate reaches the store: two
 	// hops between regions and a store ten times slower than usual.
 	candidateProbe = 150 * time.Millisecond
+	// candidateWait is how long a good candidate may answer later than another node:
+	// a hop to the store's region and back.
+	candidateWait = 50 * time.Millisecond
 )
 
 // member is another node that has reported to this one.
@@ -125,36 +128,47 @@
 	return n.options.Cores*strongerFactor <= max(n.strongest, n.strongestKnown())
 }
 
-// stronger returns the address of a much stronger node to which ownership should
-// go, or an empty string.
-func (n *Node) stronger() string {
+// better returns the address of a node to which ownership should go since this one is
+// no good owner beside it, or an empty string.
+func (n *Node) better() string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var much []member
-	for _, m := range candidates(append(n.freshMembers(), n.self())) {
-		if m.cores >= n.options.Cores*strongerFactor {
-			much = append(much, m)
+	good := candidates(append(n.freshMembers(), n.self()))
+	for _, m := range good {
+		if m.address == n.options.Address {
+			return ""
 		}
 	}
-	return lastStarted(much).address
+	return lastStarted(good).address
 }
 
-// endWhenStronger hands ownership over to a much stronger node that the store
-// answers.
-func (n *Node) endWhenStronger(tenure *store.Tenure) {
+// endWhenBetter hands ownership over to a much stronger node, or one much nearer to
+// the store, that the store answers.
+func (n *Node) endWhenBetter(tenure *store.Tenure) {
 	for tenure.Context().Err() == nil {
-		wait(tenure.Context(), strongerLook)
-		address := n.stronger()
+		wait(tenure.Context(), betterLook)
+		address := n.better()
 		if address == "" || tenure.Context().Err() != nil || !n.candidateReachesStore(tenure.Context(), address) {
 			continue
 		}
-		n.log.Info("strongerFound", "token", tenure.Token(), "cores", n.options.Cores, "successor", address)
+		n.log.Info("betterOwnerFound", "token", tenure.Token(), "cores", n.options.Cores, "successor", address)
 		go tenure.Release()
 		n.tellReleased(address)
 		return
 	}
 }
 
+// goodAddresses returns those of the members that would be good owners.
+func (n *Node) goodAddresses() map[string]bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	good := map[string]bool{}
+	for _, m := range candidates(n.freshMembers()) {
+		good[m.address] = true
+	}
+	return good
+}
+
 func (n *Node) candidateReachesStore(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, candidateProbe)
 	defer cancel()
--- a/internal/cluster/node/candidate_test.go
+++ b/internal/cluster/node/candidate_test.go
@@ -57,44 +57,101 @@
 	}
 }
 
-// TestOwnershipGoesToMuchStrongerNodes tells when a node waits with its claim, and
-// to whom it hands ownership over.
-func TestOwnershipGoesToMuchStrongerNodes(t *testing.T) {
+// TestOwnershipGoesToBetterNodes tells when a node waits with its claim, and when it
+// hands ownership over.
+func TestOwnershipGoesToBetterNodes(t *testing.T) {
+	const near, far = 5, 45 // milliseconds to the store
 	for name, c := range map[string]struct {
-		own, other float64
-		weak       bool
+		own, other             float64
+		ownMillis, otherMillis float64
+		weak, hand             bool
 	}{
 		"weak among strong": {
-			own:   0.192,
-			other: 0.8,
-			weak:  true,
+			own:         0.192,
+			ownMillis:   near,
+			other:       0.8,
+			otherMillis: near,
+			weak:        true,
+			hand:        true,
 		},
 		"equal": {
-			own:   0.4,
-			other: 0.4,
+			own:         0.4,
+			ownMillis:   near,
+			other:       0.4,
+			otherMillis: near,
 		},
 		"little stronger": {
-			own:   0.4,
-			other: 0.5,
+			own:         0.4,
+			ownMillis:   near,
+			other:       0.5,
+			otherMillis: near,
 		},
 		"strong among weak": {
-			own:   0.8,
-			other: 0.192,
+			own:         0.8,
+			ownMillis:   near,
+			other:       0.192,
+			otherMillis: near,
+		},
+		"strong and far from the store": {
+			own:         0.8,
+			ownMillis:   far,
+			other:       0.8,
+			otherMillis: near,
+			hand:        true,
+		},
+		"weak and near, the strong one far": {
+			own:         0.192,
+			ownMillis:   near,
+			other:       0.8,
+			otherMillis: far,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := newTestNode(t, "self", "10.0.0.1:7420")
 			n.options.Cores = c.own
-			n.roundTrip = 5 * time.Millisecond
+			n.roundTrip = time.Duration(c.ownMillis) * time.Millisecond
 			n.members["other"] = member{
 				address:     "other",
 				seen:        time.Now(),
 				born:        time.Now(),
-				storeMillis: 5,
+				storeMillis: c.otherMillis,
 				cores:       c.other,
 			}
 			assert.Equal(t, n.isWeak(), c.weak)
-			assert.Equal(t, n.stronger() == "other", c.weak)
+			assert.Equal(t, n.better() == "other", c.hand)
+		})
+	}
+}
+
+// TestConnectedNodeIsAGoodOwner has several nodes answer that the store serves them.
+func TestConnectedNodeIsAGoodOwner(t *testing.T) {
+	good := map[string]bool{"good": true}
+	for name, c := range map[string]struct {
+		answers []string
+		count   int
+		want    string
+	}{
+		"good after others": {
+			answers: []string{"far", "", "good"},
+			count:   4,
+			want:    "good",
+		},
+		"no good one in time": {
+			answers: []string{"", "far", "weak"},
+			count:   4,
+			want:    "far",
+		},
+		"none": {
+			answers: []string{"", ""},
+			count:   2,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			answers := make(chan string, c.count)
+			for _, address := range c.answers {
+				answers <- address
+			}
+			assert.Equal(t, preferred(answers, c.count, good), c.want)
 		})
 	}
 }
--- a/internal/cluster/node/doubt.go
+++ b/internal/cluster/node/doubt.go
@@ -155,8 +155,9 @@
 }
 
 // findConnected returns the address of a node that the store answers while it
-// does not answer this one: the first of the others, if this node's own call takes
-// more than twice as long. Without one it returns an empty string.
+// does not answer this one: the first of the others, a good owner before the rest, if
+// this node's own call takes more than twice as long. Without one it returns an empty
+// string.
 func (n *Node) findConnected(ctx context.Context) string {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -192,12 +193,29 @@
 			found <- address
 		}()
 	}
-	for range addresses {
-		if address := <-found; address != "" {
-			return address
+	return preferred(found, len(addresses), n.goodAddresses())
+}
+
+// preferred returns the first good address of the answers, or the first of the others
+// if no good one follows soon; empty answers do not count.
+func preferred(answers <-chan string, count int, good map[string]bool) string {
+	first := ""
+	var late <-chan time.Time
+	for range count {
+		select {
+		case address := <-answers:
+			if good[address] {
+				return address
+			}
+			if first == "" && address != "" {
+				first = address
+				late = time.After(candidateWait)
+			}
+		case <-late:
+			return first
 		}
 	}
-	return ""
+	return first
 }
 
 // announce tells the other nodes that this one has become the owner, so that they
--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -245,7 +245,7 @@
 	n.log.Info("takeoverDone", "token", tenure.Token(), "took", time.Since(taken))
 	go n.endWhenLeaving(ctx, tenure)
 	go n.endWhenTurnedAway(tenure)
-	go n.endWhenStronger(tenure)
+	go n.endWhenBetter(tenure)
 	return s.Run()
 }
 
