--- /dev/null
+++ b/internal/cluster/node/directory.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"log/slog"
+
+	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+)
+
+// Directory finds workers in the store.
+type Directory struct {
+	// Prefix is where the workers' entries are.
+	Prefix string
+	// Decode reads one entry.
+	Decode func(store.Item) (worker.Registration, error)
+}
+
+// directoryReader decodes each version of an entry once, since the whole directory is
+// read every second. One goroutine uses it.
+type directoryReader struct {
+	directory Directory
+	log       *slog.Logger
+	entries   map[string]directoryEntry
+}
+
+// directoryEntry is what one version of an entry says.
+type directoryEntry struct {
+	revision     int64
+	registration worker.Registration
+	readable     bool
+}
+
+func newDirectoryReader(directory Directory, log *slog.Logger) *directoryReader {
+	return &directoryReader{
+		directory: directory,
+		log:       log,
+		entries:   map[string]directoryEntry{},
+	}
+}
+
+// read returns the workers of the directory's items, without those that cannot be
+// read, of which each version is logged once.
+func (r *directoryReader) read(items map[string]store.Item) []worker.Registration {
+	entries := make(map[string]directoryEntry, len(items))
+	list := make([]worker.Registration, 0, len(items))
+	for key, item := range items {
+		e, ok := r.entries[key]
+		if !ok || e.revision != item.Revision {
+			e = r.decode(key, item)
+		}
+		entries[key] = e
+		if e.readable {
+			list = append(list, e.registration)
+		}
+	}
+	r.entries = entries
+	return list
+}
+
+func (r *directoryReader) decode(key string, item store.Item) directoryEntry {
+	registration, err := r.directory.Decode(item)
+	if err != nil {
+		r.log.Warn("workerEntryUnreadable", "key", key, "revision", item.Revision, "error", err)
+	}
+	return directoryEntry{
+		revision:     item.Revision,
+		registration: registration,
+		readable:     err == nil,
+	}
+}
--- a/internal/cluster/node/doubt_test.go
+++ b/internal/cluster/node/doubt_test.go
@@ -52,9 +52,18 @@
 func TestNewOwnerIsLearnedFromItsWord(t *testing.T) {
 	n := newTestNode(t, "a", "10.0.0.1:7420")
 	for _, announced := range []store.Owner{
-		{Node: "b", Token: 5},
-		{Node: "c", Token: 9},
-		{Node: "b", Token: 7},
+		{
+			Node:  "b",
+			Token: 5,
+		},
+		{
+			Node:  "c",
+			Token: 9,
+		},
+		{
+			Node:  "b",
+			Token: 7,
+		},
 	} {
 		_, err := n.takeHello(t.Context(), hello{
 			Node:  announced.Node,
--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -12,7 +12,6 @@
 	"github.com/citronbay/citronbay/internal/cluster/operator"
 	"github.com/citronbay/citronbay/internal/cluster/shard"
 	"github.com/citronbay/citronbay/internal/cluster/store"
-	"github.com/citronbay/citronbay/internal/cluster/worker"
 )
 
 const (
@@ -226,8 +225,9 @@
 	if err != nil {
 		return err
 	}
+	directory := newDirectoryReader(n.options.Directory, n.log)
 	go store.Follow(tenure.Context(), n.options.Store, n.options.Directory.Prefix, n.log, func(items map[string]store.Item) {
-		s.SetWorkers(n.decodeWorkers(items))
+		s.SetWorkers(directory.read(items))
 	})
 	go store.Follow(tenure.Context(), n.options.Store, n.options.Agreements.Key, n.log, func(items map[string]store.Item) {
 		n.takeAgreement(s, items)
@@ -306,16 +306,3 @@
 	}
 	s.SetAgreement(a)
 }
-
-func (n *Node) decodeWorkers(items map[string]store.Item) []worker.Registration {
-	var list []worker.Registration
-	for key, item := range items {
-		r, err := n.options.Directory.Decode(item)
-		if err != nil {
-			n.log.Warn("workerEntryUnreadable", "key", key, "revision", item.Revision, "error", err)
-			continue
-		}
-		list = append(list, r)
-	}
-	return list
-}
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -20,14 +20,6 @@
 	"github.com/citronbay/citronbay/internal/cluster/worker"
 )
 
-// Directory finds workers in the store.
-type Directory struct {
-	// Prefix is where the workers' entries are.
-	Prefix string
-	// Decode reads one entry.
-	Decode func(store.Item) (worker.Registration, error)
-}
-
 // Agreements finds the operators' agreement in the store.
 type Agreements struct {
 	Key    string
