Stop attempts at a worker that is gone once it answers again

Ruled out: that the tasks can be given up sooner. A refused connection does not prove that a worker has ended (a partition may refuse too), and it was not taken off the directory before its heartbeats had been missing for 4.3 s. Change: a stop that did not reach its worker is sent again once the worker has answered a look. Stops that may have arrived are repeated as before.

TestStopWaitsForAWorkerThatIsGone failed before (34 tries in 5 s).

--- a/internal/cluster/shard/orders.go
+++ b/internal/cluster/shard/orders.go
@@ -175,6 +175,7 @@
 
 func (s *Shard) sendStop(l *link, p *job.Placement) {
 	for l.ctx.Err() == nil {
+		sent := time.Now()
 		err := s.stopOnce(l, p.Task, p.Attempt)
 		s.mu.Lock()
 		over := !s.current(p)
@@ -186,6 +187,24 @@
 			return
 		}
 		sleep(l.ctx, stopPause)
+		if errors.Is(err, worker.ErrNotSent) {
+			s.awaitAnswer(l, sent)
+		}
+	}
+}
+
+// awaitAnswer waits until the worker has answered a look after the moment. It answers
+// workers that are gone: each of their tasks would go on trying to reach them until its
+// hold has lapsed.
+func (s *Shard) awaitAnswer(l *link, after time.Time) {
+	for l.ctx.Err() == nil {
+		s.mu.Lock()
+		answered := l.lastAnswer.After(after)
+		s.mu.Unlock()
+		if answered {
+			return
+		}
+		sleep(l.ctx, stopPause)
 	}
 }
 
--- /dev/null
+++ b/internal/cluster/shard/orders_test.go
@@ -0,0 +1,85 @@
+package shard
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/job"
+)
+
+// goneWorker refuses all connections until it is back.
+type goneWorker struct {
+	worker.Client
+	back  atomic.Bool
+	stops atomic.Int64
+}
+
+func (w *goneWorker) Stop(context.Context, job.TaskKey, int, int64) error {
+	w.stops.Add(1)
+	if w.back.Load() {
+		return nil
+	}
+	return worker.ErrNotSent
+}
+
+// TestStopWaitsForAWorkerThatIsGone stops an attempt at a worker that refuses
+// connections: it must not be tried again before the worker has answered a look, and
+// then at once.
+func TestStopWaitsForAWorkerThatIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := slog.New(slog.NewTextHandler(io.Discard, nil))
+		tenure, release, err := store.Claim(t.Context(), grantingStore{}, "fleet", store.Owner{}, log)
+		assert.NilError(t, err)
+		defer release()
+		client := &goneWorker{}
+		s := &Shard{
+			options: Options{
+				Dial: func(worker.Registration) (worker.Client, func()) {
+					return client, func() {}
+				},
+			},
+			tenure: tenure,
+			state:  job.NewState(),
+			log:    log,
+			origin: time.Now(),
+			links:  map[string]*link{},
+		}
+		for _, r := range []job.Record{
+			{
+				Kind: job.RecordAccept,
+				Job:  acceptedID,
+				Submission: &job.Submission{
+					Steps: []job.StepSpec{{Count: 1}},
+				},
+			},
+			{
+				Kind:    job.RecordPlace,
+				Job:     acceptedID,
+				Attempt: 1,
+				Worker:  "w",
+			},
+		} {
+			assert.NilError(t, s.state.Apply(r))
+		}
+		l := s.newLink(t.Context(), worker.Registration{ID: "w"}, true)
+		defer l.stop()
+		go s.sendStop(l, s.state.Placement(job.TaskKey{Job: acceptedID}))
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, client.stops.Load(), int64(1))
+		client.back.Store(true)
+		s.mu.Lock()
+		l.lastAnswer = time.Now()
+		s.mu.Unlock()
+		time.Sleep(2 * stopPause)
+		assert.Equal(t, client.stops.Load(), int64(2))
+	})
+}
