--- a/internal/cluster/node/candidate.go
+++ b/internal/cluster/node/candidate.go
@@ -152,8 +152,7 @@
 			continue
 		}
 		n.log.Info("betterOwnerFound", "token", tenure.Token(), "cores", n.options.Cores, "successor", address)
-		go tenure.Release()
-		n.tellReleased(address)
+		n.handOver(tenure, address)
 		return
 	}
 }
--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -254,15 +254,20 @@
 	const look = 50 * time.Millisecond
 	for tenure.Context().Err() == nil {
 		if n.leaving.Load() || ctx.Err() != nil {
-			// The lease ends beside the message; whichever comes first will do.
-			go tenure.Release()
-			n.tellReleased(n.successor())
+			n.handOver(tenure, n.successor())
 			return
 		}
 		wait(tenure.Context(), look)
 	}
 }
 
+// handOver ends the tenure and names the successor. The lease ends beside the message;
+// whichever comes first will do.
+func (n *Node) handOver(tenure *store.Tenure, successor string) {
+	go tenure.Release()
+	n.tellReleased(successor)
+}
+
 func (n *Node) setShard(s *shard.Shard, owner store.Owner) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -191,11 +191,18 @@
 func (n *Node) learnOwner(o store.Owner) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.takeOwner(o)
+}
+
+// takeOwner reports whether the owner is newer than the one known, and takes it then;
+// the caller holds the lock.
+func (n *Node) takeOwner(o store.Owner) bool {
 	if o.Token <= n.owner.Token {
-		return
+		return false
 	}
 	n.log.Info("ownerLearned", "owner", o.Node, "token", o.Token, "before", n.owner.Token)
 	n.setOwner(o)
+	return true
 }
 
 // setOwner is called under the lock.
--- a/internal/cluster/node/peers.go
+++ b/internal/cluster/node/peers.go
@@ -113,9 +113,7 @@
 		}
 	}
 	h.Owner.Token = h.Token
-	if h.Token > n.owner.Token {
-		n.log.Info("ownerLearned", "owner", h.Owner.Node, "token", h.Token, "before", n.owner.Token, "announced", true)
-		n.setOwner(h.Owner)
+	if n.takeOwner(h.Owner) {
 		n.ownerSeen = time.Now()
 	}
 	if h.Released > 0 && h.Released == n.owner.Token {
--- a/internal/decide/job/planner_bench_test.go
+++ b/internal/decide/job/planner_bench_test.go
@@ -85,6 +85,19 @@
 	})
 }
 
+// allowSome answers all questions of a pass: of the workers asked about, the first of each so many is allowed.
+func allowSome(p *job.Planner, now int64, every int) {
+	for _, q := range p.Questions(now, 1000, 1000, 200) {
+		allowed := map[*job.Worker]job.Ticket{}
+		for n, w := range q.Workers {
+			if n%every == 0 {
+				allowed[w] = job.Ticket{ExpiresMillis: now + 1900}
+			}
+		}
+		q.Answered(allowed, true)
+	}
+}
+
 // BenchmarkPlan measures passes over a full fleet with a backlog, the load of a
 // team that sends many times its usual.
 func BenchmarkPlan(b *testing.B) {
@@ -117,15 +130,7 @@
 			for range 100 {
 				p := job.NewPlanner(state, rules, workers, now)
 				p.Plan(now)
-				for _, q := range p.Questions(now, 1000, 1000, 200) {
-					allowed := map[*job.Worker]job.Ticket{}
-					for n, w := range q.Workers {
-						if n%2 == 0 {
-							allowed[w] = job.Ticket{ExpiresMillis: now + 1900}
-						}
-					}
-					q.Answered(allowed, true)
-				}
+				allowSome(p, now, 2)
 			}
 			b.ResetTimer()
 			for n := range b.N {
@@ -168,15 +173,7 @@
 				})
 			}
 			for range 10 {
-				for _, q := range job.NewPlanner(state, rules, workers, now).Questions(now, 1000, 1000, 200) {
-					allowed := map[*job.Worker]job.Ticket{}
-					for n, w := range q.Workers {
-						if n%3 == 0 {
-							allowed[w] = job.Ticket{ExpiresMillis: now + 1900}
-						}
-					}
-					q.Answered(allowed, true)
-				}
+				allowSome(job.NewPlanner(state, rules, workers, now), now, 3)
 			}
 			b.ResetTimer()
 			for range b.N {
