Count all nodes within 10 ms of the store as near it

Ruled out: the test (it is right that nobody hands over there) and load alone. Change: nodes within 10 ms of the store are near, whatever the ratio; between regions a round trip takes 40 ms.

The new case of TestOwnershipGoesToBetterNodes failed before.

--- a/internal/cluster/node/candidate.go
+++ b/internal/cluster/node/candidate.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// nearFactor times the shortest round trip to the store still counts as near.
+	// nearFactor times the shortest round trip to the store still counts as near, and
+	// nearMillis in any case: half of a round trip to another region is 20 ms.
 	nearFactor = 3
+	nearMillis = 10
 	// strongerFactor times as many cores make a node so much better an owner that
 	// ownership is handed over to it: a handover stops starts for some 50 ms.
 	strongerFactor = 1.5
@@ -48,15 +50,16 @@
 	for _, m := range members {
 		nearest = min(nearest, m.distance())
 	}
+	near := max(nearest*nearFactor, nearMillis)
 	most := 0.0
 	for _, m := range members {
-		if m.distance() <= nearest*nearFactor {
+		if m.distance() <= near {
 			most = max(most, m.cores)
 		}
 	}
 	var good []member
 	for _, m := range members {
-		if m.distance() <= nearest*nearFactor && m.cores*strongerFactor > most {
+		if m.distance() <= near && m.cores*strongerFactor > most {
 			good = append(good, m)
 		}
 	}
--- a/internal/cluster/node/candidate_test.go
+++ b/internal/cluster/node/candidate_test.go
@@ -99,6 +99,12 @@
 			otherMillis: near,
 			hand:        true,
 		},
+		"store on the same machine": {
+			own:         0.4,
+			ownMillis:   2,
+			other:       0.4,
+			otherMillis: 0.2,
+		},
 		"weak and near, the strong one far": {
 			own:         0.192,
 			ownMillis:   near,
