--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
@@ -137,7 +138,8 @@
 		if successor == "" {
 			continue
 		}
-		n.log.Warn("turnedAway", "token", term.Token(), "remaining", term.Remaining(), "successor", successor)
+		n.log.Warn("turnedAway", "token", term.Token(), "remaining", term.Remaining(), "successor", successor,
+			"candidate", n.candidateAddresses()[successor])
 		term.Revoke(errors.New("the store does not answer this node"))
 		n.announceRelease(successor)
 		return
@@ -197,12 +199,31 @@
 	return d
 }
 
+// claimKnowledge returns what this node knows of itself and the others when it decides
+// to claim ownership, for the log.
+func (n *Node) claimKnowledge() slog.Attr {
+	isSuccessor := n.isSuccessor()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slog.Group("claim",
+		"successor", isSuccessor,
+		"cores", n.options.Cores,
+		"storeRoundTrip", n.storeRoundTrip,
+		"liveMembers", len(n.liveMembers()),
+		"candidateCores", n.maxCandidateCores(),
+		"reportedCores", n.reportedMaxCores,
+		"ownerServingAgo", time.Since(n.ownerServingAt).Round(time.Millisecond),
+	)
+}
+
 // claim waits for claimDelay and then tries to become the owner, unless there is a live
 // one or this node is leaving. If that succeeds, it runs the shard until ownership ends.
 // It returns nil after that, and also if the store has not applied the claim, as when
 // another node is the owner.
 func (n *Node) claim(ctx context.Context) error {
-	sleep(ctx, n.claimDelay())
+	knowledge := n.claimKnowledge()
+	delay := n.claimDelay()
+	sleep(ctx, delay)
 	if n.ownerIsLive() || n.leaving.Load() {
 		return nil
 	}
@@ -218,7 +239,7 @@
 		return err
 	}
 	defer release()
-	n.log.Info("ownershipTaken", "shard", n.options.Shard, "token", term.Token())
+	n.log.Info("ownershipTaken", "shard", n.options.Shard, "token", term.Token(), "delay", delay, knowledge)
 	err = n.own(ctx, term)
 	n.log.Info("ownershipEnded", "shard", n.options.Shard, "token", term.Token(), "reason", err)
 	return nil
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -82,6 +82,9 @@
 	// lastPassDuration is how long the last pass took; only Run uses it.
 	lastPassDuration time.Duration
 
+	// passLoad sums up the planning passes for the log; only Run uses it.
+	passLoad passLoad
+
 	// mu guards the fields below. It is also the lock given to the journal's Run.
 	mu           sync.Mutex
 	state        *job.State
@@ -109,22 +112,31 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
+	stepStart := time.Now()
+	stepTime := func() time.Duration {
+		took := time.Since(stepStart)
+		stepStart = time.Now()
+		return took
+	}
 	journal, records, err := store.OpenJournal(ctx, options.Store, options.Term, s.snapshot, options.Log)
 	if err != nil {
 		return nil, fmt.Errorf("shard: recover: %w", err)
 	}
 	s.journal = journal
+	readTime := stepTime()
 	for _, r := range records {
 		if err := s.state.Apply(r); err != nil {
 			return nil, fmt.Errorf("shard: recover: %w", err)
 		}
 	}
 	s.state.MarkRecorded()
+	applyTime := stepTime()
 	if s.agreement = options.Agreement(); s.agreement == nil {
 		return nil, errors.New("shard: recover: the term of ownership ended before the agreement was read")
 	}
 	s.log.Info("shardRecovered", "token", s.term.Token(), "records", len(records),
-		"openJobs", len(s.state.OpenJobs()), "agreement", s.agreement.Version)
+		"openJobs", len(s.state.OpenJobs()), "agreement", s.agreement.Version,
+		"read", readTime, "apply", applyTime, "agreementWait", stepTime())
 	return s, nil
 }
 
@@ -163,6 +175,7 @@
 			passStart := time.Now()
 			s.runPass()
 			s.lastPassDuration = time.Since(passStart)
+			s.passLoad.add(passStart, s.lastPassDuration, s.log)
 		}
 	}
 }
