Hand over only if the store rejects the owner after it has served another node

Cause: the owner read the store and asked the other nodes at the same time. When the store came back in between, its own read had failed and the read of a node in the other region succeeded, and it ended its term in favour of that node, though its lease had just been renewed (renewalsRegained 0.1 s before ownershipEnded). The successor had 0.192 core and a link of 10 Mbit/s; its takeover lasted 4.2 s, and a second change of owner followed.

Change: the owner's read starts after the other node's has succeeded, and a lease that was renewed meanwhile ends the check.

--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -131,11 +131,11 @@
 func (n *Node) handOverWhenStoreUnreachable(term *store.Term) {
 	for term.Context().Err() == nil {
 		sleep(term.Context(), renewalCheckInterval)
-		if term.Remaining() > store.OwnershipLeaseTime-maxRenewalAge {
+		if isRenewed(term) {
 			continue
 		}
 		successor := n.findNodeReachingStore(term.Context())
-		if successor == "" {
+		if successor == "" || isRenewed(term) {
 			continue
 		}
 		n.log.Warn("turnedAway", "token", term.Token(), "remaining", term.Remaining(), "successor", successor,
@@ -146,6 +146,11 @@
 	}
 }
 
+// isRenewed reports whether the last renewal of the term's lease is recent.
+func isRenewed(term *store.Term) bool {
+	return term.Remaining() > store.OwnershipLeaseTime-maxRenewalAge
+}
+
 // reachesStore reports whether the store answers a read by this node.
 func (n *Node) reachesStore(ctx context.Context) bool {
 	_, err := n.options.Store.Get(ctx, store.OwnerKey(n.options.Shard))
--- a/internal/cluster/node/hello.go
+++ b/internal/cluster/node/hello.go
@@ -164,26 +164,20 @@
 // findNodeReachingStore returns the address of a node that reaches the store while this
 // one does not, or an empty string. This node counts as cut off from the store if its
 // own read fails, or has no answer after twice the time of the other node's probe plus
-// probeSlack.
+// probeSlack. Its read starts only after the other's has succeeded: an earlier one may
+// have failed before the store came back.
 func (n *Node) findNodeReachingStore(ctx context.Context) string {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
 	start := time.Now()
-	ownResult := make(chan bool, 1)
-	go func() {
-		ownResult <- n.reachesStore(ctx)
-	}()
-	found := n.preferredNodeReachingStore(ctx)
+	probeCtx, cancelProbes := context.WithTimeout(ctx, storeTimeout)
+	defer cancelProbes()
+	found := n.preferredNodeReachingStore(probeCtx)
 	if found == "" {
 		return ""
 	}
-	select {
-	case reached := <-ownResult:
-		if reached {
-			return ""
-		}
-	case <-time.After(time.Since(start) + probeSlack):
-	case <-ctx.Done():
+	readCtx, cancelRead := context.WithTimeout(ctx, 2*time.Since(start)+probeSlack)
+	defer cancelRead()
+	if n.reachesStore(readCtx) {
+		return ""
 	}
 	return found
 }
