Let a handshake between nodes go on when the call that began it gives up

Cause: the dial of a connection ended with the call that started it.

Change: the client opens a connection in the background, once at a time and within handshakeTimeout, and calls wait for it. Closing a client ends it.

Measured: TestSlowHandshakeIsNotRestarted failed before (no connection after 5 calls) and passes; the tests of package peer pass three times with the race detector.

--- a/internal/api/peer/client.go
+++ b/internal/api/peer/client.go
@@ -18,9 +18,23 @@
 type Client struct {
 	address   string
 	tlsConfig *tls.Config
+	// ctx ends when the client is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	mu         sync.Mutex
 	connection *connection
+	dial       *dial // nil unless a connection is being opened
+	lastReply  time.Time
+}
+
+// dial is an attempt to open a connection, for which any number of calls may wait. It
+// goes on when a call gives up: a handshake with a busy peer may take longer than a call
+// may wait, and starting it anew for each call would never succeed.
+type dial struct {
+	done chan struct{} // closed after conn or err is set
+	conn *quic.Conn
+	err  error
 }
 
 type connection struct {
@@ -31,16 +45,32 @@
 // NewClient returns a client for the peer at the address (IP:port), and a function
 // that closes its connection.
 func NewClient(address string, tlsConfig *tls.Config) (*Client, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
 	c := &Client{
 		address:   address,
 		tlsConfig: tlsConfig,
+		ctx:       ctx,
+		cancel:    cancel,
 	}
-	return c, c.Reset
+	return c, c.close
+}
+
+func (c *Client) close() {
+	c.cancel()
+	c.Reset()
+}
+
+// LastReply returns when the peer last answered a call, or the zero time if it never has.
+func (c *Client) LastReply() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastReply
 }
 
 // Reset closes the connection, so that calls in flight fail. The next call opens a new
 // one from a new local port, because a firewall or NAT on the path that has lost the
-// state of the connection may go on dropping packets from the old port.
+// state of the connection may go on dropping packets from the old port. A connection
+// that is being opened is not affected.
 func (c *Client) Reset() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -57,13 +87,47 @@
 	c.connection = nil
 }
 
+// connect returns the open connection. If there is none, it waits until one is opened or
+// ctx ends.
 func (c *Client) connect(ctx context.Context) (*quic.Conn, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.connection != nil && c.connection.conn.Context().Err() == nil {
+		defer c.mu.Unlock()
 		return c.connection.conn, nil
 	}
-	c.closeConnection()
+	if c.dial == nil {
+		c.closeConnection()
+		c.dial = &dial{done: make(chan struct{})}
+		go c.runDial(c.dial)
+	}
+	d := c.dial
+	c.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// runDial opens a connection and completes the attempt with it.
+func (c *Client) runDial(d *dial) {
+	opened, err := c.open()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dial = nil
+	if err == nil {
+		c.connection = opened
+		d.conn = opened.conn
+		if err = c.ctx.Err(); err != nil {
+			c.closeConnection()
+		}
+	}
+	d.err = err
+	close(d.done)
+}
+
+func (c *Client) open() (*connection, error) {
 	remoteAddress, err := net.ResolveUDPAddr("udp", c.address)
 	if err != nil {
 		return nil, err
@@ -73,7 +137,7 @@
 		return nil, err
 	}
 	transport := &quic.Transport{Conn: socket}
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	ctx, cancel := context.WithTimeout(c.ctx, handshakeTimeout)
 	defer cancel()
 	conn, err := transport.Dial(ctx, remoteAddress, c.tlsConfig, quicConfig())
 	if err != nil {
@@ -81,11 +145,10 @@
 		_ = socket.Close()
 		return nil, err
 	}
-	c.connection = &connection{
+	return &connection{
 		conn:      conn,
 		transport: transport,
-	}
-	return conn, nil
+	}, nil
 }
 
 func quicConfig() *quic.Config {
@@ -153,7 +216,12 @@
 		return reply, err
 	}
 	err = readMessage(stream, &reply)
-	if err != nil && ctx.Err() != nil {
+	switch {
+	case err == nil:
+		c.mu.Lock()
+		c.lastReply = time.Now()
+		c.mu.Unlock()
+	case ctx.Err() != nil:
 		err = errors.Join(ctx.Err(), err)
 	}
 	return reply, err
--- a/internal/api/peer/peer_test.go
+++ b/internal/api/peer/peer_test.go
@@ -1,9 +1,12 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -153,3 +156,54 @@
 		assert.NilError(t, ctx.Err(), "%v", err)
 	}
 }
+
+// delayedAddress returns a UDP address that forwards datagrams to the target and back,
+// each after the delay. It serves one client.
+func delayedAddress(t *testing.T, target string, delay time.Duration) string {
+	t.Helper()
+	outside, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	inside, err := net.Dial("udp", target)
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		_ = outside.Close()
+		_ = inside.Close()
+	})
+	var client atomic.Pointer[net.UDPAddr]
+	forward := func(read func([]byte) (int, error), write func([]byte)) {
+		buffer := make([]byte, 1<<16)
+		for {
+			n, err := read(buffer)
+			if err != nil {
+				return
+			}
+			datagram := bytes.Clone(buffer[:n])
+			time.AfterFunc(delay, func() { write(datagram) })
+		}
+	}
+	go forward(func(b []byte) (int, error) {
+		n, address, err := outside.ReadFromUDP(b)
+		client.Store(address)
+		return n, err
+	}, func(b []byte) { _, _ = inside.Write(b) })
+	go forward(inside.Read, func(b []byte) { _, _ = outside.WriteToUDP(b, client.Load()) })
+	return outside.LocalAddr().String()
+}
+
+// TestSlowHandshakeIsNotRestarted guards against a connection to a busy peer that is
+// never opened: the handshake takes longer than any call may wait, so each call fails and
+// starts another one.
+func TestSlowHandshakeIsNotRestarted(t *testing.T) {
+	const oneWay, callTimeout, maxCalls = 80 * time.Millisecond, 120 * time.Millisecond, 5
+	address := delayedAddress(t, startServer(t, sharedSecret).Address(), oneWay)
+	client := newClient(t, address, sharedSecret)
+	for range maxCalls {
+		ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+		_, err := client.connect(ctx)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+	t.Fatalf("no connection after %d calls of %v", maxCalls, callTimeout)
+}
