Do not replace an owner that answers requests but not hellos in time

Cause: a node took two hellos without an answer within 300 ms for silence of the owner, and closed its connection after the first one. An owner whose processor is busy answers hellos late. Closing the connection made the outcome of all calls in flight unknown, so their requests were sent again, and a takeover by an equally strong node added to the load.

Change: a node that has had an answer to any call since it sent the hello counts the owner as alive and keeps the connection, and tells others the time of that answer when they ask how long the owner has been silent.

--- a/internal/api/peer/client.go
+++ b/internal/api/peer/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -25,7 +26,8 @@
 	mu         sync.Mutex
 	connection *connection
 	dial       *dial // nil unless a connection is being opened
-	lastReply  time.Time
+
+	lastReply atomic.Pointer[time.Time] // nil if the peer has never answered
 }
 
 // dial is an attempt to open a connection, for which any number of calls may wait. It
@@ -62,9 +64,10 @@
 
 // LastReply returns when the peer last answered a call, or the zero time if it never has.
 func (c *Client) LastReply() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lastReply
+	if t := c.lastReply.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
 }
 
 // Reset closes the connection, so that calls in flight fail. The next call opens a new
@@ -218,9 +221,8 @@
 	err = readMessage(stream, &reply)
 	switch {
 	case err == nil:
-		c.mu.Lock()
-		c.lastReply = time.Now()
-		c.mu.Unlock()
+		now := time.Now()
+		c.lastReply.Store(&now)
 	case ctx.Err() != nil:
 		err = errors.Join(ctx.Err(), err)
 	}
--- a/internal/cluster/node/hello.go
+++ b/internal/cluster/node/hello.go
@@ -32,9 +32,16 @@
 			continue
 		}
 		answered, serving := false, false
+		sentAt := time.Now()
 		if owner.Address != "" && owner.Incarnation != n.incarnation {
 			answered, serving = n.sendHello(ctx, owner.Address, true)
 		}
+		if !answered && n.lastReplyOf(owner.Address).After(sentAt) {
+			// The owner is busy. Closing the connection would fail the calls in flight.
+			failures = 0
+			sleep(ctx, n.helloInterval())
+			continue
+		}
 		if !serving {
 			n.triggerElection()
 			n.sendHelloToOthers(ctx, owner.Address)
@@ -56,6 +63,15 @@
 	}
 }
 
+// lastReplyOf returns when the node at the address last answered any call of this node,
+// or the zero time if it never has.
+func (n *Node) lastReplyOf(address string) time.Time {
+	if address == "" {
+		return time.Time{}
+	}
+	return n.peerClient(address).LastReply()
+}
+
 // unansweredHelloLimit returns the number of unanswered hellos after which this node
 // suspects the owner. It is higher on a node that is much weaker than another, so that
 // the stronger one replaces the owner.
--- a/internal/cluster/node/peers.go
+++ b/internal/cluster/node/peers.go
@@ -66,9 +66,9 @@
 	Serving bool `cbor:"3,keyasint"`
 	// MemberAddresses are the addresses of the nodes that the answering node knows.
 	MemberAddresses []string `cbor:"4,keyasint,omitempty"`
-	// OwnerSilenceMillis is how long ago the owner last answered a hello of the
-	// answering node, in milliseconds. It is 0 if that node is the owner, and 292 years,
-	// the longest time.Duration, if no owner has ever answered it.
+	// OwnerSilenceMillis is how long ago the owner last answered a hello or another call
+	// of the answering node, in milliseconds. It is 0 if that node is the owner, and 292
+	// years, the longest time.Duration, if no owner has ever answered it.
 	OwnerSilenceMillis int64 `cbor:"5,keyasint,omitempty"`
 	// MaxCandidateCores is the most cores of any candidate that the answering node knows
 	// of.
@@ -145,7 +145,7 @@
 		MaxCandidateCores: n.maxCandidateCores(),
 	}
 	if n.shard == nil {
-		response.OwnerSilenceMillis = time.Since(n.ownerAnsweredAt).Milliseconds()
+		response.OwnerSilenceMillis = time.Since(n.lastAnswerOfOwner()).Milliseconds()
 	}
 	for _, m := range n.members {
 		response.MemberAddresses = append(response.MemberAddresses, m.address)
@@ -153,6 +153,16 @@
 	return response, nil
 }
 
+// lastAnswerOfOwner returns when the owner last answered this node. The caller holds
+// n.mu.
+func (n *Node) lastAnswerOfOwner() time.Time {
+	client := n.clients[n.owner.Address]
+	if client == nil || client.LastReply().Before(n.ownerAnsweredAt) {
+		return n.ownerAnsweredAt
+	}
+	return client.LastReply()
+}
+
 func (n *Node) newHello() helloRequest {
 	n.mu.Lock()
 	defer n.mu.Unlock()
