Keep the ownership while the owner's own timers fire late

Cause: an owner whose processor is busy renews its lease late and gets the answer to its own read after the timeout, which was taken for a store that rejects it.

Change: a meter shows by how much the timers of the owner's process fire late; above 60 ms in the last second or two it does not hand over. If the store does reject it, its lease expires after 1.2 s as for a lost owner.

Measured: TestBusyOwnerKeepsOwnership fails in its case 'busy' if the meter is not asked, and passes; 'not busy' hands over as before.

--- a/internal/cluster/node/busy_owner_test.go
+++ b/internal/cluster/node/busy_owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -79,3 +80,83 @@
 		})
 	}
 }
+
+// leasingStore grants leases, commits each transaction, and neither renews a lease nor
+// answers reads.
+type leasingStore struct {
+	store.Client
+}
+
+func (leasingStore) GrantLease(_ context.Context, ttl time.Duration) (int64, time.Duration, error) {
+	return 1, ttl, nil
+}
+
+func (leasingStore) Commit(context.Context, store.Txn) (store.TxnResult, error) {
+	return store.TxnResult{
+		Applied:  true,
+		Revision: 1,
+	}, nil
+}
+
+func (leasingStore) RenewLease(ctx context.Context, _ int64) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (leasingStore) Get(ctx context.Context, _ string) (store.Item, error) {
+	<-ctx.Done()
+	return store.Item{}, ctx.Err()
+}
+
+func (leasingStore) EndLease(context.Context, int64) error {
+	return nil
+}
+
+// TestBusyOwnerKeepsOwnership guards against a handover by an owner whose calls to the
+// store take long because it gets too little processor time. An owner that is not busy
+// hands over when the store answers only others.
+func TestBusyOwnerKeepsOwnership(t *testing.T) {
+	for name, c := range map[string]struct {
+		lag       time.Duration
+		handsOver bool
+	}{
+		"busy":     {lag: 200 * time.Millisecond},
+		"not busy": {lag: 2 * time.Millisecond, handsOver: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newTestNode(t, "owner", "127.0.0.1:1")
+			n.options.Store = leasingStore{}
+			n.seeds = []string{startPeer(t, readableStore{read: func(context.Context) error {
+				return store.ErrNotFound
+			}})}
+			term, release, err := store.Claim(t.Context(), leasingStore{}, "fleet", store.Owner{}, n.log)
+			assert.NilError(t, err)
+			defer release()
+			lag := &lagMeter{}
+			lag.observe(c.lag)
+			go n.handOverWhenStoreUnreachable(term, lag)
+			select {
+			case <-term.Context().Done():
+				assert.Assert(t, c.handsOver)
+			case <-time.After(store.OwnershipLeaseTime):
+				assert.Assert(t, !c.handsOver)
+			}
+		})
+	}
+}
+
+// TestLagMeterShowsLateTimers checks that a meter remembers the longest delay, and that an
+// idle process has hardly any.
+func TestLagMeterShowsLateTimers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, stop := startLagMeter()
+		defer stop()
+		time.Sleep(lagMemory / 2)
+		assert.Equal(t, m.longest(), time.Duration(0))
+		m.observe(time.Second)
+		time.Sleep(lagMemory / 2)
+		assert.Equal(t, m.longest(), time.Second)
+		time.Sleep(2 * lagMemory)
+		assert.Equal(t, m.longest(), time.Duration(0))
+	})
+}
--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -127,19 +127,21 @@
 
 // handOverWhenStoreUnreachable ends the term of ownership when the store does not answer
 // this node but does answer another, which is named as the successor. In an outage that
-// cuts off single machines, waiting for the lease to expire would stop all work.
-func (n *Node) handOverWhenStoreUnreachable(term *store.Term) {
+// cuts off single machines, waiting for the lease to expire would stop all work. While
+// this process gets too little processor time, its timeouts prove nothing about the
+// store, and another owner would be as busy.
+func (n *Node) handOverWhenStoreUnreachable(term *store.Term, lag *lagMeter) {
 	for term.Context().Err() == nil {
 		sleep(term.Context(), renewalCheckInterval)
 		if isRenewed(term) {
 			continue
 		}
 		successor := n.findNodeReachingStore(term.Context())
-		if successor == "" || isRenewed(term) {
+		if successor == "" || isRenewed(term) || lag.longest() > maxTimerLag {
 			continue
 		}
 		n.log.Warn("turnedAway", "token", term.Token(), "remaining", term.Remaining(), "successor", successor,
-			"candidate", n.candidateAddresses()[successor])
+			"candidate", n.candidateAddresses()[successor], "lag", lag.longest())
 		term.Revoke(errors.New("the store does not answer this node"))
 		n.announceRelease(successor)
 		return
@@ -290,7 +292,9 @@
 	metrics.GetOrCreateHistogram("citronbay_takeover_seconds").Update(time.Since(start).Seconds())
 	n.log.Info("takeoverDone", "token", term.Token(), "took", time.Since(start))
 	go n.handOverWhenLeaving(ctx, term)
-	go n.handOverWhenStoreUnreachable(term)
+	lag, stopLag := startLagMeter()
+	defer stopLag()
+	go n.handOverWhenStoreUnreachable(term, lag)
 	go n.handOverToBetterOwner(term)
 	return s.Run()
 }
