Refuse requests at once while neither an owner nor the store can be reached

Cause: a node waits for an owner however long there has been none, also if it does not reach the store, without which no node can become the owner.

Change: a node that does not reach the store, and that has known no serving owner for longer than such a wait, refuses at once with the usual Retry-After. In an election or right after the loss of an owner requests wait as before.

Measured: TestRequestWaitsOnlyForOwnerThatMayCome failed before in its case 'outage of the store' and passes.

--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -58,10 +58,9 @@
 // again.
 func (n *Node) logStoreAvailability(ctx context.Context, err error) {
 	lost := err != nil && ctx.Err() == nil
-	if lost == n.storeLost {
+	if n.storeLost.Swap(lost) == lost {
 		return
 	}
-	n.storeLost = lost
 	if lost {
 		n.log.Warn("storeLost", "error", err)
 		return
@@ -328,7 +327,7 @@
 		n.ownerServingAt = time.Time{}
 		return
 	}
-	n.ownerServingAt = time.Now()
+	n.markOwnerServing()
 	n.setOwnerLocked(owner)
 }
 
--- a/internal/cluster/node/forward.go
+++ b/internal/cluster/node/forward.go
@@ -38,6 +38,7 @@
 // the outcome of an attempt is unknown, it retries until the context ends, and then
 // responds caller.Unknown. As long as no attempt can have taken effect, it retries for
 // at most about maxOwnerWait, and then refuses the request.
+// It refuses it at once if no owner is to be expected.
 func (n *Node) Serve(ctx context.Context, r caller.Request) caller.Response {
 	outcomeUnknown := false
 	start := time.Now()
@@ -54,7 +55,7 @@
 			outcomeUnknown = true
 		}
 		n.triggerElection()
-		if !outcomeUnknown && time.Since(start) > maxOwnerWait {
+		if !outcomeUnknown && (time.Since(start) > maxOwnerWait || n.expectsNoOwner()) {
 			break
 		}
 		sleep(ctx, retryDelay)
@@ -76,6 +77,17 @@
 	}
 }
 
+// expectsNoOwner reports whether requests need not wait for an owner: this node does not
+// reach the store, and no owner has served for longer than a handover takes.
+func (n *Node) expectsNoOwner() bool {
+	if !n.storeLost.Load() {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Since(n.ownerLastServing) > maxOwnerWait
+}
+
 // attempt passes the request to the owner once, and gives up when the owner changes.
 func (n *Node) attempt(ctx context.Context, r caller.Request) (caller.Response, error) {
 	if s := n.currentShard(); s != nil {
--- /dev/null
+++ b/internal/cluster/node/forward_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/cluster/caller"
+)
+
+// TestRequestWaitsOnlyForOwnerThatMayCome guards against holding requests in an outage of
+// the store, in which no node can become the owner. While one may be elected, a request
+// waits for it.
+func TestRequestWaitsOnlyForOwnerThatMayCome(t *testing.T) {
+	for name, c := range map[string]struct {
+		storeLost    bool
+		ownerServing time.Duration // how long ago
+		wait         bool
+	}{
+		"outage of the store": {
+			storeLost:    true,
+			ownerServing: time.Minute,
+		},
+		"outage of the store, owner just lost": {
+			storeLost:    true,
+			ownerServing: maxOwnerWait / 10,
+			wait:         true,
+		},
+		"election": {
+			ownerServing: time.Minute,
+			wait:         true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newTestNode(t, "node", "127.0.0.1:1")
+			n.storeLost.Store(c.storeLost)
+			n.ownerLastServing = time.Now().Add(-c.ownerServing)
+			start := time.Now()
+			response := n.Serve(t.Context(), caller.Request{Verb: caller.Submit})
+			assert.Equal(t, response.Status, caller.Refused)
+			assert.Assert(t, response.RetryMillis > 0)
+			assert.Equal(t, time.Since(start) > maxOwnerWait/2, c.wait)
+		})
+	}
+}
--- a/internal/cluster/node/hello.go
+++ b/internal/cluster/node/hello.go
@@ -160,7 +160,7 @@
 	}
 	if response.Serving {
 		n.mu.Lock()
-		n.ownerServingAt = time.Now()
+		n.markOwnerServing()
 		for _, a := range response.MemberAddresses {
 			if n.members[a].address == "" {
 				n.members[a] = member{address: a}
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -67,8 +67,8 @@
 	leaving         atomic.Bool
 	electionTrigger chan struct{}
 	// storeLost reports whether the election's last call to the store failed; only the
-	// goroutine of elect uses it.
-	storeLost bool
+	// goroutine of elect sets it.
+	storeLost atomic.Bool
 
 	mu    sync.Mutex
 	seeds []string
@@ -79,6 +79,8 @@
 	// served. Either may date from an owner before the present one.
 	ownerServingAt  time.Time
 	ownerAnsweredAt time.Time
+	// ownerLastServing is when any owner last confirmed that it serves.
+	ownerLastServing time.Time
 	// ownerChanged is closed when a new owner is known, so that calls to the previous
 	// one are cancelled.
 	ownerChanged chan struct{}
@@ -210,6 +212,12 @@
 	return n.owner, n.ownerChanged
 }
 
+// markOwnerServing records that the known owner serves now. The caller holds n.mu.
+func (n *Node) markOwnerServing() {
+	n.ownerServingAt = time.Now()
+	n.ownerLastServing = n.ownerServingAt
+}
+
 // updateOwner replaces the known owner if o has a higher fencing token.
 func (n *Node) updateOwner(o store.Owner) {
 	n.mu.Lock()
--- a/internal/cluster/node/peers.go
+++ b/internal/cluster/node/peers.go
@@ -128,7 +128,7 @@
 	}
 	request.Owner.Token = request.Token
 	if n.updateOwnerLocked(request.Owner) {
-		n.ownerServingAt = time.Now()
+		n.markOwnerServing()
 	}
 	if request.ReleasedToken > 0 && request.ReleasedToken == n.owner.Token {
 		n.ownerServingAt = time.Time{}
