Refuse a read without an answer instead of calling its outcome unknown

Cause: a node that has sent a request to an owner and got no answer cannot know whether it took effect, and made no difference for reads, which have none.

Change: a read is refused with Retry-After once it has waited for an owner for as long as other requests that have certainly not taken effect.

Measured: TestUnansweredReadIsRefused failed before in its case 'read' and passes; submissions and cancellations are answered as before.

--- a/internal/cluster/node/forward.go
+++ b/internal/cluster/node/forward.go
@@ -36,8 +36,8 @@
 
 // Serve passes the request to the owner and returns its response, retrying as needed. If
 // the outcome of an attempt is unknown, it retries until the context ends, and then
-// responds caller.Unknown. As long as no attempt can have taken effect, it retries for
-// at most about maxOwnerWait, and then refuses the request.
+// responds caller.Unknown. As long as no attempt can have taken effect, which is always
+// so for a read, it retries for at most about maxOwnerWait, and then refuses the request.
 // It refuses it at once if no owner is to be expected.
 func (n *Node) Serve(ctx context.Context, r caller.Request) caller.Response {
 	outcomeUnknown := false
@@ -54,6 +54,7 @@
 		if err != nil && !errors.Is(err, peer.ErrNotSent) && !errors.Is(err, errNoOwner) {
 			outcomeUnknown = true
 		}
+		outcomeUnknown = outcomeUnknown && r.Verb != caller.Read
 		n.triggerElection()
 		if !outcomeUnknown && (time.Since(start) > maxOwnerWait || n.expectsNoOwner()) {
 			break
--- a/internal/cluster/node/forward_test.go
+++ b/internal/cluster/node/forward_test.go
@@ -1,12 +1,15 @@
 package node
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/citronbay/citronbay/internal/api/peer"
 	"github.com/citronbay/citronbay/internal/cluster/caller"
+	"github.com/citronbay/citronbay/internal/cluster/store"
 )
 
 // TestRequestWaitsOnlyForOwnerThatMayCome guards against holding requests in an outage of
@@ -44,3 +47,34 @@
 		})
 	}
 }
+
+// TestUnansweredReadIsRefused guards against telling callers that the outcome of a read
+// is unknown, after which they do not repeat it. A submission may have taken effect.
+func TestUnansweredReadIsRefused(t *testing.T) {
+	server := peer.NewServer()
+	peer.Handle(server, methodServe, func(ctx context.Context, _ caller.Request) (caller.Response, error) {
+		<-ctx.Done()
+		return caller.Response{}, ctx.Err()
+	})
+	address := servePeer(t, server)
+	for name, c := range map[string]struct {
+		verb caller.Verb
+		want caller.Status
+	}{
+		"read":         {verb: caller.Read, want: caller.Refused},
+		"submission":   {verb: caller.Submit, want: caller.Unknown},
+		"cancellation": {verb: caller.Cancel, want: caller.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newTestNode(t, "node", "127.0.0.1:1")
+			n.updateOwner(store.Owner{
+				Node:    "owner",
+				Address: address,
+				Token:   1,
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 2*attemptTimeout)
+			defer cancel()
+			assert.Equal(t, n.Serve(ctx, caller.Request{Verb: c.verb}).Status, c.want)
+		})
+	}
+}
