Ask the next owner for a submission that the last one had not sent to the store

Cause: a submission that waits for its record to become durable was called unconfirmed when the term ended, also if the record had not been sent.

Change: at the end of the term a record that is still pending is withdrawn, and the node that passed the submission on asks the next owner. A record on its way to the store still leaves the outcome unknown.

Measured: TestUnsentSubmissionIsNotUnknownAtEndOfTerm failed before and passes.

--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -205,8 +205,9 @@
 }
 
 // awaitAcceptance appends the records to the journal, releases s.mu and answers a
-// submission once it is durable. If the store becomes unavailable or ctx ends, it
-// withdraws a submission that is still pending in the journal. The caller holds s.mu.
+// submission once it is durable. If the store becomes unavailable or ctx or the term ends,
+// it withdraws a submission that is still pending in the journal: after the term's end the
+// next owner can be asked at once. The caller holds s.mu.
 func (s *Shard) awaitAcceptance(ctx context.Context, id string, records []job.Record) caller.Response {
 	if j := s.state.Job(id); j != nil && j.Recorded {
 		s.mu.Unlock()
@@ -237,6 +238,9 @@
 			}
 			return s.answerUnconfirmed(id)
 		case <-s.term.Context().Done():
+			if s.withdraw(id) {
+				return caller.Response{Status: caller.NotOwner}
+			}
 			return s.answerUnconfirmed(id)
 		}
 	}
--- a/internal/cluster/shard/requests_test.go
+++ b/internal/cluster/shard/requests_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -120,3 +122,73 @@
 		})
 	}
 }
+
+// stalledStore grants leases, has an empty journal, and after the claim answers no commit.
+type stalledStore struct {
+	grantingStore
+	claimed bool
+}
+
+func (s *stalledStore) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	if !s.claimed {
+		s.claimed = true
+		return s.grantingStore.Commit(ctx, txn)
+	}
+	<-ctx.Done()
+	return store.TxnResult{}, store.ErrOutcomeUnknown
+}
+
+func (*stalledStore) Range(context.Context, string) ([]store.Item, int64, error) {
+	return nil, 1, nil
+}
+
+// TestUnsentSubmissionIsNotUnknownAtEndOfTerm checks submissions that are being recorded
+// when the owner loses its ownership. The outcome of one whose record is on its way to the
+// store is unknown. One whose record has not been sent can never be accepted by this owner,
+// so the next one is asked.
+func TestUnsentSubmissionIsNotUnknownAtEndOfTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := slog.New(slog.NewTextHandler(io.Discard, nil))
+		client := &stalledStore{}
+		term, release, err := store.Claim(t.Context(), client, "fleet", store.Owner{}, log)
+		assert.NilError(t, err)
+		defer release()
+		s, err := Open(t.Context(), Options{
+			Store: client,
+			Term:  term,
+			Agreement: func() *operator.Agreement {
+				return &operator.Agreement{
+					Routes: []operator.Route{{
+						Host:       "jobs.example",
+						Prefix:     "/queue/",
+						Queue:      "queue",
+						AuthExempt: true,
+					}},
+				}
+			},
+			Advisors: func() []AdvisorNode { return nil },
+			Log:      log,
+		})
+		assert.NilError(t, err)
+		go func() { _ = s.Run() }()
+		submit := func(id string) <-chan caller.Status {
+			status := make(chan caller.Status, 1)
+			go func() {
+				status <- s.Serve(t.Context(), caller.Request{
+					Verb:       caller.Submit,
+					Host:       "jobs.example",
+					Path:       "/queue/" + id,
+					Submission: &job.Submission{Steps: []job.StepSpec{{Count: 1}}},
+				}).Status
+			}()
+			return status
+		}
+		sent := submit(acceptedID)
+		time.Sleep(storeStallLimit - 2*time.Millisecond) // later writes wait by now
+		unsent := submit(unknownID)
+		time.Sleep(time.Millisecond)
+		term.Revoke(errors.New("test"))
+		assert.Equal(t, <-sent, caller.Unknown)
+		assert.Equal(t, <-unsent, caller.NotOwner)
+	})
+}
