Log the jobs and the processors of the fleet with the planning load

Change: planningLoad has the open and the waiting jobs, and how many cores of the fleet exist and are used.

--- a/internal/cluster/shard/load.go
+++ b/internal/cluster/shard/load.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"log/slog"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,8 +18,8 @@
 	longest time.Duration
 }
 
-// add counts a pass and logs the load once per loadInterval.
-func (l *passLoad) add(start time.Time, took time.Duration, log *slog.Logger) {
+// add counts a pass. It reports whether the load is due to be logged.
+func (l *passLoad) add(start time.Time, took time.Duration) bool {
 	metrics.GetOrCreateHistogram("citronbay_planning_pass_seconds").Update(took.Seconds())
 	if l.since.IsZero() {
 		l.since = start
@@ -28,8 +27,17 @@
 	l.passes++
 	l.total += took
 	l.longest = max(l.longest, took)
-	if elapsed := time.Since(l.since); elapsed >= loadInterval {
-		log.Info("planningLoad", "interval", elapsed, "passes", l.passes, "total", l.total, "longest", l.longest)
-		*l = passLoad{since: time.Now()}
-	}
+	return time.Since(l.since) >= loadInterval
+}
+
+// logLoad logs the passes since the last call, with the jobs and the processors of the
+// fleet at present.
+func (s *Shard) logLoad() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	used, capacity, _ := s.fleetUsage(s.plannerWorkers())
+	s.log.Info("planningLoad", "interval", time.Since(s.passLoad.since), "passes", s.passLoad.passes,
+		"total", s.passLoad.total, "longest", s.passLoad.longest, "openJobs", len(s.state.OpenJobs()),
+		"waitingJobs", len(s.state.UnplacedJobs()), "cores", capacity.MilliCores/1000, "coresUsed", used.MilliCores/1000)
+	s.passLoad = passLoad{since: time.Now()}
 }
--- a/internal/cluster/shard/metrics.go
+++ b/internal/cluster/shard/metrics.go
@@ -50,15 +50,7 @@
 func (s *Shard) setGauges(workers []*job.Worker) {
 	metrics.GetOrCreateGauge("citronbay_open_jobs", nil).Set(float64(len(s.state.OpenJobs())))
 	metrics.GetOrCreateGauge("citronbay_agreement_version", nil).Set(float64(s.agreement.Version))
-	usable := 0
-	var used, capacity job.Resources
-	for _, w := range workers {
-		if w.Usable {
-			usable++
-		}
-		used = used.Plus(s.state.Used(w.Key()))
-		capacity = capacity.Plus(w.Capacity)
-	}
+	used, capacity, usable := s.fleetUsage(workers)
 	metrics.GetOrCreateGauge("citronbay_workers_usable", nil).Set(float64(usable))
 	metrics.GetOrCreateGauge("citronbay_cores_used", nil).Set(float64(used.MilliCores) / 1000)
 	metrics.GetOrCreateGauge("citronbay_cores", nil).Set(float64(capacity.MilliCores) / 1000)
@@ -67,3 +59,16 @@
 			Set(float64(s.state.TeamUsed(name).MilliCores) / 1000)
 	}
 }
+
+// fleetUsage returns the resources that are used and those that exist on all workers, and
+// the number of usable workers. The caller holds s.mu.
+func (s *Shard) fleetUsage(workers []*job.Worker) (used, capacity job.Resources, usable int) {
+	for _, w := range workers {
+		if w.Usable {
+			usable++
+		}
+		used = used.Plus(s.state.Used(w.Key()))
+		capacity = capacity.Plus(w.Capacity)
+	}
+	return used, capacity, usable
+}
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -175,7 +175,9 @@
 			passStart := time.Now()
 			s.runPass()
 			s.lastPassDuration = time.Since(passStart)
-			s.passLoad.add(passStart, s.lastPassDuration, s.log)
+			if s.passLoad.add(passStart, s.lastPassDuration) {
+				s.logLoad()
+			}
 		}
 	}
 }
