Name a suitable node as successor of a silent owner

Cause: the node that notices the owner's silence became the owner itself and without delay, however weak it was. front-harju-4 (0.192 core) took ownership at 3.95 s though it knew candidates with 0.8 core (claim.successor=true claim.cores=0.192 claim.candidateCores=0.8), needed 1 s to take over, and was overloaded until all nodes were killed at 13 s. Another weak node succeeded it in the same way at 10.8 s.

Change: such a node names a better one if it knows one and is not a candidate itself, as an owner does that hands over.

Measured: TestSilentOwnerIsReplacedBySuitableNode failed before in its case 'weak' and passes; a strong node, or one that knows no better, still claims itself.

--- a/internal/cluster/node/candidate.go
+++ b/internal/cluster/node/candidate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/api/peer"
@@ -141,13 +142,16 @@
 	return n.options.Cores*strongerFactor <= max(n.reportedMaxCores, n.maxCandidateCores())
 }
 
-// betterOwner returns the address of the candidate to which this node should hand
-// ownership over, or an empty string if this node is a candidate itself or none is
-// known.
-func (n *Node) betterOwner() string {
+// betterOwner returns the address of the candidate to which this node should leave
+// ownership, or an empty string if this node is a candidate itself or none is known. The
+// node at the address except does not count.
+func (n *Node) betterOwner(except string) string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	suitable := candidates(append(n.liveMembers(), n.self()))
+	others := slices.DeleteFunc(n.liveMembers(), func(m member) bool {
+		return m.address == except
+	})
+	suitable := candidates(append(others, n.self()))
 	for _, m := range suitable {
 		if m.address == n.options.Address {
 			return ""
@@ -161,7 +165,7 @@
 func (n *Node) handOverToBetterOwner(term *store.Term) {
 	for term.Context().Err() == nil {
 		sleep(term.Context(), betterOwnerInterval)
-		address := n.betterOwner()
+		address := n.betterOwner("")
 		if address == "" || term.Context().Err() != nil || !n.candidateReachesStore(term.Context(), address) {
 			continue
 		}
--- a/internal/cluster/node/candidate_test.go
+++ b/internal/cluster/node/candidate_test.go
@@ -1,10 +1,14 @@
 package node
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/api/peer"
+	"github.com/citronbay/citronbay/internal/cluster/store"
 )
 
 // TestChooseSuccessor guards against handing ownership to a node that would make a poor
@@ -126,7 +130,7 @@
 				cores:                c.otherCores,
 			}
 			assert.Equal(t, n.isMuchWeaker(), c.muchWeaker)
-			assert.Equal(t, n.betterOwner() == "other", c.handsOver)
+			assert.Equal(t, n.betterOwner("") == "other", c.handsOver)
 		})
 	}
 }
@@ -164,3 +168,59 @@
 		})
 	}
 }
+
+// TestSilentOwnerIsReplacedBySuitableNode guards against a weak node that notices the
+// owner's silence first and becomes the owner itself, though it knows better ones.
+func TestSilentOwnerIsReplacedBySuitableNode(t *testing.T) {
+	const ownerAddress = "127.0.0.1:2"
+	for name, c := range map[string]struct {
+		ownCores      float64
+		strongAddress string // empty: no strong member is known
+		wantSelf      bool
+	}{
+		"weak":                            {ownCores: 0.192, strongAddress: "strong"},
+		"strong":                          {ownCores: 0.8, strongAddress: "strong", wantSelf: true},
+		"weak, no other known":            {ownCores: 0.192, wantSelf: true},
+		"weak, only the silent one known": {ownCores: 0.192, strongAddress: ownerAddress, wantSelf: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			released := make(chan helloRequest, 10)
+			server := peer.NewServer()
+			peer.Handle(server, methodHello, func(_ context.Context, r helloRequest) (helloResponse, error) {
+				released <- r
+				return helloResponse{}, nil
+			})
+			listeningAddress := servePeer(t, server)
+			n := newTestNode(t, "node", "127.0.0.1:1")
+			n.options.Cores = c.ownCores
+			n.storeRoundTrip = 5 * time.Millisecond
+			if c.strongAddress == "strong" {
+				c.strongAddress = listeningAddress
+			}
+			if c.strongAddress != "" {
+				n.members["strong"] = member{
+					address:              c.strongAddress,
+					lastHello:            time.Now(),
+					started:              time.Now(),
+					storeRoundTripMillis: 5,
+					cores:                0.8,
+				}
+			}
+			owner := store.Owner{
+				Node:    "owner",
+				Address: ownerAddress,
+				Token:   7,
+			}
+			n.updateOwner(owner)
+			n.replaceOwner(owner)
+			assert.Equal(t, n.isSuccessor(), c.wantSelf)
+			assert.Equal(t, n.lastReleasedToken(), owner.Token)
+			if c.wantSelf {
+				return
+			}
+			r := <-released
+			assert.Equal(t, r.Successor, listeningAddress)
+			assert.Equal(t, r.ReleasedToken, owner.Token)
+		})
+	}
+}
--- a/internal/cluster/node/hello.go
+++ b/internal/cluster/node/hello.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -114,23 +115,33 @@
 	return confirmed
 }
 
-// replaceOwner names this node as the successor of the silent owner, unless another owner
-// is known by now or this node is leaving. The next campaign then ends the silent owner's
-// lease, if the store still has it as the owner, and claims ownership. This is safe even
-// if that owner is alive: its term of ownership ends, and its journal writes fail once
-// the owner key is deleted.
+// replaceOwner names a successor of the silent owner, unless another owner is known by now
+// or this node is leaving: a better owner if this node knows one, or else itself. The
+// successor's next campaign then ends the silent owner's lease, if the store still has it
+// as the owner, and claims ownership. This is safe even if that owner is alive: its term of
+// ownership ends, and its journal writes fail once the owner key is deleted.
 func (n *Node) replaceOwner(owner store.Owner) {
+	better := n.betterOwner(owner.Address)
+	if n.nameSuccessor(owner, cmp.Or(better, n.options.Address)) && better != "" {
+		n.announceRelease(better)
+	}
+}
+
+// nameSuccessor sets the successor of the silent owner. It reports false if another owner
+// is known by now or this node is leaving.
+func (n *Node) nameSuccessor(owner store.Owner, successor string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.owner.Token != owner.Token || n.leaving.Load() {
-		return
+		return false
 	}
-	n.log.Warn("ownerReplaced", "owner", owner.Node, "token", owner.Token)
-	n.successor = n.options.Address
+	n.log.Warn("ownerReplaced", "owner", owner.Node, "token", owner.Token, "successor", successor)
+	n.successor = successor
 	n.successorNamedAt = time.Now()
 	n.releasedToken = owner.Token
 	n.ownerServingAt = time.Time{}
 	n.triggerElection()
+	return true
 }
 
 // sendHello sends a hello to the address and applies the response. It returns whether a
