Wait longer for the answers of busy candidates

Cause: an owner that hands over waits 50 ms for a candidate after the first other answer, and 150 ms for the probe of a better owner. Busy nodes answer later.

Change: 200 ms and 500 ms.

Measured: TestBusyCandidateIsPreferred failed before and passes.

--- a/internal/cluster/node/candidate.go
+++ b/internal/cluster/node/candidate.go
@@ -26,12 +26,12 @@
 	// betterOwnerInterval is how often the owner looks for a better one.
 	betterOwnerInterval = time.Second
 	// candidateProbeTimeout bounds the call that asks a candidate whether it reaches the
-	// store. It allows for two hops between regions and a store ten times slower than
-	// usual.
-	candidateProbeTimeout = 150 * time.Millisecond
+	// store. It allows for an owner that is too weak for its load and answers late.
+	candidateProbeTimeout = 500 * time.Millisecond
 	// candidateWait is how long to wait for a candidate's answer after another node has
-	// answered. It allows for a round trip to the store's region.
-	candidateWait = 50 * time.Millisecond
+	// answered. It allows for a round trip to the store's region and for busy nodes; a
+	// takeover by an unsuitable node takes longer.
+	candidateWait = 200 * time.Millisecond
 )
 
 // member is what this node knows of another one from its last hello. In an entry that
--- a/internal/cluster/node/candidate_test.go
+++ b/internal/cluster/node/candidate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -135,6 +136,17 @@
 	}
 }
 
+// TestBusyCandidateIsPreferred guards against handing ownership to a weak or distant node
+// because the candidates are busy and answer a little later.
+func TestBusyCandidateIsPreferred(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		answers := make(chan string, 2)
+		answers <- "far"
+		time.AfterFunc(120*time.Millisecond, func() { answers <- "good" })
+		assert.Equal(t, preferredAddress(answers, 3, map[string]bool{"good": true}), "good")
+	})
+}
+
 // TestPreferredAddress guards against handing ownership to the first node that reaches
 // the store when a candidate answers soon after it.
 func TestPreferredAddress(t *testing.T) {
