Let a gang in a full fleet ask the policy service about fewer workers

A gang that does not fit asked about one set of workers after another, up to the whole fleet. In a full fleet that finds no room; the gang fits once running tasks end on the workers that it knows.

Change: a gang asks no further once it fits twice on the workers that it may use, if nothing else ran there.

Measured: TestGangInFullFleetAsksAboutFewWorkers failed before and passes.

--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -20,6 +20,11 @@
 	// maxExaminedSteps is the maximum number of steps that one pass examines for
 	// queries, which bounds the pass's time under a long backlog.
 	maxExaminedSteps = 64
+	// gangCapacityFactor is how many times a gang must fit on the workers known to be
+	// allowed, if nothing else ran there, so that no further ones are asked about. In a
+	// full fleet a gang would otherwise ask about all workers, and the policy service
+	// would have no time for other jobs.
+	gangCapacityFactor = 2
 	// prefetchLeadMillis is how long before the expected end of a step the policy
 	// service is asked about the steps that depend on it.
 	prefetchLeadMillis = 700
@@ -179,6 +184,8 @@
 	}
 	plan := p.packGang(step, allowed)
 	switch {
+	case plan == nil && taskCapacity(step, allowed) >= gangCapacityFactor*step.Spec.Count:
+		return PolicyQuery{}, false // it fits once running tasks have ended
 	case plan == nil:
 		return p.discoveryQuery(step, queue)
 	case !p.withinCap(step, step.Spec.Count) || p.allTicketsValid(step, plan, now):
@@ -187,6 +194,16 @@
 	return p.gangRenewalQuery(step, queue, plan, now), true
 }
 
+// taskCapacity returns how many of the step's tasks fit on the workers if nothing else runs
+// there.
+func taskCapacity(step *Step, workers []*Worker) int {
+	total := 0
+	for _, w := range workers {
+		total += step.Spec.Needs.fitCount(w.Capacity, step.Spec.Count)
+	}
+	return total
+}
+
 // discoveryQuery returns a query about workers on which there is no answer for the step
 // yet, those with the most free processors first, or false if there are none. Until a
 // call about the step has succeeded, these include workers on which no task fits now.
--- a/internal/decide/job/planner_test.go
+++ b/internal/decide/job/planner_test.go
@@ -252,3 +252,51 @@
 		})
 	}
 }
+
+// TestGangInFullFleetAsksAboutFewWorkers guards against gangs that wait for capacity and
+// ask about one set of workers after another, until the policy service has no time for
+// other jobs. A gang asks on while it would not fit comfortably on the workers that it may
+// use, even if nothing else ran there.
+func TestGangInFullFleetAsksAboutFewWorkers(t *testing.T) {
+	const gangTasks, blockedWorkers = 6, 4
+	for name, test := range map[string]struct {
+		allowed int // workers allowed by the first answer, with room for two tasks each
+		asks    bool
+	}{
+		"too few allowed":   {allowed: 5, asks: true},
+		"enough if drained": {allowed: 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			rules := newRules(1)
+			workers := newWorkers(100)
+			acceptJob(t, state, "gang", "team0", "advised", 0, job.StepSpec{
+				Count: gangTasks,
+				Needs: cores(32),
+				Gang:  true,
+			})
+			query := job.NewPlanner(state, rules, workers, 0).PolicyQueries(0, 1, 1, 200)[0]
+			tickets := map[*job.Worker]job.Ticket{}
+			for _, w := range query.Workers[:test.allowed] {
+				tickets[w] = job.Ticket{ExpiresMillis: 2000}
+			}
+			query.HandleAnswer(tickets, true)
+			acceptJob(t, state, "blocker", "team0", "plain", 0, job.StepSpec{
+				Count: blockedWorkers,
+				Needs: cores(64),
+			})
+			for n, w := range query.Workers[:blockedWorkers] {
+				mustApply(t, state, job.Record{
+					Kind:    job.RecordPlace,
+					Job:     "blocker",
+					Index:   n,
+					Attempt: 1,
+					Worker:  w.ID,
+				})
+			}
+			p := job.NewPlanner(state, rules, workers, 1)
+			assert.Equal(t, len(p.Plan(1)), 0)
+			assert.Equal(t, len(p.PolicyQueries(1, 1, 1, 200)) == 1, test.asks)
+		})
+	}
+}
