Bound the part of the fleet that waiting gangs reserve

Cause: each gang that does not fit reserves the workers that it will need, on which no job of lower priority starts. 30 gangs waited at a time, each with about seven workers, and most of the fleet was kept free for them.

Change: once a third of the workers is reserved, further gangs reserve none. The first gang can always reserve what it needs.

Measured: TestWaitingGangsLeaveRoomForOthers failed before and passes.

--- a/internal/decide/job/planner.go
+++ b/internal/decide/job/planner.go
@@ -9,6 +9,10 @@
 // in addition to the commit time: one hop between regions, and one retry of it.
 const ticketMarginMillis = 140
 
+// maxReservedFraction is the fraction 1/maxReservedFraction of the workers from which no
+// further gang reserves any.
+const maxReservedFraction = 3
+
 // Worker is the shard owner's view of one incarnation of a worker. The owner must use
 // the same *Worker for an incarnation in all passes, since tickets are keyed by it.
 type Worker struct {
@@ -456,8 +460,10 @@
 // ended, those with the most free processors first. It sets their gangPriority to the
 // gang's priority; steps of lower priority do not start there in this pass. Unlike this
 // reservation, the one in Advice.reserved lasts over passes, while tickets are renewed.
+// The first gang can reserve what it needs; further ones reserve nothing once a part of
+// the fleet is reserved, since reserved workers idle until the gang fits.
 func (p *Planner) reserveForGang(step *Step, queue Queue, gangPriority map[*Worker]int) {
-	if len(gangPriority) == len(p.workers) {
+	if len(gangPriority) > 0 && len(gangPriority) >= len(p.workers)/maxReservedFraction {
 		return
 	}
 	allowed := slices.DeleteFunc(p.allowedWorkers(step, queue), func(w *Worker) bool {
--- a/internal/decide/job/planner_test.go
+++ b/internal/decide/job/planner_test.go
@@ -300,3 +300,34 @@
 		})
 	}
 }
+
+// TestWaitingGangsLeaveRoomForOthers guards against a fleet in which gangs that wait
+// reserve most workers, which idle while jobs of lower priority wait too.
+func TestWaitingGangsLeaveRoomForOthers(t *testing.T) {
+	const workerCount, gangCount = 12, 6
+	state := job.NewState()
+	rules := newRules(1)
+	queue := rules.Queues["plain"]
+	queue.Name, queue.Priority = "low", 5
+	rules.Queues["low"] = queue
+	workers := newWorkers(workerCount)
+	acceptJob(t, state, "running", "team0", "plain", 0, job.StepSpec{
+		Count: workerCount,
+		Needs: cores(40),
+	})
+	assert.Equal(t, len(job.NewPlanner(state, rules, workers, 0).Plan(0)), workerCount)
+	for n := range gangCount {
+		acceptJob(t, state, fmt.Sprint("gang", n), "team0", "plain", 1, job.StepSpec{
+			Count: 2,
+			Needs: cores(64),
+			Gang:  true,
+		})
+	}
+	acceptJob(t, state, "low", "team0", "low", 1, job.StepSpec{
+		Count: workerCount,
+		Needs: cores(24),
+	})
+	records := job.NewPlanner(state, rules, workers, 2).Plan(2)
+	assert.DeepEqual(t, placedJobs(records), []string{"low"})
+	assert.Equal(t, len(records), workerCount*2/3)
+}
