Let gangs that can wait ask on with calls to spare

Cause: a gang that would fit on the workers that it may use stopped asking also when the policy service had nothing else to do. With more workers it fits sooner.

Change: such gangs ask on after all other steps, and only while fewer than half of the slow calls are in flight. PolicyQueries takes its limits as one struct.

Measured: the case 'calls to spare' of TestGangInFullFleetAsksAboutFewWorkers failed before.

--- a/internal/cluster/shard/policy.go
+++ b/internal/cluster/shard/policy.go
@@ -35,8 +35,13 @@
 	if len(idle) == 0 {
 		return
 	}
-	maxSlow := max(1, len(advisors)-fastCallAdvisors) - s.slowCalls
-	queries := planner.PolicyQueries(now, len(idle), max(0, maxSlow), slowCallMillis)
+	maxSlow := max(1, len(advisors)-fastCallAdvisors)
+	queries := planner.PolicyQueries(now, job.QueryLimits{
+		Calls:          len(idle),
+		SlowCalls:      max(0, maxSlow-s.slowCalls),
+		SpareSlowCalls: max(0, maxSlow/2-s.slowCalls),
+		SlowMillis:     slowCallMillis,
+	})
 	for n, q := range queries {
 		s.busyAdvisors[idle[n].Node] = true
 		if q.ExpectedMillis > slowCallMillis {
--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -20,10 +20,8 @@
 	// maxExaminedSteps is the maximum number of steps that one pass examines for
 	// queries, which bounds the pass's time under a long backlog.
 	maxExaminedSteps = 64
-	// gangCapacityFactor is how many times a gang must fit on the workers known to be
-	// allowed, if nothing else ran there, so that no further ones are asked about. In a
-	// full fleet a gang would otherwise ask about all workers, and the policy service
-	// would have no time for other jobs.
+	// gangCapacityFactor is how many times a gang must fit on the workers that it may use,
+	// if nothing else ran there, so that it can wait for running tasks to end.
 	gangCapacityFactor = 2
 	// prefetchLeadMillis is how long before the expected end of a step the policy
 	// service is asked about the steps that depend on it.
@@ -113,53 +111,101 @@
 	return a.allowed[w].ExpiresMillis > at
 }
 
-// PolicyQueries returns up to limit calls to the policy service that should be made now,
-// and marks them as in flight. Calls for steps with tasks to place come first, in the
-// order in which the steps are served; calls for steps that become ready soon follow.
+// QueryLimits bounds the calls to the policy service that start in one pass.
+type QueryLimits struct {
+	// Calls is the maximum number of calls.
+	Calls int
+	// SlowCalls is the maximum number of calls to services whose fixed time is over half
+	// of SlowMillis, so that fast calls do not queue behind slow ones. SpareSlowCalls is
+	// the same for calls that only shorten a gang's wait.
+	SlowCalls, SpareSlowCalls int
+	SlowMillis                float64
+}
+
+// PolicyQueries returns the calls to the policy service that should be made now, within
+// the limits, and marks them as in flight. Calls for steps with tasks to place come first,
+// in the order in which the steps are served; calls for steps that become ready soon
+// follow. Last come those for gangs that would fit on the workers that they may use, if
+// nothing else ran there: in a full fleet such gangs would otherwise ask about all
+// workers, and the policy service would have no time for other jobs.
 //
 // A discovery query asks about workers on which there is no answer yet, and a renewal
 // asks for new tickets on allowed workers. The policy service can be the bottleneck, so
 // the workers in a discovery query add at most half of the call's fixed time, unless they
 // are minQueryWorkers or fewer, and a renewal names only workers that are about to be
-// used. At most slowLimit of the calls are to services whose fixed time is over half of
-// slowMillis, so that fast calls do not queue behind slow ones.
-func (p *Planner) PolicyQueries(now int64, limit, slowLimit int, slowMillis float64) []PolicyQuery {
-	var queries []PolicyQuery
-	examined := 0
-	consider := func(step *Step, build func(*Step, Queue) (PolicyQuery, bool)) {
-		queue := p.rules.Queues[step.Job.Queue]
-		if queue.Policy == nil || step.Advice.queryInFlight {
-			return
-		}
-		slow := queue.Policy.FixedMillis > slowMillis/2
-		if slow && slowLimit <= 0 {
-			return
-		}
-		examined++
-		q, ok := build(step, queue)
-		if !ok {
-			return
-		}
-		queries = append(queries, q)
-		if slow {
-			slowLimit--
-		}
+// used.
+func (p *Planner) PolicyQueries(now int64, limits QueryLimits) []PolicyQuery {
+	c := &queryCollector{
+		planner: p,
+		limits:  limits,
 	}
+	var patient []*Step
 	for _, step := range p.steps {
-		if len(queries) == limit || examined == maxExaminedSteps {
-			return queries
+		if c.full() {
+			return c.queries
 		}
-		consider(step, func(step *Step, queue Queue) (PolicyQuery, bool) {
+		c.consider(step, func(step *Step, queue Queue) (PolicyQuery, bool) {
+			if p.canWait(step, queue) {
+				patient = append(patient, step)
+				return PolicyQuery{}, false
+			}
 			return p.nextQuery(step, queue, now)
 		})
 	}
 	for _, step := range p.stepsToPrefetch(now) {
-		if len(queries) == limit || examined == maxExaminedSteps {
-			return queries
-		}
-		consider(step, p.discoveryQuery)
+		c.consider(step, p.discoveryQuery)
+	}
+	slowCalls := limits.SlowCalls - c.limits.SlowCalls
+	c.limits.SlowCalls = min(c.limits.SlowCalls, limits.SpareSlowCalls-slowCalls)
+	for _, step := range patient {
+		c.consider(step, p.discoveryQuery)
 	}
-	return queries
+	return c.queries
+}
+
+// queryCollector collects the queries of one pass within the limits.
+type queryCollector struct {
+	planner  *Planner
+	limits   QueryLimits
+	queries  []PolicyQuery
+	examined int
+}
+
+// full reports whether no further query can be added.
+func (c *queryCollector) full() bool {
+	return len(c.queries) == c.limits.Calls || c.examined == maxExaminedSteps
+}
+
+// consider adds the query that build returns for the step, if it returns one and the
+// limits allow it.
+func (c *queryCollector) consider(step *Step, build func(*Step, Queue) (PolicyQuery, bool)) {
+	queue := c.planner.rules.Queues[step.Job.Queue]
+	if queue.Policy == nil || step.Advice.queryInFlight || c.full() {
+		return
+	}
+	slow := queue.Policy.FixedMillis > c.limits.SlowMillis/2
+	if slow && c.limits.SlowCalls <= 0 {
+		return
+	}
+	c.examined++
+	q, ok := build(step, queue)
+	if !ok {
+		return
+	}
+	c.queries = append(c.queries, q)
+	if slow {
+		c.limits.SlowCalls--
+	}
+}
+
+// canWait reports whether the step is a gang that does not fit now but would fit
+// gangCapacityFactor times on the workers that it may use, if nothing else ran there.
+func (p *Planner) canWait(step *Step, queue Queue) bool {
+	if !step.Spec.Gang || !step.Advice.answered || !step.Spec.Needs.FitsIn(p.largestFree) || !p.withinCap(step, 1) {
+		return false
+	}
+	allowed := p.allowedWorkers(step, queue)
+	return taskCapacity(step, allowed) >= gangCapacityFactor*step.Spec.Count && p.packGang(step, allowed) == nil
 }
 
 // nextQuery returns the call that the step needs now, which is a discovery query or the
@@ -184,8 +230,6 @@
 	}
 	plan := p.packGang(step, allowed)
 	switch {
-	case plan == nil && taskCapacity(step, allowed) >= gangCapacityFactor*step.Spec.Count:
-		return PolicyQuery{}, false // it fits once running tasks have ended
 	case plan == nil:
 		return p.discoveryQuery(step, queue)
 	case !p.withinCap(step, step.Spec.Count) || p.allTicketsValid(step, plan, now):
--- a/internal/decide/job/planner_bench_test.go
+++ b/internal/decide/job/planner_bench_test.go
@@ -89,7 +89,7 @@
 // answerQueries answers all policy queries of a pass. Of each query's workers it allows
 // those whose index is a multiple of every.
 func answerQueries(p *job.Planner, now int64, every int) {
-	for _, q := range p.PolicyQueries(now, 1000, 1000, 200) {
+	for _, q := range p.PolicyQueries(now, limitCalls(1000, 1000)) {
 		allowed := map[*job.Worker]job.Ticket{}
 		for n, w := range q.Workers {
 			if n%every == 0 {
@@ -142,7 +142,7 @@
 				p := job.NewPlanner(state, rules, workers, at)
 				p.Plan(at)
 				// The calls fail, so the steps need them again in the next pass.
-				for _, q := range p.PolicyQueries(at, 7, 5, 200) {
+				for _, q := range p.PolicyQueries(at, limitCalls(7, 5)) {
 					q.HandleAnswer(nil, false)
 				}
 			}
--- a/internal/decide/job/planner_test.go
+++ b/internal/decide/job/planner_test.go
@@ -26,6 +26,16 @@
 	return job.Resources{MilliCores: n * 1000}
 }
 
+// limitCalls returns limits in which a call is slow if its fixed time is over 100 ms.
+func limitCalls(calls, slowCalls int) job.QueryLimits {
+	return job.QueryLimits{
+		Calls:          calls,
+		SlowCalls:      slowCalls,
+		SpareSlowCalls: slowCalls,
+		SlowMillis:     200,
+	}
+}
+
 // TestOverloadPlacesFeasibleJobsFirst guards against an overload, such as a burst of
 // twice the fleet's capacity, in which jobs that are already late make the others late
 // too.
@@ -134,7 +144,7 @@
 				p := job.NewPlanner(state, rules, workers, now)
 				records := p.Plan(now)
 				checkLimits(t, state, rules, workers, records)
-				for _, q := range p.PolicyQueries(now, 4, 2, 200) {
+				for _, q := range p.PolicyQueries(now, limitCalls(4, 2)) {
 					answerRandomly(rng, q, now)
 				}
 				endRandomAttempts(t, state, rng, workers)
@@ -243,28 +253,30 @@
 				Needs: cores(1),
 			})
 			p := job.NewPlanner(state, newRules(1), workers, 0)
-			p.PolicyQueries(0, 1, 1, 200)[0].HandleAnswer(map[*job.Worker]job.Ticket{
+			p.PolicyQueries(0, limitCalls(1, 1))[0].HandleAnswer(map[*job.Worker]job.Ticket{
 				workers[0]: {ExpiresMillis: 400},
 			}, true)
 			p = job.NewPlanner(state, newRules(1), workers, 0).WithCommitMillis(test.commitMillis)
 			assert.Equal(t, len(p.Plan(0)), test.placed)
-			assert.Equal(t, len(p.PolicyQueries(0, 1, 1, 200)), 1-test.placed)
+			assert.Equal(t, len(p.PolicyQueries(0, limitCalls(1, 1))), 1-test.placed)
 		})
 	}
 }
 
 // TestGangInFullFleetAsksAboutFewWorkers guards against gangs that wait for capacity and
 // ask about one set of workers after another, until the policy service has no time for
-// other jobs. A gang asks on while it would not fit comfortably on the workers that it may
-// use, even if nothing else ran there.
+// other jobs. A gang asks on with calls to spare, and while it would not fit comfortably
+// on the workers that it may use even if nothing else ran there.
 func TestGangInFullFleetAsksAboutFewWorkers(t *testing.T) {
 	const gangTasks, blockedWorkers = 6, 4
 	for name, test := range map[string]struct {
-		allowed int // workers allowed by the first answer, with room for two tasks each
-		asks    bool
+		allowed    int // workers allowed by the first answer, with room for two tasks each
+		spareCalls int
+		asks       bool
 	}{
-		"too few allowed":   {allowed: 5, asks: true},
-		"enough if drained": {allowed: 6},
+		"too few allowed":                   {allowed: 5, asks: true},
+		"enough if drained":                 {allowed: 6},
+		"enough if drained, calls to spare": {allowed: 6, spareCalls: 1, asks: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			state := job.NewState()
@@ -275,7 +287,7 @@
 				Needs: cores(32),
 				Gang:  true,
 			})
-			query := job.NewPlanner(state, rules, workers, 0).PolicyQueries(0, 1, 1, 200)[0]
+			query := job.NewPlanner(state, rules, workers, 0).PolicyQueries(0, limitCalls(1, 1))[0]
 			tickets := map[*job.Worker]job.Ticket{}
 			for _, w := range query.Workers[:test.allowed] {
 				tickets[w] = job.Ticket{ExpiresMillis: 2000}
@@ -296,7 +308,13 @@
 			}
 			p := job.NewPlanner(state, rules, workers, 1)
 			assert.Equal(t, len(p.Plan(1)), 0)
-			assert.Equal(t, len(p.PolicyQueries(1, 1, 1, 200)) == 1, test.asks)
+			queries := p.PolicyQueries(1, job.QueryLimits{
+				Calls:          1,
+				SlowCalls:      1,
+				SpareSlowCalls: test.spareCalls,
+				SlowMillis:     2 * rules.Queues["advised"].Policy.FixedMillis / 3,
+			})
+			assert.Equal(t, len(queries) == 1, test.asks)
 		})
 	}
 }
