Clear up names and comments of the changes to ownership and policy queries

Cause: read as a newcomer would, some comments described the state before, and two names were unclear. Change: comments and names only.

Measured: the tests of package job pass.

--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -96,9 +96,9 @@
 	// reportedMaxCores is MaxCandidateCores of the last response to a hello of this
 	// node.
 	reportedMaxCores float64
-	// successor is the address of the node that the last owner has named as its
-	// successor, or this node's own when it replaces a silent owner; successorNamedAt
-	// is when that happened.
+	// successor is the address of the node that was named as the next owner: by the last
+	// owner, or by this or another node that replaces a silent one. successorNamedAt is
+	// when that happened.
 	successor string
 	// releasedToken is the fencing token of the term of ownership that the successor
 	// may end: one that was released, or that of a silent owner.
--- a/internal/cluster/node/peers.go
+++ b/internal/cluster/node/peers.go
@@ -41,7 +41,8 @@
 	Address string `cbor:"2,keyasint"`
 	Leaving bool   `cbor:"3,keyasint,omitempty"`
 	// ReleasedToken is the fencing token of a term of ownership that the node has
-	// released, and Successor the address of the node that should claim the next one.
+	// released, or that of a silent owner that it replaces, and Successor the address of
+	// the node that should claim the next one.
 	ReleasedToken int64  `cbor:"4,keyasint,omitempty"`
 	Successor     string `cbor:"5,keyasint,omitempty"`
 	// UptimeMillis is how long the node's process has run, in milliseconds.
--- a/internal/cluster/shard/load.go
+++ b/internal/cluster/shard/load.go
@@ -9,8 +9,8 @@
 // loadInterval is the time between two log lines about the owner's load.
 const loadInterval = 2 * time.Second
 
-// passLoad sums up planning passes. A low share of time in passes together with few of
-// them means that the owner's processor is busy with something else.
+// passLoad sums up planning passes. Few passes that take little time in total mean that the
+// owner's processor is busy with something else.
 type passLoad struct {
 	since   time.Time
 	passes  int
--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -139,14 +139,14 @@
 		planner: p,
 		limits:  limits,
 	}
-	var patient []*Step
+	var deferred []*Step
 	for _, step := range p.steps {
 		if c.full() {
 			return c.queries
 		}
 		c.consider(step, func(step *Step, queue Queue) (PolicyQuery, bool) {
 			if p.canWait(step, queue) {
-				patient = append(patient, step)
+				deferred = append(deferred, step)
 				return PolicyQuery{}, false
 			}
 			return p.nextQuery(step, queue, now)
@@ -157,7 +157,7 @@
 	}
 	slowCalls := limits.SlowCalls - c.limits.SlowCalls
 	c.limits.SlowCalls = min(c.limits.SlowCalls, limits.SpareSlowCalls-slowCalls)
-	for _, step := range patient {
+	for _, step := range deferred {
 		c.consider(step, p.discoveryQuery)
 	}
 	return c.queries
--- a/internal/decide/job/planner.go
+++ b/internal/decide/job/planner.go
@@ -9,9 +9,9 @@
 // in addition to the commit time: one hop between regions, and one retry of it.
 const ticketMarginMillis = 140
 
-// maxReservedFraction is the fraction 1/maxReservedFraction of the workers from which no
-// further gang reserves any.
-const maxReservedFraction = 3
+// maxReservedDivisor bounds what waiting gangs reserve: once the number of workers divided
+// by it is reserved, further gangs reserve none.
+const maxReservedDivisor = 3
 
 // Worker is the shard owner's view of one incarnation of a worker. The owner must use
 // the same *Worker for an incarnation in all passes, since tickets are keyed by it.
@@ -463,7 +463,7 @@
 // The first gang can reserve what it needs; further ones reserve nothing once a part of
 // the fleet is reserved, since reserved workers idle until the gang fits.
 func (p *Planner) reserveForGang(step *Step, queue Queue, gangPriority map[*Worker]int) {
-	if len(gangPriority) > 0 && len(gangPriority) >= len(p.workers)/maxReservedFraction {
+	if len(gangPriority) > 0 && len(gangPriority) >= len(p.workers)/maxReservedDivisor {
 		return
 	}
 	allowed := slices.DeleteFunc(p.allowedWorkers(step, queue), func(w *Worker) bool {
