Do not call a retried request notRun when an earlier owner may have run it

Cause: an entry sends cap-3 to the owner, which runs it and is killed before it answers. The entry sends the request again with Retry set. The next owner looks for the request among the tasks that run; it has ended by then, so the owner treats the request as new. Another owner takes the shard over at that moment, so no attempt gets a lease, and the request is answered as one that never ran. Class of fault: absence among what runs now is taken for proof that nothing ran.

The router still tries such rejections again until the deadline.

Evidence: TestRetryAfterLostAnswerIsNotCalledNotRun fails before the change in both retry cases (notRun instead of unknown) and passes with it.

--- a/internal/entry/shard/router.go
+++ b/internal/entry/shard/router.go
@@ -117,11 +117,7 @@
 		if owned := r.ownership.OwnedShard(); owned != nil {
 			return owned.Serve(ctx, request), nil
 		}
-		return caller.Answer{
-			RequestID: request.Request.RequestID,
-			Fate:      caller.FateNotRun,
-			Reason:    reasonNotOwner,
-		}, nil
+		return notOwnerAnswer(request), nil
 	})
 	apipeer.Handle(server, methodSubmit, func(ctx context.Context, request upstream.SubmitRequest) (caller.JobStatus, error) {
 		if owned := r.ownership.OwnedShard(); owned != nil {
@@ -143,6 +139,20 @@
 	}))
 }
 
+// notOwnerAnswer returns the answer of an entry that does not own the shard. It cannot
+// rule out that an owner has run the request before.
+func notOwnerAnswer(request upstream.ServeRequest) caller.Answer {
+	answer := caller.Answer{
+		RequestID: request.Request.RequestID,
+		Fate:      caller.FateNotRun,
+		Reason:    reasonNotOwner,
+	}
+	if request.Retry {
+		answer.Fate = caller.FateUnknown
+	}
+	return answer
+}
+
 func jobStatus(owned *upstream.Shard, request JobRequest) JobReply {
 	status, found := owned.JobStatus(request.Team, request.JobID)
 	return JobReply{
@@ -254,7 +264,7 @@
 				request.Retry = true
 				break
 			}
-			if outcome == answerLost || result.Fate != caller.FateNotRun || !isRetryable(result.Reason) {
+			if outcome == answerLost || !isRetryableAnswer(result, request.Retry) {
 				return result
 			}
 		}
@@ -273,6 +283,14 @@
 	})
 }
 
+// isRetryableAnswer reports whether the call that got the answer has not run the request
+// and another one may. After a lost answer, given as retry, the fate of such a call is
+// FateUnknown too, since an earlier owner may have run the request.
+func isRetryableAnswer(answer caller.Answer, retry bool) bool {
+	rejected := answer.Fate == caller.FateNotRun || (retry && answer.Fate == caller.FateUnknown)
+	return rejected && isRetryable(answer.Reason)
+}
+
 // isRetryable reports whether work that was rejected for the reason may be accepted
 // by another shard, or by the same one later. An owner that releases its upstreams
 // gives a reason that contains "hands over".
--- a/internal/entry/upstream/journal.go
+++ b/internal/entry/upstream/journal.go
@@ -14,14 +14,14 @@
 // retry is answered from there. If retryable is true, the request's task provably
 // never started or has stopped without an answer.
 func (s *Shard) runPlaced(ctx context.Context, r *run, request ServeRequest, answer caller.Answer) (final caller.Answer, retryable bool) {
-	if !request.Request.AtMostOnce || !request.Named {
+	if !request.journaled() {
 		return s.dispatch(ctx, r, request.Request, answer)
 	}
 	handle, earlier, err := s.recordIntent(ctx, r, request, answer)
 	if err != nil {
 		s.freeSlot(r)
 		s.Log.Warn("journal failed", "step", "begin", "error", err)
-		return notRunAnswer(answer, "the journal cannot be written, so the request cannot be guaranteed to run at most once"), false
+		return unplacedAnswer(answer, "the journal cannot be written, so the request cannot be guaranteed to run at most once", request.Retry), false
 	}
 	if handle == nil {
 		s.freeSlot(r)
--- a/internal/entry/upstream/request.go
+++ b/internal/entry/upstream/request.go
@@ -52,6 +52,11 @@
 	Retry bool `json:"retry"`
 }
 
+// journaled reports whether the journal records the request before it is dispatched.
+func (r ServeRequest) journaled() bool {
+	return r.Request.AtMostOnce && r.Named
+}
+
 // waitingRequest is a request that waits for a slot.
 type waitingRequest struct {
 	request  caller.Request
@@ -69,7 +74,7 @@
 
 // Serve runs a request, which must have an id, and returns the answer once its
 // fate is known, or once the context ends. The fate is FateUnknown if the request
-// may have run and its outcome is not known. Calls with the same team and id share
+// may have run, under this owner or an earlier one, and its outcome is not known. Calls with the same team and id share
 // the answer of the first one while that one is in progress. Once its request has
 // completed or failed, they share it for another minute if the first call had Named
 // set, and for 10 seconds otherwise.
@@ -236,9 +241,10 @@
 
 // serveWithRetries places and runs the request, and does so again while its
 // task provably does not run. A request that must run at most once is not
-// repeated once it may have run.
+// repeated once it may have run. After a call whose answer was lost, an earlier
+// owner may have run the request: only the journal can show that it did not.
 func (s *Shard) serveWithRetries(ctx context.Context, request ServeRequest, answer caller.Answer) caller.Answer {
-	mayHaveRun := false
+	mayHaveRun := request.Retry
 	for range maxPlacementAttempts {
 		r, reason := s.waitForSlot(ctx, request)
 		if r == nil {
@@ -246,11 +252,14 @@
 		}
 		answer.Upstream = r.link.vm.Name
 		final, retryable := s.runPlaced(ctx, r, request, answer)
+		answer.Reason = final.Reason
+		if final.Fate == caller.FateNotRun && !request.journaled() {
+			final = unplacedAnswer(final, final.Reason, mayHaveRun)
+		}
 		mayHaveRun = mayHaveRun || final.Fate != caller.FateNotRun
 		if !retryable || (request.Request.AtMostOnce && mayHaveRun) {
 			return final
 		}
-		answer.Reason = final.Reason
 	}
 	return unplacedAnswer(answer, "no attempt completed: "+answer.Reason, mayHaveRun)
 }
