Log what waiting steps wait for, and the calls to the policy service in flight

The text of explain is unchanged; its causes are now values that can be counted.

No decision changes.

--- a/internal/cluster/shard/load.go
+++ b/internal/cluster/shard/load.go
@@ -1,9 +1,14 @@
 package shard
 
 import (
+	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
 // loadInterval is the time between two log lines about the owner's load.
@@ -30,14 +35,28 @@
 	return time.Since(l.since) >= loadInterval
 }
 
-// logLoad logs the passes since the last call, with the jobs and the processors of the
-// fleet at present.
+// logLoad logs the passes since the last call, with the jobs, the causes for which the
+// steps wait, the calls to the policy service and the processors of the fleet at present.
 func (s *Shard) logLoad() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	used, capacity, _ := s.fleetUsage(s.plannerWorkers())
+	workers := s.plannerWorkers()
+	used, capacity, _ := s.fleetUsage(workers)
+	now := s.now()
+	withinRate, overRate := job.NewPlanner(s.state, s.agreement.Rules, workers, now).WaitCauses(now)
+	waiting := []any{slog.Int("overRate", overRate)}
+	for _, cause := range slices.Sorted(maps.Keys(withinRate)) {
+		waiting = append(waiting, slog.Int(string(cause), withinRate[cause]))
+	}
+	callsInFlight := 0
+	for _, busy := range s.busyAdvisors {
+		if busy {
+			callsInFlight++
+		}
+	}
 	s.log.Info("planningLoad", "interval", time.Since(s.passLoad.since), "passes", s.passLoad.passes,
 		"total", s.passLoad.total, "longest", s.passLoad.longest, "openJobs", len(s.state.OpenJobs()),
-		"waitingJobs", len(s.state.UnplacedJobs()), "cores", capacity.MilliCores/1000, "coresUsed", used.MilliCores/1000)
+		"waitingJobs", len(s.state.UnplacedJobs()), "cores", capacity.MilliCores/1000, "coresUsed", used.MilliCores/1000,
+		"policyCalls", callsInFlight, "slowPolicyCalls", s.slowCalls, slog.Group("waiting", waiting...))
 	s.passLoad = passLoad{since: time.Now()}
 }
--- a/internal/decide/job/explain.go
+++ b/internal/decide/job/explain.go
@@ -1,6 +1,9 @@
 package job
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 var outcomeNames = map[Outcome]string{
 	Open:      "open",
@@ -31,41 +34,100 @@
 	return append(lines, fmt.Sprintf("step %d waits: %s", step.Number, p.waitReason(step, now)))
 }
 
-// waitReason returns the first reason found for which the step's tasks cannot start.
-func (p *Planner) waitReason(step *Step, now int64) string {
+// WaitCause is why the tasks of a step that is not placed cannot start.
+type WaitCause string
+
+// The causes, in the order in which they are checked.
+const (
+	WaitDependency WaitCause = "dependency" // an earlier step is not done
+	WaitQueue      WaitCause = "queue"      // the operators' configuration has no such queue
+	WaitCap        WaitCause = "cap"        // the team's cap
+	WaitPolicy     WaitCause = "policy"     // the policy service has not answered yet
+	WaitWorkers    WaitCause = "workers"    // no usable worker is allowed
+	WaitCapacity   WaitCause = "capacity"   // no allowed worker has room for a task
+	WaitGang       WaitCause = "gang"       // the gang does not fit at once
+	WaitTickets    WaitCause = "tickets"    // tickets must be renewed
+	WaitOrder      WaitCause = "order"      // other steps go first, or a smaller limit applies
+)
+
+// WaitCauses returns how many ready steps of jobs within their team's rate wait for each
+// cause, and how many of jobs over it wait for any.
+func (p *Planner) WaitCauses(now int64) (withinRate map[WaitCause]int, overRate int) {
+	withinRate = map[WaitCause]int{}
+	for _, step := range p.steps {
+		if step.Waiting() == 0 {
+			continue // placed in this pass
+		}
+		if step.Job.OverRate {
+			overRate++
+			continue
+		}
+		cause, _ := p.waitCause(step, now)
+		withinRate[cause]++
+	}
+	return withinRate, overRate
+}
+
+// waitCause returns the first cause found for which the step's tasks cannot start, and
+// the number of usable workers on which the step may run.
+func (p *Planner) waitCause(step *Step, now int64) (cause WaitCause, allowedCount int) {
 	if !step.Ready() {
-		return "an earlier step is not done"
+		return WaitDependency, 0
 	}
 	queue, ok := p.rules.Queues[step.Job.Queue]
 	if !ok {
-		return "its queue is not in the operators' configuration in force"
+		return WaitQueue, 0
 	}
 	required := 1
 	if step.Spec.Gang {
 		required = step.Spec.Count
 	}
 	if !p.withinCap(step, required) {
-		return "it would exceed its team's cap"
+		return WaitCap, 0
 	}
-	allowed := p.allowedWorkers(step, queue)
 	if queue.Policy != nil && !step.Advice.answered {
-		return "the policy service has not answered yet"
-	}
-	fitting := 0
-	for _, w := range allowed {
-		if step.Spec.Needs.FitsIn(p.freeFor(step, w)) {
-			fitting++
-		}
+		return WaitPolicy, 0
 	}
+	allowed := p.allowedWorkers(step, queue)
+	fits := slices.ContainsFunc(allowed, func(w *Worker) bool {
+		return step.Spec.Needs.FitsIn(p.freeFor(step, w))
+	})
 	switch {
 	case len(allowed) == 0:
-		return "no usable worker has the service, the label and the policy's permission that the step requires"
-	case fitting == 0:
-		return fmt.Sprintf("none of the %d allowed workers has free capacity for a task", len(allowed))
+		cause = WaitWorkers
+	case !fits:
+		cause = WaitCapacity
 	case step.Spec.Gang && p.packGang(step, allowed) == nil:
-		return fmt.Sprintf("the gang does not fit on the %d allowed workers at once", len(allowed))
+		cause = WaitGang
 	case queue.Policy != nil && step.Advice.validUntil <= p.requiredExpiry(now):
+		cause = WaitTickets
+	default:
+		cause = WaitOrder
+	}
+	return cause, len(allowed)
+}
+
+// waitReason describes the cause for which the step's tasks cannot start.
+func (p *Planner) waitReason(step *Step, now int64) string {
+	cause, allowed := p.waitCause(step, now)
+	switch cause {
+	case WaitDependency:
+		return "an earlier step is not done"
+	case WaitQueue:
+		return "its queue is not in the operators' configuration in force"
+	case WaitCap:
+		return "it would exceed its team's cap"
+	case WaitPolicy:
+		return "the policy service has not answered yet"
+	case WaitWorkers:
+		return "no usable worker has the service, the label and the policy's permission that the step requires"
+	case WaitCapacity:
+		return fmt.Sprintf("none of the %d allowed workers has free capacity for a task", allowed)
+	case WaitGang:
+		return fmt.Sprintf("the gang does not fit on the %d allowed workers at once", allowed)
+	case WaitTickets:
 		return "its tickets have expired or expire too soon, and must be renewed"
+	default:
+		return "other steps go first, workers are reserved for a gang, the step's limit per worker is reached, or some of its tickets must be renewed"
 	}
-	return "other steps go first, workers are reserved for a gang, the step's limit per worker is reached, or some of its tickets must be renewed"
 }
