Examine the whole backlog for calls to the policy service, in rounds

Gangs that do not fit, steps at their team's cap and steps larger than any room stay at the head and need no query, so the steps behind them were never asked about: planningLoad shows 80 to 290 steps under waiting.policy beside 2 to 20 busy nodes of 34, from 26 s to 70 s. Class of fault: a bound on work that restarts at the same place starves what lies beyond it. The calls that gangs used up were a second reason for the same symptom.

Change: a step that needed no query is examined again only after all others; steps that cannot use a query now (cap, no room anywhere) are passed over without counting. A pass still examines at most 64.

--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -18,7 +18,8 @@
 	// service.
 	queryMarginMillis = 600
 	// maxExaminedSteps is the maximum number of steps that one pass examines for
-	// queries, which bounds the pass's time under a long backlog.
+	// queries, which bounds the pass's time under a long backlog. The next passes examine
+	// the others.
 	maxExaminedSteps = 64
 	// gangCapacityFactor is how many times a gang must fit on the workers that it may use,
 	// if nothing else ran there, so that it can wait for running tasks to end.
@@ -48,6 +49,8 @@
 	validUntil    int64
 	answered      bool // whether any call about the step has succeeded
 	queryInFlight bool
+	// examinedRound is the round of examinations in which the step last needed no query.
+	examinedRound int
 	// reserved is the number of tasks per worker for which capacity is reserved while
 	// a gang's tickets are renewed, until the Unix millisecond reservedUntil.
 	reserved      map[*Worker]int
@@ -134,6 +137,10 @@
 // the workers in a discovery query add at most half of the call's fixed time, unless they
 // are minQueryWorkers or fewer, and a renewal names only workers that are about to be
 // used.
+//
+// Examining a long backlog takes several passes, which make up a round: a step that needed
+// no query is examined again only in the next round, so that it does not hide those
+// behind it.
 func (p *Planner) PolicyQueries(now int64, limits QueryLimits) []PolicyQuery {
 	c := &queryCollector{
 		planner: p,
@@ -144,21 +151,27 @@
 		if c.full() {
 			return c.queries
 		}
-		c.consider(step, func(step *Step, queue Queue) (PolicyQuery, bool) {
-			if p.canWait(step, queue) {
-				deferred = append(deferred, step)
-				return PolicyQuery{}, false
-			}
-			return p.nextQuery(step, queue, now)
-		})
+		queue := p.rules.Queues[step.Job.Queue]
+		if step.Advice.examinedRound > p.state.examinedRounds || !c.allows(step, queue) || !p.canUseQuery(step) {
+			continue
+		}
+		c.examined++
+		if p.canWait(step, queue) {
+			deferred = append(deferred, step)
+		} else if q, ok := p.nextQuery(step, queue, now); ok {
+			c.add(q, queue)
+			continue
+		}
+		step.Advice.examinedRound = p.state.examinedRounds + 1
 	}
+	p.state.examinedRounds++
 	for _, step := range p.stepsToPrefetch(now) {
-		c.consider(step, p.discoveryQuery)
+		c.discover(step)
 	}
 	slowCalls := limits.SlowCalls - c.limits.SlowCalls
 	c.limits.SlowCalls = min(c.limits.SlowCalls, limits.SpareSlowCalls-slowCalls)
 	for _, step := range deferred {
-		c.consider(step, p.discoveryQuery)
+		c.discover(step)
 	}
 	return c.queries
 }
@@ -176,32 +189,45 @@
 	return len(c.queries) == c.limits.Calls || c.examined == maxExaminedSteps
 }
 
-// consider adds the query that build returns for the step, if it returns one and the
-// limits allow it.
-func (c *queryCollector) consider(step *Step, build func(*Step, Queue) (PolicyQuery, bool)) {
-	queue := c.planner.rules.Queues[step.Job.Queue]
-	if queue.Policy == nil || step.Advice.queryInFlight || c.full() {
-		return
-	}
-	slow := queue.Policy.FixedMillis > c.limits.SlowMillis/2
-	if slow && c.limits.SlowCalls <= 0 {
-		return
+// allows reports whether a query about the step can be added: its queue has a policy
+// service, no query about it is in flight, and the limits allow one more.
+func (c *queryCollector) allows(step *Step, queue Queue) bool {
+	return queue.Policy != nil && !step.Advice.queryInFlight && len(c.queries) < c.limits.Calls &&
+		(!c.isSlow(queue) || c.limits.SlowCalls > 0)
+}
+
+func (c *queryCollector) isSlow(queue Queue) bool {
+	return queue.Policy.FixedMillis > c.limits.SlowMillis/2
+}
+
+func (c *queryCollector) add(q PolicyQuery, queue Queue) {
+	c.queries = append(c.queries, q)
+	if c.isSlow(queue) {
+		c.limits.SlowCalls--
 	}
-	c.examined++
-	q, ok := build(step, queue)
-	if !ok {
+}
+
+// discover adds a discovery query about the step if it needs one and the limits allow it.
+func (c *queryCollector) discover(step *Step) {
+	queue := c.planner.rules.Queues[step.Job.Queue]
+	if !c.allows(step, queue) {
 		return
 	}
-	c.queries = append(c.queries, q)
-	if slow {
-		c.limits.SlowCalls--
+	if q, ok := c.planner.discoveryQuery(step, queue); ok {
+		c.add(q, queue)
 	}
 }
 
+// canUseQuery reports whether an answer about the step could let one of its tasks start
+// now, or no call about the step has succeeded yet.
+func (p *Planner) canUseQuery(step *Step) bool {
+	return !step.Advice.answered || (step.Spec.Needs.FitsIn(p.largestFree) && p.withinCap(step, 1))
+}
+
 // canWait reports whether the step is a gang that does not fit now but would fit
 // gangCapacityFactor times on the workers that it may use, if nothing else ran there.
 func (p *Planner) canWait(step *Step, queue Queue) bool {
-	if !step.Spec.Gang || !step.Advice.answered || !step.Spec.Needs.FitsIn(p.largestFree) || !p.withinCap(step, 1) {
+	if !step.Spec.Gang || !step.Advice.answered {
 		return false
 	}
 	allowed := p.allowedWorkers(step, queue)
@@ -214,9 +240,6 @@
 	if !step.Advice.answered {
 		return p.discoveryQuery(step, queue)
 	}
-	if !step.Spec.Needs.FitsIn(p.largestFree) || !p.withinCap(step, 1) {
-		return PolicyQuery{}, false
-	}
 	allowed := p.allowedWorkers(step, queue)
 	if !step.Spec.Gang {
 		renew, valid := p.renewalCandidates(step, allowed, now)
--- a/internal/decide/job/planner_test.go
+++ b/internal/decide/job/planner_test.go
@@ -349,3 +349,59 @@
 	assert.DeepEqual(t, placedJobs(records), []string{"low"})
 	assert.Equal(t, len(records), workerCount*2/3)
 }
+
+// TestStepsThatNeedNoQueryDoNotStarveOthers guards against a backlog at the head of the
+// order whose steps wait for their team's cap or for capacity, and hide the steps behind
+// them from the policy service.
+func TestStepsThatNeedNoQueryDoNotStarveOthers(t *testing.T) {
+	const backlog, maxPasses = 200, 5
+	for name, head := range map[string]job.StepSpec{
+		"team at its cap": {
+			Count: 1,
+			Needs: cores(8),
+		},
+		"larger than any room": {
+			Count: 1,
+			Needs: cores(48),
+		},
+		"gangs that do not fit": {
+			Count: 5,
+			Needs: cores(24),
+			Gang:  true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			rules := newRules(2)
+			capped := rules.Teams["team0"]
+			capped.Cap = cores(150)
+			rules.Teams["team0"] = capped
+			workers := newWorkers(4)
+			acceptJob(t, state, "running", "team1", "plain", 0, job.StepSpec{
+				Count: 4,
+				Needs: cores(32),
+			})
+			assert.Equal(t, len(job.NewPlanner(state, rules, workers, 0).Plan(0)), 4)
+			for n := range backlog {
+				acceptJob(t, state, fmt.Sprintf("head%03d", n), "team0", "advised", 1, head)
+			}
+			for now := int64(2); now < 12; now++ {
+				answerQueries(job.NewPlanner(state, rules, workers, now), now, 1)
+				job.NewPlanner(state, rules, workers, now).Plan(now)
+			}
+			acceptJob(t, state, "tail", "team1", "advised", 12, job.StepSpec{
+				Count: 1,
+				Needs: cores(0),
+			})
+			for pass := range maxPasses {
+				now := int64(12 + pass)
+				queries := job.NewPlanner(state, rules, workers, now).PolicyQueries(now, limitCalls(1, 1))
+				if len(queries) > 0 {
+					assert.Equal(t, queries[0].Step.Job.ID, "tail")
+					return
+				}
+			}
+			t.Fatalf("no query in %d passes", maxPasses)
+		})
+	}
+}
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -66,6 +66,9 @@
 	// and per team.
 	used     map[WorkerKey]Resources
 	teamUsed map[string]Resources
+	// examinedRounds is the number of times that all steps with tasks to place have been
+	// examined for queries. It is not part of the records.
+	examinedRounds int
 }
 
 // NewState returns a state without jobs.
