Let a step at its limit per worker ask about further workers

Class of fault: the test for what is needed is looser than the test for what can be used.

Change: only workers on which a task can be placed count.

--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -312,15 +312,15 @@
 	return p.byFree
 }
 
-// renewalCandidates returns the workers on which a task fits and whose tickets have
-// expired or expire too soon to be used, up to two more than there are waiting tasks. It
-// returns nil and true if any worker on which a task fits has a valid ticket.
+// renewalCandidates returns the workers on which a task can be placed and whose tickets
+// have expired or expire too soon to be used, up to two more than there are waiting tasks.
+// It returns nil and true if any worker on which a task can be placed has a valid ticket.
 func (p *Planner) renewalCandidates(step *Step, allowed []*Worker, now int64) ([]*Worker, bool) {
 	const spareWorkers = 2
 	waiting := step.Waiting()
 	var expired []*Worker
 	for _, w := range allowed {
-		if !step.Spec.Needs.FitsIn(w.free) {
+		if !step.Spec.Needs.FitsIn(w.free) || p.remainingPerWorker(step, w) < 1 {
 			continue
 		}
 		if step.Advice.hasValidTicket(w, p.requiredExpiry(now)) {
--- a/internal/decide/job/planner_test.go
+++ b/internal/decide/job/planner_test.go
@@ -405,3 +405,24 @@
 		})
 	}
 }
+
+// TestStepAtLimitPerWorkerAsksAboutOthers guards against a step that waits for its own tasks
+// to end on the few workers that it has asked about, while others idle.
+func TestStepAtLimitPerWorkerAsksAboutOthers(t *testing.T) {
+	state := job.NewState()
+	rules := newRules(1)
+	workers := newWorkers(80)
+	acceptJob(t, state, "spread", "team0", "advised", 0, job.StepSpec{
+		Count:        60,
+		Needs:        cores(1),
+		MaxPerWorker: 1,
+	})
+	for now := int64(0); now < 3; now++ {
+		p := job.NewPlanner(state, rules, workers, now)
+		p.Plan(now)
+		answerQueries(p, now, 1)
+	}
+	p := job.NewPlanner(state, rules, workers, 3)
+	p.Plan(3)
+	assert.Equal(t, state.Job("spread").Steps[0].Placed(), 60)
+}
