Ask about as many workers as a gang needs to fit on their free capacity

On all workers that it may use it would often fit at once. Class of fault: a limit sized for an idle fleet.

Change: a discovery query for a gang names workers until their free capacity, times the share that the policy service has allowed so far, is 1.5 times what the gang needs, at most 100. In an idle fleet the query is as before.

--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -21,6 +21,9 @@
 	// queries, which bounds the pass's time under a long backlog. The next passes examine
 	// the others.
 	maxExaminedSteps = 64
+	// gangRoomFactor is how many times the free capacity that a gang's discovery query is
+	// expected to yield must suffice for the gang, since others place tasks meanwhile.
+	gangRoomFactor = 1.5
 	// gangCapacityFactor is how many times a gang must fit on the workers that it may use,
 	// if nothing else ran there, so that it can wait for running tasks to end.
 	gangCapacityFactor = 2
@@ -64,7 +67,28 @@
 	Workers []*Worker
 	// ExpectedMillis is the expected time of the call.
 	ExpectedMillis float64
-	Priority       int // unused
+
+	share *allowedShare
+}
+
+// allowedShare counts the workers that the policy service was asked about for the first time
+// for steps of one queue, and those of them that it allowed.
+type allowedShare struct {
+	asked, allowed int
+}
+
+func (s *allowedShare) add(allowed bool) {
+	s.asked++
+	if allowed {
+		s.allowed++
+	}
+}
+
+// estimate returns the expected share of allowed workers, which is a quarter as long as there
+// are no answers.
+func (s *allowedShare) estimate() float64 {
+	const priorAsked, priorAllowed = 16, 4
+	return float64(s.allowed+priorAllowed) / float64(s.asked+priorAsked)
 }
 
 // HandleAnswer records the service's answer to the call. The map allowed holds the
@@ -85,6 +109,9 @@
 	}
 	for _, w := range q.Workers {
 		t, ok := allowed[w]
+		if _, known := a.allowed[w]; !known {
+			q.share.add(ok)
+		}
 		if !ok {
 			a.denied[w] = true
 			delete(a.allowed, w)
@@ -135,8 +162,8 @@
 // A discovery query asks about workers on which there is no answer yet, and a renewal
 // asks for new tickets on allowed workers. The policy service can be the bottleneck, so
 // the workers in a discovery query add at most half of the call's fixed time, unless they
-// are minQueryWorkers or fewer, and a renewal names only workers that are about to be
-// used.
+// are minQueryWorkers or fewer or the step is a gang, and a renewal names only workers that
+// are about to be used.
 //
 // Examining a long backlog takes several passes, which make up a round: a step that needed
 // no query is examined again only in the next round, so that it does not hide those
@@ -273,16 +300,23 @@
 
 // discoveryQuery returns a query about workers on which there is no answer for the step
 // yet, those with the most free processors first, or false if there are none. Until a
-// call about the step has succeeded, these include workers on which no task fits now.
+// call about the step has succeeded, these include workers on which no task fits now. A
+// query for a gang names as many as the gang probably needs to fit at once: in a full fleet
+// it fits on the free capacity of many workers sooner than on a few that have to be drained.
 func (p *Planner) discoveryQuery(step *Step, queue Queue) (PolicyQuery, bool) {
 	limit := minQueryWorkers
 	if queue.Policy.PerWorkerMillis > 0 {
 		limit = max(limit, int(queue.Policy.FixedMillis/queue.Policy.PerWorkerMillis/2))
 	}
 	limit = min(limit, maxQueryWorkers)
+	neededRoom := 0.0 // in tasks
+	if step.Spec.Gang {
+		neededRoom = gangRoomFactor * float64(step.Spec.Count) / p.state.shareOf(queue.Name).estimate()
+	}
 	var workers []*Worker
+	room := 0
 	for _, w := range p.workersByFree() {
-		if len(workers) == limit {
+		if len(workers) == maxQueryWorkers || len(workers) >= limit && float64(room) >= neededRoom {
 			break
 		}
 		_, allowed := step.Advice.allowed[w]
@@ -293,6 +327,7 @@
 			continue
 		}
 		workers = append(workers, w)
+		room += step.Spec.Needs.fitCount(w.free, step.Spec.Count)
 	}
 	if len(workers) == 0 {
 		return PolicyQuery{}, false
@@ -367,5 +402,6 @@
 		Step:           step,
 		Workers:        workers,
 		ExpectedMillis: queue.Policy.FixedMillis + queue.Policy.PerWorkerMillis*float64(len(workers)),
+		share:          p.state.shareOf(queue.Name),
 	}
 }
--- a/internal/decide/job/planner_test.go
+++ b/internal/decide/job/planner_test.go
@@ -426,3 +426,27 @@
 	p.Plan(3)
 	assert.Equal(t, state.Job("spread").Steps[0].Placed(), 60)
 }
+
+// TestGangInFragmentedFleetAsksAboutEnoughWorkers guards against gangs that learn of so few
+// workers that they must wait until these are drained, although they would fit on the free
+// capacity of all workers that they may use.
+func TestGangInFragmentedFleetAsksAboutEnoughWorkers(t *testing.T) {
+	const gangTasks, allowedEvery = 12, 4
+	state := job.NewState()
+	rules := newRules(1)
+	workers := newWorkers(100)
+	acceptJob(t, state, "running", "team0", "plain", 0, job.StepSpec{
+		Count:        100,
+		Needs:        cores(32),
+		MaxPerWorker: 1,
+	})
+	assert.Equal(t, len(job.NewPlanner(state, rules, workers, 0).Plan(0)), 100)
+	acceptJob(t, state, "gang", "team0", "advised", 0, job.StepSpec{
+		Count: gangTasks,
+		Needs: cores(32),
+		Gang:  true,
+	})
+	answerQueries(job.NewPlanner(state, rules, workers, 1), 1, allowedEvery)
+	records := job.NewPlanner(state, rules, workers, 2).Plan(2)
+	assert.Equal(t, len(records), gangTasks)
+}
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -69,6 +69,20 @@
 	// examinedRounds is the number of times that all steps with tasks to place have been
 	// examined for queries. It is not part of the records.
 	examinedRounds int
+	// shares holds the shares of workers that the policy service allows, by queue. They
+	// are not part of the records.
+	shares map[string]*allowedShare
+}
+
+// shareOf returns the share of workers that the policy service allows to steps of the
+// queue.
+func (s *State) shareOf(queue string) *allowedShare {
+	share := s.shares[queue]
+	if share == nil {
+		share = &allowedShare{}
+		s.shares[queue] = share
+	}
+	return share
 }
 
 // NewState returns a state without jobs.
@@ -81,6 +95,7 @@
 		placements: map[WorkerKey]map[TaskKey]*Placement{},
 		used:       map[WorkerKey]Resources{},
 		teamUsed:   map[string]Resources{},
+		shares:     map[string]*allowedShare{},
 	}
 }
 
