Stop attempts on a worker before it leaves as planned

Class of fault: a planned departure is handled like a network partition.

Change: attempts that will not complete, by their progress so far, are stopped 1.5 s before the worker leaves at the earliest. Its report confirms the stops, and the tasks start elsewhere from their checkpoints.

--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -60,6 +60,7 @@
 	registration       worker.Registration
 	worker             job.Worker // as the planner sees it; plannerWorker updates it
 	listed             bool       // is in the directory
+	leavesAt           time.Time  // when a draining worker leaves at the earliest; zero otherwise
 	answered           bool       // has answered under the fencing token of this term
 	lastAnswer         time.Time  // to a poll; a refusal does not count
 	lastExtension      time.Time  // the latest time at which the worker lease may have been extended
@@ -102,7 +103,10 @@
 		s.addLink(r, true)
 	case r.Incarnation == l.registration.Incarnation && r.Address == l.registration.Address:
 		if r.Draining != l.registration.Draining {
-			s.log.Info("workerDraining", "worker", r.ID, "draining", r.Draining)
+			s.log.Info("workerDraining", "worker", r.ID, "draining", r.Draining, "remainingMillis", r.RemainingMillis)
+		}
+		if r.Draining != l.registration.Draining || r.RemainingMillis != l.registration.RemainingMillis {
+			l.leavesAt = departure(r)
 		}
 		l.registration = r
 		l.listed = true
@@ -131,6 +135,7 @@
 		ctx:           ctx,
 		cancel:        cancel,
 		registration:  r,
+		leavesAt:      departure(r),
 		listed:        listed,
 		lastExtension: time.Now().Add(predecessorExtension),
 	}
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -254,12 +254,14 @@
 	})
 }
 
-// runPass runs one planning pass: it ends placements whose worker lease has expired,
-// starts the tasks that fit and asks the policy service.
+// runPass runs one planning pass: it ends placements whose worker lease has expired, stops
+// attempts on workers that are about to leave, starts the tasks that fit and asks the policy
+// service.
 func (s *Shard) runPass() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLinks()
+	s.evacuateLeavingWorkers()
 	now := s.now()
 	if time.Since(s.lastPrune) > pruneInterval {
 		s.lastPrune = time.Now()
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -1,5 +1,7 @@
 package job
 
+import "math"
+
 // Resources is an amount of processors in thousandths of a core, memory in
 // megabytes, and accelerators.
 type Resources struct {
@@ -197,6 +199,33 @@
 	return maxPercent
 }
 
+// RemainingMillis returns the expected time in milliseconds until the attempt completes,
+// extrapolated from its progress since it started, or from the estimate if there is none.
+// For a member of a gang it is that of the slowest member, and for an endless step it is
+// math.MaxInt64. The parameter now is a Unix millisecond.
+func (s *Step) RemainingMillis(p *Placement, now int64) int64 {
+	if s.Spec.Endless {
+		return math.MaxInt64
+	}
+	if !s.Spec.Gang {
+		return s.attemptRemainingMillis(p, now)
+	}
+	remaining := int64(0)
+	for _, t := range s.Tasks {
+		if t.Placement != nil {
+			remaining = max(remaining, s.attemptRemainingMillis(t.Placement, now))
+		}
+	}
+	return remaining
+}
+
+func (s *Step) attemptRemainingMillis(p *Placement, now int64) int64 {
+	if p.Percent <= 0 || p.StartedMillis == 0 {
+		return s.Spec.EstimateMillis
+	}
+	return int64(float64(now-p.StartedMillis) * (100 - p.Percent) / p.Percent)
+}
+
 // Task is the state of one task.
 type Task struct {
 	Done       bool
