Let waiting gangs use calls to spare in a long backlog too

Cause: a pass that had examined its 64 steps dropped the gangs that it had put off until after the other steps, so the gangs that go first never got a call to spare.

Change: a pass that is cut short serves the gangs it has put off, within the calls to spare, and the steps that become ready soon.

--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -174,9 +174,11 @@
 		limits:  limits,
 	}
 	var deferred []*Step
+	roundDone := true
 	for _, step := range p.steps {
 		if c.full() {
-			return c.queries
+			roundDone = false
+			break
 		}
 		queue := p.rules.Queues[step.Job.Queue]
 		if step.Advice.examinedRound > p.state.examinedRounds || !c.allows(step, queue) || !p.canUseQuery(step) {
@@ -191,7 +193,9 @@
 		}
 		step.Advice.examinedRound = p.state.examinedRounds + 1
 	}
-	p.state.examinedRounds++
+	if roundDone {
+		p.state.examinedRounds++
+	}
 	for _, step := range p.stepsToPrefetch(now) {
 		c.discover(step)
 	}
@@ -211,7 +215,7 @@
 	examined int
 }
 
-// full reports whether no further query can be added.
+// full reports whether no further step can be examined in this pass.
 func (c *queryCollector) full() bool {
 	return len(c.queries) == c.limits.Calls || c.examined == maxExaminedSteps
 }
--- a/internal/decide/job/planner_test.go
+++ b/internal/decide/job/planner_test.go
@@ -450,3 +450,46 @@
 	records := job.NewPlanner(state, rules, workers, 2).Plan(2)
 	assert.Equal(t, len(records), gangTasks)
 }
+
+// TestWaitingGangsAskInLongBacklog guards against a backlog in which the gangs that go first
+// never use the calls to spare.
+func TestWaitingGangsAskInLongBacklog(t *testing.T) {
+	const gangCount = 100
+	state := job.NewState()
+	rules := newRules(1)
+	workers := newWorkers(300)
+	acceptJob(t, state, "running", "team0", "plain", 0, job.StepSpec{
+		Count: 300,
+		Needs: cores(40),
+	})
+	assert.Equal(t, len(job.NewPlanner(state, rules, workers, 0).Plan(0)), 300)
+	for n := range gangCount {
+		acceptJob(t, state, fmt.Sprintf("gang%03d", n), "team0", "advised", 1, job.StepSpec{
+			Count: 25,
+			Needs: cores(20),
+			Gang:  true,
+		})
+	}
+	limits := job.QueryLimits{
+		Calls:      gangCount,
+		SlowCalls:  gangCount,
+		SlowMillis: rules.Queues["advised"].Policy.FixedMillis,
+	}
+	for now := int64(1); now < 5; now++ {
+		for _, q := range job.NewPlanner(state, rules, workers, now).PolicyQueries(now, limits) {
+			allowed := map[*job.Worker]job.Ticket{}
+			for _, w := range q.Workers[:len(q.Workers)/5] { // too few to fit now
+				allowed[w] = job.Ticket{}
+			}
+			q.HandleAnswer(allowed, true)
+		}
+	}
+	limits.SpareSlowCalls = gangCount
+	asked := map[string]bool{}
+	for now := int64(5); now < 8; now++ {
+		for _, q := range job.NewPlanner(state, rules, workers, now).PolicyQueries(now, limits) {
+			asked[q.Step.Job.ID] = true
+		}
+	}
+	assert.Equal(t, len(asked), gangCount)
+}
