--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -71,8 +71,8 @@
 	share *allowedShare
 }
 
-// allowedShare counts the workers that the policy service was asked about for the first time
-// for steps of one queue, and those of them that it allowed.
+// allowedShare counts the answers about workers for steps of one queue, and those that
+// allowed the worker. Renewals do not count.
 type allowedShare struct {
 	asked, allowed int
 }
@@ -315,7 +315,7 @@
 	limit = min(limit, maxQueryWorkers)
 	neededRoom := 0.0 // in tasks
 	if step.Spec.Gang {
-		neededRoom = gangRoomFactor * float64(step.Spec.Count) / p.state.shareOf(queue.Name).estimate()
+		neededRoom = gangRoomFactor * float64(step.Spec.Count) / p.state.shareOf(step.Job.Queue).estimate()
 	}
 	var workers []*Worker
 	room := 0
@@ -406,6 +406,6 @@
 		Step:           step,
 		Workers:        workers,
 		ExpectedMillis: queue.Policy.FixedMillis + queue.Policy.PerWorkerMillis*float64(len(workers)),
-		share:          p.state.shareOf(queue.Name),
+		share:          p.state.shareOf(step.Job.Queue),
 	}
 }
