End the search for an earlier start of a retried request when the owner releases the shard

Change: the search ends when the owner stops placing work, with the reason that it hands over, so that the router asks the next owner.

Evidence: TestRetryDoesNotOutwaitRelease failed before (10 s, its whole deadline) and passes.

--- a/internal/entry/upstream/request.go
+++ b/internal/entry/upstream/request.go
@@ -152,10 +152,10 @@
 	if !request.Retry {
 		return s.serveWithRetries(ctx, request, answer)
 	}
-	started, known := s.findStarted(ctx, request)
+	started, reason := s.findStarted(ctx, request)
 	switch {
-	case !known:
-		return unplacedAnswer(answer, "an earlier owner may have started the request, and not all upstreams have answered", true)
+	case reason != "":
+		return unplacedAnswer(answer, reason, true)
 	case started != nil:
 		return s.awaitStarted(ctx, started, answer)
 	default:
@@ -163,20 +163,25 @@
 	}
 }
 
-// findStarted looks for the request among the tasks that an earlier owner left
-// running; known is false if not all links are reconciled by the deadline.
-func (s *Shard) findStarted(ctx context.Context, request ServeRequest) (started *run, known bool) {
+// findStarted looks for the request among the tasks that an earlier owner left running. It
+// returns a reason if that is not known, because not all links are reconciled by the deadline
+// or before this owner releases the shard.
+func (s *Shard) findStarted(ctx context.Context, request ServeRequest) (started *run, reason string) {
 	for {
 		s.mu.Lock()
 		reconciled := s.allReconciled()
+		released := s.placementStopped
 		started := s.findRun(request)
 		s.mu.Unlock()
 		if reconciled || started != nil {
-			return started, true
+			return started, ""
+		}
+		if released {
+			return nil, reasonHandover
 		}
 		sleep(ctx, pollInterval)
 		if ctx.Err() != nil {
-			return nil, false
+			return nil, "an earlier owner may have started the request, and not all upstreams have answered"
 		}
 	}
 }
--- a/internal/entry/upstream/request_test.go
+++ b/internal/entry/upstream/request_test.go
@@ -1,7 +1,10 @@
 package upstream
 
 import (
+	"context"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -45,3 +48,23 @@
 		})
 	}
 }
+
+// TestRetryDoesNotOutwaitRelease guards against a retry that waits until its deadline at an
+// owner that has released the shard, while the next owner could answer it.
+func TestRetryDoesNotOutwaitRelease(t *testing.T) {
+	s := NewShard(Options{})
+	s.links["runner-0"] = &link{}
+	time.AfterFunc(2*pollInterval, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.placementStopped = true
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	request := ServeRequest{Retry: true}
+	request.Request.RequestID = "1"
+	answer := s.Serve(ctx, request)
+	assert.NilError(t, ctx.Err())
+	assert.Equal(t, answer.Fate, caller.FateUnknown)
+	assert.Assert(t, strings.Contains(answer.Reason, reasonHandover), answer.Reason)
+}
