--- a/internal/cluster/shard/load.go
+++ b/internal/cluster/shard/load.go
@@ -42,21 +42,33 @@
 	defer s.mu.Unlock()
 	workers := s.plannerWorkers()
 	used, capacity, _ := s.fleetUsage(workers)
+	s.log.Info("planningLoad", "interval", time.Since(s.passLoad.since), "passes", s.passLoad.passes,
+		"total", s.passLoad.total, "longest", s.passLoad.longest, "openJobs", len(s.state.OpenJobs()),
+		"waitingJobs", len(s.state.UnplacedJobs()), "cores", capacity.MilliCores/1000, "coresUsed", used.MilliCores/1000,
+		"policyCalls", s.policyCallsInFlight(), "slowPolicyCalls", s.slowCalls, s.waitCauses(workers))
+	s.passLoad = passLoad{since: time.Now()}
+}
+
+// waitCauses returns the numbers of waiting steps for the log: by cause for jobs within
+// their team's rate, and one number for jobs over it. The caller holds s.mu.
+func (s *Shard) waitCauses(workers []*job.Worker) slog.Attr {
 	now := s.now()
 	withinRate, overRate := job.NewPlanner(s.state, s.agreement.Rules, workers, now).WaitCauses(now)
-	waiting := []any{slog.Int("overRate", overRate)}
+	counts := []any{slog.Int("overRate", overRate)}
 	for _, cause := range slices.Sorted(maps.Keys(withinRate)) {
-		waiting = append(waiting, slog.Int(string(cause), withinRate[cause]))
+		counts = append(counts, slog.Int(string(cause), withinRate[cause]))
 	}
-	callsInFlight := 0
+	return slog.Group("waiting", counts...)
+}
+
+// policyCallsInFlight returns the number of nodes that make a call to the policy service
+// now. The caller holds s.mu.
+func (s *Shard) policyCallsInFlight() int {
+	calls := 0
 	for _, busy := range s.busyAdvisors {
 		if busy {
-			callsInFlight++
+			calls++
 		}
 	}
-	s.log.Info("planningLoad", "interval", time.Since(s.passLoad.since), "passes", s.passLoad.passes,
-		"total", s.passLoad.total, "longest", s.passLoad.longest, "openJobs", len(s.state.OpenJobs()),
-		"waitingJobs", len(s.state.UnplacedJobs()), "cores", capacity.MilliCores/1000, "coresUsed", used.MilliCores/1000,
-		"policyCalls", callsInFlight, "slowPolicyCalls", s.slowCalls, slog.Group("waiting", waiting...))
-	s.passLoad = passLoad{since: time.Now()}
+	return calls
 }
--- a/internal/decide/job/explain_test.go
+++ b/internal/decide/job/explain_test.go
@@ -9,9 +9,8 @@
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
-// TestWaitCausesTellTheHypothesesApart checks that the load log tells apart the reasons
-// for which a backlog may wait.
-func TestWaitCausesTellTheHypothesesApart(t *testing.T) {
+// TestWaitCauses checks that the causes for which a backlog waits are told apart.
+func TestWaitCauses(t *testing.T) {
 	state := job.NewState()
 	rules := newRules(2)
 	capped := rules.Teams["team1"]
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -219,6 +219,8 @@
 	return remaining
 }
 
+// attemptRemainingMillis is RemainingMillis for one attempt by itself. An attempt that
+// resumed from a checkpoint has progressed faster than it runs, so the result is too low.
 func (s *Step) attemptRemainingMillis(p *Placement, now int64) int64 {
 	if p.Percent <= 0 || p.StartedMillis == 0 {
 		return s.Spec.EstimateMillis
