Split long files: reports of workers, and rejected requests, have files of their own

Code is moved, not changed; the set-up that two tests of cluster/shard had in common is one function.

--- a/internal/cluster/shard/evacuate_test.go
+++ b/internal/cluster/shard/evacuate_test.go
@@ -7,7 +7,6 @@
 	"sync"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -67,19 +66,7 @@
 				assert.NilError(t, err)
 				defer release()
 				client := &leavingWorker{stopped: map[int]bool{}}
-				s := &Shard{
-					options: Options{
-						NewWorkerClient: func(worker.Registration) (worker.Client, func()) {
-							return client, func() {}
-						},
-					},
-					term:         term,
-					state:        job.NewState(),
-					log:          log,
-					openedAt:     time.Now(),
-					openedMillis: time.Now().UnixMilli(),
-					links:        map[string]*link{},
-				}
+				s := newShardWithClient(term, client, log)
 				assert.NilError(t, s.state.Apply(job.Record{
 					Kind: job.RecordAccept,
 					Job:  acceptedID,
--- a/internal/cluster/shard/orders_test.go
+++ b/internal/cluster/shard/orders_test.go
@@ -31,6 +31,23 @@
 	return worker.ErrNotSent
 }
 
+// newShardWithClient returns a shard without jobs in which every worker has the client.
+func newShardWithClient(term *store.Term, client worker.Client, log *slog.Logger) *Shard {
+	return &Shard{
+		options: Options{
+			NewWorkerClient: func(worker.Registration) (worker.Client, func()) {
+				return client, func() {}
+			},
+		},
+		term:         term,
+		state:        job.NewState(),
+		log:          log,
+		openedAt:     time.Now(),
+		openedMillis: time.Now().UnixMilli(),
+		links:        map[string]*link{},
+	}
+}
+
 // TestStopWaitsForUnreachableWorker checks that a stop order for a worker that refuses
 // connections is not retried before the worker has answered a poll, and is then retried
 // at once. Otherwise the stops of all its tasks would keep retrying.
@@ -41,18 +58,7 @@
 		assert.NilError(t, err)
 		defer release()
 		client := &unreachableWorker{}
-		s := &Shard{
-			options: Options{
-				NewWorkerClient: func(worker.Registration) (worker.Client, func()) {
-					return client, func() {}
-				},
-			},
-			term:     term,
-			state:    job.NewState(),
-			log:      log,
-			openedAt: time.Now(),
-			links:    map[string]*link{},
-		}
+		s := newShardWithClient(term, client, log)
 		for _, r := range []job.Record{
 			{
 				Kind: job.RecordAccept,
--- /dev/null
+++ b/internal/cluster/shard/report.go
@@ -0,0 +1,243 @@
+package shard
+
+import (
+	"errors"
+	"math"
+	"time"
+
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/job"
+)
+
+const (
+	// maxEndedPerReport is the maximum number of ended attempts in a report; a report
+	// with that many may omit others.
+	maxEndedPerReport = 500
+	// After quarantineFailures failures in a row a worker gets no work for
+	// minQuarantine; the time doubles with each further failure, up to maxQuarantine.
+	quarantineFailures = 3
+	minQuarantine      = time.Second
+	maxQuarantine      = 8 * time.Second
+)
+
+// handleReport handles the report of a poll that was sent at the given time. If there
+// are changes to make durable, the returned channel closes once they are; otherwise it
+// is nil.
+func (l *link) handleReport(report worker.Report, sent time.Time) <-chan struct{} {
+	s := l.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.ctx.Err() != nil {
+		return nil
+	}
+	if report.Refused != 0 {
+		s.handlePollRefusal(l, report.Refused)
+		return nil
+	}
+	if report.Incarnation != l.registration.Incarnation {
+		r := l.registration
+		r.Incarnation = report.Incarnation
+		s.log.Info("workerReborn", "worker", r.ID, "born", r.Incarnation, "before", l.registration.Incarnation)
+		s.dropLink(l, "new incarnation")
+		s.addLink(r, l.listed)
+		return nil
+	}
+	first := !l.answered
+	l.answered = true
+	l.lastAnswer = time.Now()
+	l.workerClockMillis, l.workerClockAt = report.ClockMillis, sent
+	records, ended := s.recordEnded(l, report.Ended)
+	records = s.reconcile(records, l, report, ended, sent, first)
+	if first {
+		s.requestPass()
+	}
+	if len(records) == 0 && l.newestEnded == l.newestDurableEnded {
+		return nil
+	}
+	s.requestPass()
+	durable := make(chan struct{})
+	newest := l.newestEnded
+	s.appendToJournal(records, func() {
+		s.mu.Lock()
+		l.newestDurableEnded = max(l.newestDurableEnded, newest)
+		s.mu.Unlock()
+		close(durable)
+	})
+	return durable
+}
+
+func (s *Shard) handlePollRefusal(l *link, answer worker.Answer) {
+	s.log.Warn("lookRefused", "worker", l.registration.ID, "answer", answer)
+	if answer == worker.RefusedToken {
+		s.term.Revoke(errors.New("a worker has seen a higher fencing token"))
+	}
+}
+
+// recordEnded ends the placements of newly ended attempts. It returns the records, and
+// for each task in the list the number of its last ended attempt.
+func (s *Shard) recordEnded(l *link, list []worker.Ended) ([]job.Record, map[job.TaskKey]int) {
+	var records []job.Record
+	ended := map[job.TaskKey]int{}
+	for _, e := range list {
+		ended[e.Task] = max(ended[e.Task], e.Attempt)
+		if e.Number <= l.newestEnded {
+			continue
+		}
+		l.newestEnded = e.Number
+		p := s.state.Placement(e.Task)
+		if p == nil || p.Attempt != e.Attempt || p.Worker != l.key() {
+			continue
+		}
+		outcome := job.AttemptLost
+		switch e.Outcome {
+		case worker.Done:
+			outcome = job.AttemptCompleted
+			l.failures = 0
+		case worker.Failed:
+			outcome = job.AttemptFailed
+			l.countFailure()
+		}
+		if outcome != job.AttemptCompleted {
+			s.log.Info("attemptEnded", "job", e.Task.Job, "step", e.Task.Step, "index", e.Task.Index,
+				"attempt", e.Attempt, "worker", l.registration.ID, "how", e.Outcome, "number", e.Number)
+		}
+		records = s.endAttempt(records, p, outcome, e.Checkpoint)
+	}
+	return records, ended
+}
+
+// countFailure counts a failure of the worker and quarantines it after
+// quarantineFailures in a row.
+func (l *link) countFailure() {
+	l.failures++
+	if l.failures < quarantineFailures {
+		return
+	}
+	quarantine := min(maxQuarantine, minQuarantine*time.Duration(math.Pow(2, float64(l.failures-quarantineFailures))))
+	l.quarantinedUntil = time.Now().Add(quarantine)
+	l.shard.log.Warn("workerRests", "worker", l.registration.ID, "failures", l.failures, "rest", quarantine)
+}
+
+// endAttempt ends the placement, and its job if all tasks are done or the task has
+// failed too often. If a member of a gang did not complete, it stops the others. It
+// returns records followed by those of the changes. The caller holds s.mu.
+func (s *Shard) endAttempt(records []job.Record, p *job.Placement, outcome job.AttemptOutcome, checkpoint string) []job.Record {
+	records = s.apply(records, job.Record{
+		Kind:           job.RecordAttemptEnd,
+		Job:            p.Task.Job,
+		Step:           p.Task.Step,
+		Index:          p.Task.Index,
+		Attempt:        p.Attempt,
+		AttemptOutcome: outcome,
+		Checkpoint:     checkpoint,
+	})
+	j := s.state.Job(p.Task.Job)
+	if j == nil || j.Outcome != job.Open {
+		return records
+	}
+	step := j.Steps[p.Task.Step]
+	switch {
+	case j.Complete():
+		records = s.finishJob(records, j, job.Completed)
+	case outcome == job.AttemptFailed && !step.Spec.Endless && step.Failures(p.Task.Index) >= s.maxFailures(j):
+		s.log.Info("jobFailed", "job", j.ID, "team", j.Team, "step", p.Task.Step, "index", p.Task.Index,
+			"failures", step.Failures(p.Task.Index))
+		records = s.finishJob(records, j, job.Failed)
+	case step.Spec.Gang && outcome != job.AttemptCompleted && !step.Done():
+		s.stopGang(step)
+	}
+	return records
+}
+
+// maxFailures returns the number of failures of a task, or of all members of a gang
+// together, at which the job fails. It is math.MaxInt if there is no limit.
+func (s *Shard) maxFailures(j *job.Job) int {
+	if q, ok := s.agreement.Rules.Queues[j.Queue]; ok && q.MaxFailures > 0 {
+		return q.MaxFailures
+	}
+	return math.MaxInt
+}
+
+// stopGang stops the remaining members of a gang, which cannot complete alone.
+func (s *Shard) stopGang(step *job.Step) {
+	for n := range step.Tasks {
+		if p := step.Tasks[n].Placement; p != nil {
+			s.requestStop(p)
+		}
+	}
+}
+
+// reconcile compares the placements with the attempts that run according to the
+// worker's report. It stops orphans and stalled attempts, confirms running attempts, and
+// ends as lost the placements whose attempts certainly do not run. It returns records
+// followed by those of the changes. The parameter ended is what recordEnded returned,
+// sent is when the poll was sent, and first marks the first report of this incarnation
+// of the worker in this term of ownership.
+func (s *Shard) reconcile(records []job.Record, l *link, report worker.Report, ended map[job.TaskKey]int, sent time.Time, first bool) []job.Record {
+	running := map[job.TaskKey]worker.Running{}
+	for _, r := range report.Running {
+		running[r.Task] = r
+		p := s.state.Placement(r.Task)
+		if p == nil || p.Worker != l.key() || p.Attempt != r.Attempt {
+			if p != nil && p.Worker == l.key() && p.Attempt > r.Attempt {
+				continue // a stop of the earlier attempt is in flight
+			}
+			s.log.Warn("strayAttempt", "worker", l.registration.ID, "job", r.Task.Job, "step", r.Task.Step,
+				"index", r.Task.Index, "attempt", r.Attempt)
+			go s.stopOrphan(l, r.Task, r.Attempt)
+			continue
+		}
+		s.confirmRunning(p)
+		s.checkProgress(l, p, r.Percent)
+	}
+	if len(report.Ended) >= maxEndedPerReport {
+		return records
+	}
+	sentMillis := s.openedMillis + sent.Sub(s.openedAt).Milliseconds()
+	for key, p := range s.state.Placements(l.key()) {
+		if _, ok := running[key]; ok || ended[key] >= p.Attempt {
+			continue
+		}
+		// A worker that has seen this term's token starts no attempt for an earlier owner.
+		inherited := first && p.Uncertain
+		stopped := p.StoppedMillis > 0 && p.StoppedMillis < sentMillis
+		vanished := p.Confirmed && p.StartedMillis < sentMillis
+		if !inherited && !stopped && !vanished {
+			continue
+		}
+		countLostAttempt("absent")
+		s.log.Info("attemptAbsent", "job", key.Job, "step", key.Step, "index", key.Index, "attempt", p.Attempt,
+			"worker", l.registration.ID, "inherited", inherited, "stopped", stopped)
+		records = s.endAttempt(records, p, job.AttemptLost, "")
+	}
+	return records
+}
+
+// checkProgress stops an attempt that has stalled, so that it continues elsewhere, and
+// counts it against the worker, which is quarantined at its next failure at the latest.
+// It handles workers that accept work but do not execute it.
+func (s *Shard) checkProgress(l *link, p *job.Placement, percent float64) {
+	step := s.state.Job(p.Task.Job).Steps[p.Task.Step]
+	if p.Stopping || step.Spec.Endless || !step.UpdateProgress(p, percent, s.now()) {
+		return
+	}
+	countLostAttempt("stalled")
+	s.log.Warn("attemptStalled", "job", p.Task.Job, "step", p.Task.Step, "index", p.Task.Index,
+		"attempt", p.Attempt, "worker", l.registration.ID, "percent", percent, "since", s.now()-p.ProgressMillis)
+	l.countFailure()
+	l.failures = max(l.failures, quarantineFailures-1)
+	s.requestStop(p)
+}
+
+// confirmRunning marks the attempt as running, as its worker has reported, and stops it
+// if its job has failed or been cancelled.
+func (s *Shard) confirmRunning(p *job.Placement) {
+	p.Uncertain = false
+	if !p.Confirmed {
+		p.Confirmed = true
+		p.StartedMillis = s.now()
+	}
+	if j := s.state.Job(p.Task.Job); j != nil && j.Outcome != job.Open && j.Outcome != job.Completed {
+		s.requestStop(p)
+	}
+}
--- a/internal/entry/shard/router.go
+++ b/internal/entry/shard/router.go
@@ -41,10 +41,6 @@
 	shardStatusTimeout = time.Second
 )
 
-// reasonNotOwner is the reason given by an entry that rejects work because it does
-// not own the shard. Other entries compare it, so its text must not change.
-const reasonNotOwner = "the entry does not own the shard"
-
 // reasonNoWorkers is the reason given for a job that could not be sent to the owner
 // of any shard that has workers.
 const reasonNoWorkers = "no reachable failure domain has workers"
@@ -139,20 +135,6 @@
 	}))
 }
 
-// notOwnerAnswer returns the answer of an entry that does not own the shard. It cannot
-// rule out that an owner has run the request before.
-func notOwnerAnswer(request upstream.ServeRequest) caller.Answer {
-	answer := caller.Answer{
-		RequestID: request.Request.RequestID,
-		Fate:      caller.FateNotRun,
-		Reason:    reasonNotOwner,
-	}
-	if request.Retry {
-		answer.Fate = caller.FateUnknown
-	}
-	return answer
-}
-
 func jobStatus(owned *upstream.Shard, request JobRequest) JobReply {
 	status, found := owned.JobStatus(request.Team, request.JobID)
 	return JobReply{
@@ -283,21 +265,6 @@
 	})
 }
 
-// isRetryableAnswer reports whether the call that got the answer has not run the request
-// and another one may. After a lost answer, given as retry, the fate of such a call is
-// FateUnknown too, since an earlier owner may have run the request.
-func isRetryableAnswer(answer caller.Answer, retry bool) bool {
-	rejected := answer.Fate == caller.FateNotRun || (retry && answer.Fate == caller.FateUnknown)
-	return rejected && isRetryable(answer.Reason)
-}
-
-// isRetryable reports whether work that was rejected for the reason may be accepted
-// by another shard, or by the same one later. An owner that releases its upstreams
-// gives a reason that contains "hands over".
-func isRetryable(reason string) bool {
-	return reason == reasonNotOwner || reason == upstream.ReasonBusy || strings.Contains(reason, "hands over")
-}
-
 // callOutcome is the outcome of a call to an owner.
 type callOutcome int
 
