Settle attempts with the next incarnation of a worker that restarts under its ID

Cause: a start order names the worker's ID, not its incarnation. A worker that restarts under its ID carries out an order meant for its last incarnation: its clock starts anew, so the lease in the order is valid, and it has seen no fencing token. The owner, when it learned of the restart, ended all attempts of the last incarnation as lost, also those that the report at hand listed as running or ended, and started their tasks elsewhere; orders still under way took effect later. The class: state of a peer is discarded on the assumption that a message could reach only the peer that it was meant for.

Change: each link to an incarnation has its own fencing token, higher than those of earlier links and terms. An attempt whose order may have reached the new incarnation stays placed, now on that incarnation, until its first report under the new token, after which no earlier order can take effect. The report decides: running, ended, or absent and lost. This is what a new owner already did with the attempts of its predecessor. Attempts that the last incarnation had reported, with no other copy of the order under way, are lost at once as before. A new owner hands placements of earlier incarnations to the link of the worker's present one; it took a running one for a stray attempt.

--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -38,9 +38,18 @@
 	predecessorExtension = store.OwnershipLeaseTime + workerLeaseGrace
 )
 
+// maxLinks is the maximum number of links in a term of ownership, which a link's fencing
+// token has room for. The tokens of all terms remain within the 53 bits that a JSON number
+// can hold exactly for the first 2^37 revisions of the store.
+const maxLinks = 1 << 16
+
 // link is the owner's connection to one incarnation of a worker.
 type link struct {
-	shard  *Shard
+	shard *Shard
+	// token is the fencing token of all requests. It is higher than those of earlier
+	// links and of earlier terms, so that after the first answer no earlier request can
+	// take effect, not even one that was meant for an earlier incarnation.
+	token  int64
 	client worker.Client
 	close  func()
 	ctx    context.Context
@@ -90,8 +99,7 @@
 	case l == nil:
 		s.addLink(r, true)
 	case r.Incarnation > l.registration.Incarnation:
-		s.dropLink(l, "new incarnation")
-		s.addLink(r, true)
+		s.replaceLink(l, r, true)
 	case r.Incarnation == l.registration.Incarnation && r.Address == l.registration.Address:
 		if r.Draining != l.registration.Draining {
 			s.log.Info("workerDraining", "worker", r.ID, "draining", r.Draining, "remainingMillis", r.RemainingMillis)
@@ -109,6 +117,10 @@
 func (s *Shard) addLink(r worker.Registration, listed bool) {
 	l := s.newLink(s.term.Context(), r, listed)
 	s.links[r.ID] = l
+	for _, key := range s.earlier[r.ID] {
+		s.state.Move(key, l.key())
+	}
+	delete(s.earlier, r.ID)
 	for _, p := range s.state.Placements(l.key()) {
 		// An earlier owner may have sent a start order that is yet to be carried out.
 		p.Uncertain = true
@@ -116,11 +128,34 @@
 	go l.run()
 }
 
+// replaceLink replaces the link to an incarnation that has ended by one to the next. An
+// attempt that ran there, or was not ordered yet, is lost. The others stay placed until the
+// first report of the new incarnation, which may have carried out their start orders: the
+// orders name only the worker, whose ID is the same.
+func (s *Shard) replaceLink(l *link, r worker.Registration, listed bool) {
+	s.closeLink(l)
+	s.losePlacements(l.key(), "new incarnation", func(p *job.Placement) bool {
+		return p.Settled || (!p.Uncertain && !p.Confirmed)
+	})
+	remaining := s.state.Placements(l.key())
+	s.log.Info("workerReborn", "worker", r.ID, "born", r.Incarnation, "before", l.registration.Incarnation,
+		"unsettled", len(remaining))
+	s.earlier[r.ID] = append(s.earlier[r.ID], l.key())
+	s.addLink(r, listed)
+	for _, p := range remaining {
+		p.Confirmed, p.StoppedMillis = false, 0
+		if p.Stopping {
+			go s.retryStop(s.links[r.ID], p)
+		}
+	}
+}
+
 func (s *Shard) newLink(ctx context.Context, r worker.Registration, listed bool) *link {
 	client, closeClient := s.options.NewWorkerClient(r)
 	ctx, cancel := context.WithCancel(ctx)
 	return &link{
 		shard:         s,
+		token:         s.newLinkToken(),
 		client:        client,
 		close:         closeClient,
 		ctx:           ctx,
@@ -132,23 +167,41 @@
 	}
 }
 
-// dropLink closes the link to a worker incarnation that has ended or whose worker lease
-// has expired, and records its attempts as lost.
-func (s *Shard) dropLink(l *link, reason string) {
+// newLinkToken returns the fencing token of a new link. The term ends once its tokens are
+// used up.
+func (s *Shard) newLinkToken() int64 {
+	s.linkCount++
+	if s.linkCount == maxLinks {
+		s.term.Revoke(errors.New("shard: all fencing tokens of the term are used"))
+	}
+	return s.term.Token()*maxLinks + min(s.linkCount, maxLinks-1)
+}
+
+// closeLink ends the calls of the link and removes it.
+func (s *Shard) closeLink(l *link) {
 	l.cancel()
 	l.close()
 	delete(s.links, l.registration.ID)
 	// Step.Advice may still hold this worker; the planner places no tasks on an unusable
 	// one.
 	l.worker.Usable = false
-	s.losePlacements(l.key(), reason)
 }
 
-// losePlacements records that no attempt placed on this incarnation of the worker runs
-// any more.
-func (s *Shard) losePlacements(key job.WorkerKey, reason string) {
+// dropLink closes the link to a worker incarnation that has ended or whose worker lease
+// has expired, and records its attempts as lost.
+func (s *Shard) dropLink(l *link, reason string) {
+	s.closeLink(l)
+	s.losePlacements(l.key(), reason, nil)
+}
+
+// losePlacements records that those attempts placed on this incarnation of the worker that
+// match, or all if match is nil, do not run any more.
+func (s *Shard) losePlacements(key job.WorkerKey, reason string, match func(*job.Placement) bool) {
 	var records []job.Record
 	for _, p := range s.state.Placements(key) {
+		if match != nil && !match(p) {
+			continue
+		}
 		countLostAttempt("workerGone")
 		s.log.Info("attemptLost", "job", p.Task.Job, "step", p.Task.Step, "index", p.Task.Index,
 			"attempt", p.Attempt, "worker", key.ID, "reason", reason)
@@ -169,7 +222,7 @@
 		defer s.mu.Unlock()
 		for _, key := range s.state.WorkersWithPlacements() {
 			if l := s.links[key.ID]; l == nil || l.registration.Incarnation != key.Incarnation {
-				s.losePlacements(key, "worker lease expired; the worker is not listed")
+				s.losePlacements(key, "worker lease expired; the worker is not listed", nil)
 			}
 		}
 	})
@@ -190,7 +243,7 @@
 		if now.Sub(l.lastAnswer) < unresponsiveAfter || now.Before(l.lastExtension.Add(s.maxWorkerLease())) {
 			continue
 		}
-		s.losePlacements(l.key(), "worker lease expired; the worker does not respond")
+		s.losePlacements(l.key(), "worker lease expired; the worker does not respond", nil)
 		if !l.listed {
 			s.dropLink(l, "gone")
 		}
@@ -271,7 +324,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	poll := worker.Poll{
-		Token:       s.term.Token(),
+		Token:       l.token,
 		AckedNumber: l.newestDurableEnded,
 		UntilMillis: l.extendLease(),
 	}
--- a/internal/cluster/shard/orders.go
+++ b/internal/cluster/shard/orders.go
@@ -73,17 +73,18 @@
 func (s *Shard) startOrder(l *link, p *job.Placement) (worker.Start, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.isCurrent(p) || p.Confirmed {
+	if l.ctx.Err() != nil || !s.isCurrent(p) || p.Confirmed {
 		return worker.Start{}, false
 	}
 	j := s.state.Job(p.Task.Job)
 	step := j.Steps[p.Task.Step]
+	p.Orders++
 	return worker.Start{
 		Task:        p.Task,
 		Attempt:     p.Attempt,
 		Payload:     j.Payload,
 		UntilMillis: l.extendLease(),
-		Token:       s.term.Token(),
+		Token:       l.token,
 		Checkpoint:  step.Checkpoint(p.Task.Index),
 		Ticket:      step.TicketValue(&l.worker),
 	}, true
@@ -124,7 +125,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.isCurrent(p) || p.Confirmed {
+	if l.ctx.Err() != nil || !s.isCurrent(p) || p.Confirmed {
 		return
 	}
 	if !maybeDelivered {
@@ -139,8 +140,8 @@
 func (s *Shard) handleStartAnswer(l *link, p *job.Placement, answer worker.Answer, maybeDelivered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.isCurrent(p) {
-		return
+	if l.ctx.Err() != nil || !s.isCurrent(p) {
+		return // after a restart, the first report of the new incarnation decides
 	}
 	if answer == worker.Started {
 		s.confirmRunning(p)
@@ -191,7 +192,7 @@
 		err := s.stopOnce(l, p.Task, p.Attempt)
 		s.mu.Lock()
 		ended := !s.isCurrent(p)
-		if err == nil && !ended {
+		if err == nil && !ended && l.ctx.Err() == nil {
 			p.StoppedMillis = s.now()
 		}
 		s.mu.Unlock()
@@ -224,7 +225,7 @@
 func (s *Shard) stopOnce(l *link, task job.TaskKey, attempt int) error {
 	ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
 	defer cancel()
-	err := l.client.Stop(ctx, task, attempt, s.term.Token())
+	err := l.client.Stop(ctx, task, attempt, l.token)
 	if err != nil && l.ctx.Err() == nil {
 		countUnansweredOrder("stop")
 		s.log.Warn("stopUnanswered", "job", task.Job, "step", task.Step, "index", task.Index,
--- a/internal/cluster/shard/orders_test.go
+++ b/internal/cluster/shard/orders_test.go
@@ -45,6 +45,7 @@
 		openedAt:     time.Now(),
 		openedMillis: time.Now().UnixMilli(),
 		links:        map[string]*link{},
+		earlier:      map[string][]job.WorkerKey{},
 	}
 }
 
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -37,9 +37,7 @@
 	if report.Incarnation != l.registration.Incarnation {
 		r := l.registration
 		r.Incarnation = report.Incarnation
-		s.log.Info("workerReborn", "worker", r.ID, "born", r.Incarnation, "before", l.registration.Incarnation)
-		s.dropLink(l, "new incarnation")
-		s.addLink(r, l.listed)
+		s.replaceLink(l, r, l.listed)
 		return nil
 	}
 	first := !l.answered
@@ -188,6 +186,7 @@
 			continue
 		}
 		s.confirmRunning(p)
+		p.Settled = p.Settled || p.Orders == 1
 		s.checkProgress(l, p, r.Percent)
 	}
 	if len(report.Ended) >= maxEndedPerReport {
@@ -198,7 +197,7 @@
 		if _, ok := running[key]; ok || ended[key] >= p.Attempt {
 			continue
 		}
-		// A worker that has seen this term's token starts no attempt for an earlier owner.
+		// A worker that has seen this link's token carries out no earlier order.
 		inherited := first && p.Uncertain
 		stopped := p.StoppedMillis > 0 && p.StoppedMillis < sentMillis
 		vanished := p.Confirmed && p.StartedMillis < sentMillis
--- a/internal/cluster/shard/restart_test.go
+++ b/internal/cluster/shard/restart_test.go
@@ -17,6 +17,10 @@
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
+// pollsAnswered is enough for several polls. It ends while one is under way, so that
+// nothing else happens at the same instant.
+const pollsAnswered = 1010 * time.Millisecond
+
 // emptyStore is a grantingStore without stored items.
 type emptyStore struct {
 	grantingStore
@@ -37,7 +41,6 @@
 	lastEnded   int64
 	held        []worker.Start // start orders without an answer
 	hold        bool           // hold start orders instead of carrying them out
-	starts      int
 }
 
 func (w *restartingWorker) restart() {
@@ -58,9 +61,6 @@
 	if !w.fence(request.Token) {
 		return worker.RefusedToken
 	}
-	if w.running[request.Task] == 0 {
-		w.starts++
-	}
 	w.running[request.Task] = request.Attempt
 	return worker.Started
 }
@@ -122,6 +122,52 @@
 	return report, nil
 }
 
+func newRestartingWorker() *restartingWorker {
+	return &restartingWorker{
+		incarnation: 1,
+		running:     map[job.TaskKey]int{},
+	}
+}
+
+// newRestartTest returns a shard with one open job whose worker is the client, and a
+// function that ends its term.
+func newRestartTest(t *testing.T, client worker.Client) (*Shard, func()) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	term, release, err := store.Claim(t.Context(), emptyStore{}, "fleet", store.Owner{}, log)
+	assert.NilError(t, err)
+	s := newShardWithClient(term, client, log)
+	s.options.WorkerLease = 6500 * time.Millisecond
+	s.agreement = &operator.Agreement{}
+	s.journal, _, err = store.OpenJournal(t.Context(), emptyStore{}, term, s.snapshot, log)
+	assert.NilError(t, err)
+	assert.NilError(t, s.state.Apply(job.Record{
+		Kind: job.RecordAccept,
+		Job:  acceptedID,
+		Submission: &job.Submission{
+			Steps: []job.StepSpec{{Count: 1}},
+		},
+	}))
+	go func() {
+		_ = s.journal.Run(&s.mu)
+	}()
+	return s, release
+}
+
+// placeOnFirstIncarnation places the job's task on the worker's first incarnation.
+func placeOnFirstIncarnation(t *testing.T, s *Shard) job.Record {
+	placed := job.Record{
+		Kind:        job.RecordPlace,
+		Job:         acceptedID,
+		Attempt:     1,
+		Worker:      "w",
+		Incarnation: 1,
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.NilError(t, s.state.Apply(placed))
+	return placed
+}
+
 // TestTwoRunsAfterWorkerRestart guards against a task that starts again while, or after, a
 // worker that restarted under its ID runs it on an order meant for its last incarnation.
 func TestTwoRunsAfterWorkerRestart(t *testing.T) {
@@ -159,45 +205,17 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				log := slog.New(slog.NewTextHandler(io.Discard, nil))
-				term, release, err := store.Claim(t.Context(), emptyStore{}, "fleet", store.Owner{}, log)
-				assert.NilError(t, err)
+				client := newRestartingWorker()
+				client.hold = c.held
+				s, release := newRestartTest(t, client)
 				defer release()
-				client := &restartingWorker{
-					incarnation: 1,
-					running:     map[job.TaskKey]int{},
-					hold:        c.held,
-				}
-				s := newShardWithClient(term, client, log)
-				s.options.WorkerLease = 6500 * time.Millisecond
-				s.agreement = &operator.Agreement{}
-				s.journal, _, err = store.OpenJournal(t.Context(), emptyStore{}, term, s.snapshot, log)
-				assert.NilError(t, err)
-				go func() {
-					_ = s.journal.Run(&s.mu)
-				}()
 				registration := worker.Registration{
 					ID:          "w",
 					Incarnation: 1,
 				}
 				s.SetWorkers([]worker.Registration{registration})
-				time.Sleep(time.Second)
-				placed := job.Record{
-					Kind:        job.RecordPlace,
-					Job:         acceptedID,
-					Attempt:     1,
-					Worker:      "w",
-					Incarnation: 1,
-				}
-				assert.NilError(t, s.state.Apply(job.Record{
-					Kind: job.RecordAccept,
-					Job:  acceptedID,
-					Submission: &job.Submission{
-						Steps: []job.StepSpec{{Count: 1}},
-					},
-				}))
-				assert.NilError(t, s.state.Apply(placed))
-
+				time.Sleep(pollsAnswered)
+				placed := placeOnFirstIncarnation(t, s)
 				client.restart()
 				s.sendStarts([]job.Record{placed})
 				synctest.Wait()
@@ -227,8 +245,66 @@
 				for _, request := range client.held {
 					assert.Equal(t, client.start(request), worker.RefusedToken)
 				}
-				assert.NilError(t, term.Context().Err())
+				assert.NilError(t, s.term.Context().Err())
 			})
 		})
 	}
 }
+
+// TestRunIsStrayAfterRestartAndTakeover guards against an owner that takes an attempt for a
+// stray one, because the worker restarted under its ID after the previous owner placed it.
+func TestRunIsStrayAfterRestartAndTakeover(t *testing.T) {
+	task := job.TaskKey{Job: acceptedID}
+	for name, running := range map[string]bool{
+		"order carried out after the restart": true,
+		"attempt ended by the restart":        false,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client := newRestartingWorker()
+				s, release := newRestartTest(t, client)
+				defer release()
+				placeOnFirstIncarnation(t, s)
+				s.inheritPlacements()
+				client.restart()
+				if running {
+					client.running[task] = 1
+				}
+				s.SetWorkers([]worker.Registration{{
+					ID:          "w",
+					Incarnation: 2,
+				}})
+				time.Sleep(time.Second)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				client.mu.Lock()
+				defer client.mu.Unlock()
+				assert.Equal(t, s.state.Placement(task) != nil, running)
+				assert.Equal(t, client.running[task] == 1, running)
+			})
+		})
+	}
+}
+
+// TestTaskWaitsForRestartedWorker guards against a task that waits for the first report of a
+// restarted worker although its attempt had certainly been carried out before the restart.
+func TestTaskWaitsForRestartedWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := newRestartingWorker()
+		s, release := newRestartTest(t, client)
+		defer release()
+		registration := worker.Registration{
+			ID:          "w",
+			Incarnation: 1,
+		}
+		s.SetWorkers([]worker.Registration{registration})
+		time.Sleep(pollsAnswered)
+		s.sendStarts([]job.Record{placeOnFirstIncarnation(t, s)})
+		time.Sleep(time.Second)
+		registration.Incarnation = 2
+		s.SetWorkers([]worker.Registration{registration})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		assert.Assert(t, s.state.Placement(job.TaskKey{Job: acceptedID}) == nil)
+	})
+}
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -90,12 +90,16 @@
 	passLoad passLoad
 
 	// mu guards the fields below. It is also the lock given to the journal's Run.
-	mu           sync.Mutex
-	state        *job.State
-	agreement    *operator.Agreement
-	links        map[string]*link // by the ID of the worker
-	busyAdvisors map[string]bool  // by the name of the node
-	slowCalls    int              // slow calls to the policy service in flight
+	mu        sync.Mutex
+	state     *job.State
+	agreement *operator.Agreement
+	links     map[string]*link // by the ID of the worker
+	linkCount int64            // links created in this term
+	// earlier holds the incarnations that had placements before the term, until a link of
+	// their worker takes these over, by the ID of the worker.
+	earlier      map[string][]job.WorkerKey
+	busyAdvisors map[string]bool // by the name of the node
+	slowCalls    int             // slow calls to the policy service in flight
 }
 
 // Open recovers the shard from its journal. It fails if the journal cannot be read or
@@ -112,6 +116,7 @@
 		buckets:      map[string]*tokenBucket{},
 		state:        job.NewState(),
 		links:        map[string]*link{},
+		earlier:      map[string][]job.WorkerKey{},
 		busyAdvisors: map[string]bool{},
 	}
 	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
@@ -134,6 +139,7 @@
 		}
 	}
 	s.state.MarkRecorded()
+	s.inheritPlacements()
 	applyTime := stepTime()
 	if s.agreement = options.Agreement(); s.agreement == nil {
 		return nil, errors.New("shard: recover: the term of ownership ended before the agreement was read")
@@ -144,6 +150,13 @@
 	return s, nil
 }
 
+// inheritPlacements prepares the placements of earlier terms for the links of their workers.
+func (s *Shard) inheritPlacements() {
+	for _, key := range s.state.WorkersWithPlacements() {
+		s.earlier[key.ID] = append(s.earlier[key.ID], key)
+	}
+}
+
 // snapshot returns records that rebuild the state, without jobs that ended more than
 // JobStateRetention ago and have no placements. The journal calls it with s.mu held.
 func (s *Shard) snapshot() []job.Record {
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -139,7 +139,12 @@
 
 	Confirmed bool // the worker reported that the attempt runs
 	Uncertain bool // a start request has no answer and may still be carried out
-	Stopping  bool // the attempt is to be stopped
+	// Orders is the number of start requests that this owner has sent.
+	Orders int
+	// Settled is set once a report of the worker's incarnation has listed the attempt,
+	// unless another copy of its start request may still be carried out.
+	Settled  bool
+	Stopping bool // the attempt is to be stopped
 	// StoppedMillis is the Unix millisecond of the owner's clock at which the worker
 	// confirmed the stop; zero before.
 	StoppedMillis int64
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -364,6 +364,24 @@
 	s.teamUsed[p.Team] = s.teamUsed[p.Team].Minus(p.Needs)
 }
 
+// Move assigns the placements on one incarnation of a worker to a later one.
+func (s *State) Move(from, to WorkerKey) {
+	moved := s.placements[from]
+	if len(moved) == 0 || from == to {
+		return
+	}
+	if s.placements[to] == nil {
+		s.placements[to] = map[TaskKey]*Placement{}
+	}
+	for key, p := range moved {
+		p.Worker = to
+		s.placements[to][key] = p
+	}
+	s.used[to] = s.used[to].Plus(s.used[from])
+	delete(s.placements, from)
+	delete(s.used, from)
+}
+
 func (s *State) restoreTask(step *Step, t *Task, r Record) {
 	t.Attempt = r.Attempt
 	t.Failures = r.Failures
