Write whole log lines in pieces that a pipe takes at once

The writer ignored short writes and errors all the same, which would join lines in the same way on a pipe that is not read. Change: a write holds whole lines and at most PIPE_BUF (4,096) bytes, unless a line is longer. A write that accepts a part is continued. Lines that a failed write loses are counted as left out (event writeFailed), the next line begins on a line of its own, and errors are counted in citronbay_log_write_errors_total. Lines dropped at a full queue are now in the metric too. Callers never wait.

--- a/internal/cluster/operator/log.go
+++ b/internal/cluster/operator/log.go
@@ -27,13 +27,18 @@
 	// batchDelay is how long the writer waits for more lines, so that a busy process
 	// does not make a system call for each line.
 	batchDelay = 20 * time.Millisecond
+	// maxWriteBytes limits the size of one write of several lines. It is PIPE_BUF: a pipe
+	// takes a write of at most that size as a whole, and a reader that splits larger
+	// writes would cut a line.
+	maxWriteBytes = 4096
 )
 
 // NewLogger returns a logger that writes each record as one line of key=value pairs
 // and never blocks on the writer. It ignores records below slog.LevelInfo. It drops
 // lines that exceed the rate limit of their event (the record's message), the total rate
-// limit or the queue's length, and writes the number of dropped lines of each event once
-// per second. The returned function writes the queued lines and stops the logger.
+// limit or the queue's length, and lines that cannot be written, and writes the number of
+// dropped lines of each event once per second. The returned function writes the queued
+// lines and stops the logger.
 func NewLogger(w io.Writer) (*slog.Logger, func()) {
 	sink := &logSink{
 		lines:        make(chan []byte, maxQueuedLines),
@@ -91,6 +96,9 @@
 	lines    chan []byte
 	stopping chan struct{}
 	stopped  chan struct{}
+	// lineCut is set while the end of the last line that was written is missing; only run
+	// uses it.
+	lineCut bool
 
 	mu sync.Mutex
 	// The size of the lines and their number by event in the current second.
@@ -112,14 +120,19 @@
 		clear(s.linesByEvent)
 	}
 	if s.linesByEvent[event] >= maxEventLinesPerSecond || s.bytes >= maxBytesPerSecond {
-		s.dropped[event]++
-		metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_log_left_out_total{event=%q}", event)).Inc()
+		s.countDropped(event, 1)
 		return false
 	}
 	s.linesByEvent[event]++
 	return true
 }
 
+// countDropped counts lines of the event as dropped; the caller holds s.mu.
+func (s *logSink) countDropped(event string, lines int) {
+	s.dropped[event] += lines
+	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_log_left_out_total{event=%q}", event)).Add(lines)
+}
+
 // Write queues one line. If the queue is full, it drops the line and counts it under
 // the event queueFull.
 func (s *logSink) Write(line []byte) (int, error) {
@@ -130,7 +143,7 @@
 	case s.lines <- bytes.Clone(line):
 	default:
 		s.mu.Lock()
-		s.dropped["queueFull"]++
+		s.countDropped("queueFull", 1)
 		s.mu.Unlock()
 	}
 	return len(line), nil
@@ -164,25 +177,70 @@
 	}
 }
 
-// writeBatch writes the first line and all queued lines in one call.
+// writeBatch writes the first line and all queued lines, in writes of at most
+// maxWriteBytes unless a line is longer. It counts lines that are not written in full
+// under the event writeFailed.
 func (s *logSink) writeBatch(w io.Writer, first []byte) {
-	var text bytes.Buffer
-	text.Write(first)
+	text := bytes.Clone(first)
+	lost := 0
 	for range len(s.lines) {
-		text.Write(<-s.lines)
+		line := <-s.lines
+		if len(text)+len(line) > maxWriteBytes {
+			lost += s.writeLines(w, text)
+			text = text[:0]
+		}
+		text = append(text, line...)
+	}
+	lost += s.writeLines(w, text)
+	if lost > 0 {
+		s.mu.Lock()
+		s.countDropped("writeFailed", lost)
+		s.mu.Unlock()
 	}
-	_, _ = w.Write(text.Bytes()) // a failure of the log itself cannot be logged
 }
 
-// writeDropped writes the number of lines of each event that were dropped since
-// the last call.
+// writeLines writes whole lines and returns the number of those that were not written in
+// full. They are not tried again, so that a writer that fails does not hold up later lines.
+func (s *logSink) writeLines(w io.Writer, lines []byte) int {
+	if s.lineCut && len(writeAll(w, []byte("\n"))) > 0 {
+		return bytes.Count(lines, []byte("\n"))
+	}
+	rest := writeAll(w, lines)
+	written := lines[:len(lines)-len(rest)]
+	s.lineCut = len(written) > 0 && !bytes.HasSuffix(written, []byte("\n"))
+	return bytes.Count(rest, []byte("\n"))
+}
+
+// writeAll writes the text, continues after a write that accepted a part of it, and
+// returns what remains once a write accepts nothing. It counts all errors.
+func writeAll(w io.Writer, text []byte) []byte {
+	for len(text) > 0 {
+		n, err := w.Write(text)
+		if err != nil {
+			metrics.GetOrCreateCounter("citronbay_log_write_errors_total").Inc()
+		}
+		if n == 0 {
+			break
+		}
+		text = text[n:]
+	}
+	return text
+}
+
+// writeDropped writes the number of lines of each event that were dropped since the last
+// call. Numbers that cannot be written are kept for the next call.
 func (s *logSink) writeDropped(w io.Writer) {
 	s.mu.Lock()
 	dropped := maps.Clone(s.dropped)
 	clear(s.dropped)
 	s.mu.Unlock()
 	for _, event := range slices.Sorted(maps.Keys(dropped)) {
-		_, _ = fmt.Fprintf(w, "time=%s level=WARN msg=linesLeftOut event=%s count=%d\n",
+		line := fmt.Appendf(nil, "time=%s level=WARN msg=linesLeftOut event=%s count=%d\n",
 			time.Now().UTC().Format(time.RFC3339Nano), event, dropped[event])
+		if s.writeLines(w, line) > 0 {
+			s.mu.Lock()
+			s.dropped[event] += dropped[event]
+			s.mu.Unlock()
+		}
 	}
 }
