Give back starts that no longer fit when a worker's capacity shrinks

Cause: a worker's capacity may shrink while it runs. The planner takes it from the directory in each pass, but a start order is sent only once its placement is durable. If the capacity shrank meanwhile, the order was sent all the same. With a slow store that is seconds later, when the larger capacity may no longer count. Change: sendStarts gives back a start, without counting a failure, while the placements on the worker exceed its present capacity.

--- a/internal/cluster/shard/orders.go
+++ b/internal/cluster/shard/orders.go
@@ -22,7 +22,7 @@
 
 // sendStarts sends the start orders of the placements in the records, which must be
 // durable or withdrawn. It ignores placements that have ended or were withdrawn, and
-// abandons those that are stopping.
+// abandons those that are stopping or no longer fit on their worker.
 func (s *Shard) sendStarts(records []job.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -43,6 +43,10 @@
 			s.abandonStart(p, "stopped before its start was sent")
 			continue
 		}
+		if !s.state.Used(p.Worker).FitsIn(l.registration.Capacity) {
+			s.abandonStart(p, "the worker's capacity has shrunk")
+			continue
+		}
 		p.Uncertain = true
 		go s.sendStart(l, p)
 	}
--- a/internal/decide/job/planner_test.go
+++ b/internal/decide/job/planner_test.go
@@ -493,3 +493,106 @@
 	}
 	assert.Equal(t, len(asked), gangCount)
 }
+
+// TestShrunkCapacity checks that nothing is placed beyond a capacity that became smaller
+// while the worker runs, whether the room was free or reserved for a gang before, and that
+// a capacity that grows again is used at once.
+func TestShrunkCapacity(t *testing.T) {
+	for name, c := range map[string]struct {
+		queue           string
+		spec            job.StepSpec
+		running         int   // tasks of 16 cores that run, or are being stopped
+		shrunk          int64 // in cores
+		wantPlaced      int
+		wantPlacedGrown int // at 64 cores again
+	}{
+		"room for one task": {
+			queue: "plain",
+			spec: job.StepSpec{
+				Count: 3,
+				Needs: cores(16),
+			},
+			running:         1,
+			shrunk:          32,
+			wantPlaced:      1,
+			wantPlacedGrown: 2,
+		},
+		"less than what runs": {
+			queue: "plain",
+			spec: job.StepSpec{
+				Count: 2,
+				Needs: cores(1),
+			},
+			running:         2,
+			shrunk:          16,
+			wantPlacedGrown: 2,
+		},
+		"less than what runs, no processors needed": {
+			queue: "plain",
+			spec: job.StepSpec{
+				Count: 1,
+				Needs: job.Resources{MemoryMB: 1},
+			},
+			running:         2,
+			shrunk:          16,
+			wantPlacedGrown: 1,
+		},
+		"gang with a reservation": {
+			queue: "advised",
+			spec: job.StepSpec{
+				Count: 2,
+				Needs: cores(32),
+				Gang:  true,
+			},
+			shrunk:          63,
+			wantPlacedGrown: 2,
+		},
+		"gang that fits beside what runs": {
+			queue: "advised",
+			spec: job.StepSpec{
+				Count: 2,
+				Needs: cores(16),
+				Gang:  true,
+			},
+			running:    1,
+			shrunk:     48,
+			wantPlaced: 2,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			rules := newRules(1)
+			workers := newWorkers(1)
+			acceptJob(t, state, "running", "team0", "plain", 0, job.StepSpec{
+				Count: c.running,
+				Needs: cores(16),
+			})
+			for n := range c.running {
+				mustApply(t, state, job.Record{
+					Kind:    job.RecordPlace,
+					Job:     "running",
+					Index:   n,
+					Attempt: 1,
+					Worker:  workers[0].ID,
+				})
+			}
+			acceptJob(t, state, "new", "team0", c.queue, 0, c.spec)
+			plan := func(now, capacity int64) int {
+				workers[0].Capacity.MilliCores = capacity * 1000
+				return len(job.NewPlanner(state, rules, workers, now).Plan(now))
+			}
+			if c.queue == "advised" { // the second query is a renewal, which reserves room
+				for now, expires := range []int64{1, 2000} {
+					p := job.NewPlanner(state, rules, workers, int64(now))
+					assert.Equal(t, len(p.Plan(int64(now))), 0)
+					p.PolicyQueries(int64(now), limitCalls(1, 1))[0].HandleAnswer(map[*job.Worker]job.Ticket{
+						workers[0]: {ExpiresMillis: expires},
+					}, true)
+				}
+			}
+			assert.Equal(t, plan(20, c.shrunk), c.wantPlaced)
+			assert.Assert(t, c.wantPlaced == 0 || state.Used(workers[0].Key()).FitsIn(workers[0].Capacity))
+			assert.Equal(t, plan(30, 64), c.wantPlacedGrown)
+		})
+	}
+}
