Acknowledge ended attempts only on the connection of the last report

Cause: a poll acknowledges ended attempts by number, and the numbers of a worker that restarts under its ID start from 1 again. A poll meant for the earlier incarnation opened a new connection after the crash, so the next incarnation forgot ended attempts that the owner had never seen, and the owner started completed tasks again.

A poll with an acknowledgement is sent only on the connection that returned the last report. After a failed poll the owner acknowledges nothing until the next report, and it polls again at once if only the acknowledgement was not sent.

--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -230,10 +230,15 @@
 
 // run polls the worker until the link is closed. After a report with changes, it waits up
 // to half of pollWait until they are durable, so that the next poll acknowledges them; the
-// worker answers a poll at once while it has unacknowledged ended attempts.
+// worker answers a poll at once while it has unacknowledged ended attempts. After a failed
+// poll it acknowledges none until the next report, since the worker may have restarted.
 func (l *link) run() {
+	reported := false
 	for l.ctx.Err() == nil {
 		poll := l.nextPoll()
+		if !reported {
+			poll.AckedNumber = 0
+		}
 		sent := time.Now()
 		timeout := time.Duration(poll.WaitMillis)*time.Millisecond + pollTimeoutSlack
 		ctx, cancel := context.WithTimeout(l.ctx, timeout)
@@ -241,9 +246,13 @@
 		cancel()
 		if err != nil {
 			l.logPollFailure(err)
-			sleep(l.ctx, pollTimeoutSlack/2)
+			reported = false
+			if poll.AckedNumber == 0 || !errors.Is(err, worker.ErrNotSent) {
+				sleep(l.ctx, pollTimeoutSlack/2)
+			}
 			continue
 		}
+		reported = reported || report.Refused == 0
 		durable := l.handleReport(report, sent)
 		if durable != nil {
 			select {
--- a/internal/cluster/worker/worker.go
+++ b/internal/cluster/worker/worker.go
@@ -93,6 +93,8 @@
 	Token int64
 	// AckedNumber is the highest Ended.Number that the owner acknowledges: it has
 	// durably recorded the ended attempts up to it, and the worker may forget them.
+	// Zero acknowledges none. Numbers are those of the incarnation that sent the last
+	// report: after a failed poll the owner acknowledges none until the next report.
 	AckedNumber int64
 	// UntilMillis is the new end of the worker lease, in milliseconds of the worker's
 	// clock; zero does not extend the lease.
@@ -178,7 +180,10 @@
 	// the owner's fencing token. A refusal by the worker is an error.
 	Stop(ctx context.Context, task job.TaskKey, attempt int, token int64) error
 	// Poll extends the worker lease and returns the worker's report, which may be a
-	// refusal.
+	// refusal. A request that acknowledges ended attempts reaches only the incarnation
+	// that sent the last report through this client: if that may have ended, for instance
+	// because its connection has, the request is not sent, and the error is ErrNotSent. A
+	// client sends one poll at a time.
 	Poll(ctx context.Context, request Poll) (Report, error)
 }
 
