Count a job as started only once an attempt is known to run

Cause: a job counted as started as soon as one of its tasks was placed. A start order may be carried out late or never, when it gets no answer, is refused or its worker is cut off or crashes. Meanwhile the job was shown as running and was missing from its queue's number of pending jobs. Change: placing a task no longer marks its job as started. A worker's answer or report that an attempt runs, ran or ended does, also of an attempt that is not the current one; and so does the recorded end of an attempt that completed, failed or saved a checkpoint. After a takeover, a job of which the records do not show this is pending until a report does.

--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -84,6 +84,7 @@
 			continue
 		}
 		l.newestEnded = e.Number
+		s.markStarted(e.Task.Job)
 		p := s.state.Placement(e.Task)
 		if p == nil || p.Attempt != e.Attempt || p.Worker != l.key() {
 			continue
@@ -179,6 +180,7 @@
 		running[r.Task] = r
 		p := s.state.Placement(r.Task)
 		if p == nil || p.Worker != l.key() || p.Attempt != r.Attempt {
+			s.markStarted(r.Task.Job)
 			if p != nil && p.Worker == l.key() && p.Attempt > r.Attempt {
 				continue // a stop of the earlier attempt is in flight
 			}
@@ -229,10 +231,19 @@
 	s.requestStop(p)
 }
 
+// markStarted marks the job, if it is known, as started: a worker has reported that an
+// attempt of it runs or ran.
+func (s *Shard) markStarted(id string) {
+	if j := s.state.Job(id); j != nil {
+		j.Started = true
+	}
+}
+
 // confirmRunning marks the attempt as running, as its worker has reported, and stops it
 // if its job has failed or been cancelled.
 func (s *Shard) confirmRunning(p *job.Placement) {
 	p.Uncertain = false
+	s.markStarted(p.Task.Job)
 	if !p.Confirmed {
 		p.Confirmed = true
 		p.StartedMillis = s.now()
--- a/internal/cluster/shard/requests_test.go
+++ b/internal/cluster/shard/requests_test.go
@@ -14,6 +14,7 @@
 	"github.com/citronbay/citronbay/internal/cluster/caller"
 	"github.com/citronbay/citronbay/internal/cluster/operator"
 	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/cluster/worker"
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
@@ -192,3 +193,77 @@
 		assert.Equal(t, <-unsent, caller.NotOwner)
 	})
 }
+
+// TestJobIsPendingUntilWorkerReportsIt checks that a job whose start was ordered counts as
+// pending, since the order may be carried out late or never, until its worker has reported
+// an attempt of it.
+func TestJobIsPendingUntilWorkerReportsIt(t *testing.T) {
+	task := job.TaskKey{Job: acceptedID}
+	for name, c := range map[string]struct {
+		report func(*Shard, *link)
+		want   caller.JobState
+	}{
+		"no answer": {
+			report: func(s *Shard, l *link) {
+				s.reconcile(nil, l, worker.Report{}, nil, time.Now(), false)
+			},
+			want: caller.Queued,
+		},
+		"answer to the order": {
+			report: func(s *Shard, l *link) {
+				s.handleStartAnswer(l, s.state.Placement(task), worker.Started, false)
+			},
+			want: caller.Running,
+		},
+		"running": {
+			report: func(s *Shard, l *link) {
+				running := []worker.Running{{Task: task, Attempt: 2}}
+				s.reconcile(nil, l, worker.Report{Running: running}, nil, time.Now(), false)
+			},
+			want: caller.Running,
+		},
+		"earlier attempt that is running": {
+			report: func(s *Shard, l *link) {
+				running := []worker.Running{{Task: task, Attempt: 1}}
+				s.reconcile(nil, l, worker.Report{Running: running}, nil, time.Now(), false)
+			},
+			want: caller.Running,
+		},
+		"ended": {
+			report: func(s *Shard, l *link) {
+				s.recordEnded(l, []worker.Ended{{Number: 1, Task: task, Attempt: 2, Outcome: worker.Stopped}})
+			},
+			want: caller.Running,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log := slog.New(slog.NewTextHandler(io.Discard, nil))
+			s := newShardWithClient(nil, nil, log)
+			s.agreement = &operator.Agreement{}
+			for _, r := range []job.Record{
+				{
+					Kind:  job.RecordAccept,
+					Job:   acceptedID,
+					Queue: "queue",
+					Submission: &job.Submission{
+						Steps: []job.StepSpec{{Count: 1}},
+					},
+				},
+				{
+					Kind:    job.RecordPlace,
+					Job:     acceptedID,
+					Attempt: 2,
+					Worker:  "w",
+				},
+			} {
+				assert.NilError(t, s.state.Apply(r))
+			}
+			l := s.newLink(t.Context(), worker.Registration{ID: "w"}, true)
+			defer l.cancel()
+			s.state.Placement(task).Uncertain = true
+			c.report(s, l)
+			assert.Equal(t, jobState(s.state.Job(acceptedID)), c.want)
+			assert.Equal(t, s.countPending("queue") == 1, c.want == caller.Queued)
+		})
+	}
+}
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -270,7 +270,10 @@
 	Outcome        Outcome
 	// OverRate is set if the job was submitted over its team's agreed rate.
 	OverRate bool
-	Started  bool // whether any task has been placed
+	// Started is set once an attempt is known to have run. The records tell this only of
+	// attempts that completed, failed or saved a checkpoint; of others, the present owner
+	// knows it from their worker's report.
+	Started bool
 	// Recorded and EndRecorded are set once the job's acceptance and its end are
 	// durable.
 	Recorded    bool
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -297,7 +297,6 @@
 		step.unplaced--
 	}
 	step.placed++
-	j.Started = true
 	placements := s.placements[p.Worker]
 	if placements == nil {
 		placements = map[TaskKey]*Placement{}
@@ -320,6 +319,9 @@
 	if r.Checkpoint != "" {
 		t.Checkpoint = r.Checkpoint
 	}
+	if r.AttemptOutcome != AttemptLost || r.Checkpoint != "" {
+		j.Started = true
+	}
 	if t.Done {
 		return nil
 	}
@@ -368,7 +370,7 @@
 	t.Attempt = r.Attempt
 	t.Failures = r.Failures
 	t.Checkpoint = r.Checkpoint
-	if r.Attempt > 0 {
+	if r.Done || r.Failures > 0 || r.Checkpoint != "" {
 		step.Job.Started = true
 	}
 	if r.Done {
--- a/internal/decide/job/state_test.go
+++ b/internal/decide/job/state_test.go
@@ -232,3 +232,63 @@
 		})
 	}
 }
+
+// TestJobStartsWhenAnAttemptRan checks that a job does not count as started when an attempt
+// is placed, which may never run, but once its end shows that it ran, and that a snapshot
+// preserves this.
+func TestJobStartsWhenAnAttemptRan(t *testing.T) {
+	for name, c := range map[string]struct {
+		ended      bool
+		outcome    job.AttemptOutcome
+		checkpoint string
+		want       bool
+	}{
+		"placed": {},
+		"lost": {
+			ended:   true,
+			outcome: job.AttemptLost,
+		},
+		"lost after a checkpoint": {
+			ended:      true,
+			outcome:    job.AttemptLost,
+			checkpoint: "c",
+			want:       true,
+		},
+		"failed": {
+			ended:   true,
+			outcome: job.AttemptFailed,
+			want:    true,
+		},
+		"completed": {
+			ended:   true,
+			outcome: job.AttemptCompleted,
+			want:    true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			acceptJob(t, state, "a", "team", "plain", 1, job.StepSpec{Count: 2})
+			mustApply(t, state, job.Record{
+				Kind:    job.RecordPlace,
+				Job:     "a",
+				Attempt: 1,
+				Worker:  "w",
+			})
+			if c.ended {
+				mustApply(t, state, job.Record{
+					Kind:           job.RecordAttemptEnd,
+					Job:            "a",
+					Attempt:        1,
+					AttemptOutcome: c.outcome,
+					Checkpoint:     c.checkpoint,
+				})
+			}
+			assert.Equal(t, state.Job("a").Started, c.want)
+			rebuilt := job.NewState()
+			for _, r := range state.Snapshot(0) {
+				mustApply(t, rebuilt, r)
+			}
+			assert.Equal(t, rebuilt.Job("a").Started, c.want)
+		})
+	}
+}
