Give the shard of a merged test a term, which a link's fencing token needs

Cause: TestJobIsPendingUntilWorkerReportsIt, merged from a branch without fencing tokens of links, has a shard without a term. Change: the shard has one; the checks are the same. Result: the tests of internal/cluster/shard pass twice with the race detector.

--- a/internal/cluster/shard/requests_test.go
+++ b/internal/cluster/shard/requests_test.go
@@ -217,28 +217,39 @@
 		},
 		"running": {
 			report: func(s *Shard, l *link) {
-				running := []worker.Running{{Task: task, Attempt: 2}}
+				running := []worker.Running{{
+					Task:    task,
+					Attempt: 2,
+				}}
 				s.reconcile(nil, l, worker.Report{Running: running}, nil, time.Now(), false)
 			},
 			want: caller.Running,
 		},
 		"earlier attempt that is running": {
 			report: func(s *Shard, l *link) {
-				running := []worker.Running{{Task: task, Attempt: 1}}
+				running := []worker.Running{{
+					Task:    task,
+					Attempt: 1,
+				}}
 				s.reconcile(nil, l, worker.Report{Running: running}, nil, time.Now(), false)
 			},
 			want: caller.Running,
 		},
 		"ended": {
 			report: func(s *Shard, l *link) {
-				s.recordEnded(l, []worker.Ended{{Number: 1, Task: task, Attempt: 2, Outcome: worker.Stopped}})
+				s.recordEnded(l, []worker.Ended{{
+					Number:  1,
+					Task:    task,
+					Attempt: 2,
+					Outcome: worker.Stopped,
+				}})
 			},
 			want: caller.Running,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			log := slog.New(slog.NewTextHandler(io.Discard, nil))
-			s := newShardWithClient(nil, nil, log)
+			s := newShardWithClient(&store.Term{}, nil, log)
 			s.agreement = &operator.Agreement{}
 			for _, r := range []job.Record{
 				{
