Stop attempts of a job that was cancelled before their worker had a link

Cause: a new owner that cancels a job before the directory has listed a worker with its attempt marks the attempt as stopping, but has no link to send the stop order on, and never sends one later, since the attempt is marked. Change: a new link sends the stop orders of the placements that it takes over.

--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -124,6 +124,9 @@
 	for _, p := range s.state.Placements(l.key()) {
 		// An earlier owner may have sent a start order that is yet to be carried out.
 		p.Uncertain = true
+		if p.Stopping {
+			go s.retryStop(l, p) // the stop was requested when the worker had no link
+		}
 	}
 	go l.run()
 }
@@ -144,9 +147,6 @@
 	s.addLink(r, listed)
 	for _, p := range remaining {
 		p.Confirmed, p.StoppedMillis = false, 0
-		if p.Stopping {
-			go s.retryStop(s.links[r.ID], p)
-		}
 	}
 }
 
