Settle placements by the first complete report of a worker

Cause: only the first report under a new fencing token ends placements that an earlier owner, or a link to an earlier incarnation, has made and that do not run. Change: a worker counts as having answered once a report was complete.

--- a/internal/cluster/shard/incarnation_test.go
+++ b/internal/cluster/shard/incarnation_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,3 +51,44 @@
 		})
 	}
 }
+
+// fullWorker lists maxEndedPerReport ended attempts in its first report, and none later.
+type fullWorker struct {
+	*restartingWorker
+	reported bool
+}
+
+func (w *fullWorker) Poll(ctx context.Context, poll worker.Poll) (worker.Report, error) {
+	report, err := w.restartingWorker.Poll(ctx, poll)
+	if err != nil || w.reported {
+		return report, err
+	}
+	w.reported = true
+	for n := range maxEndedPerReport {
+		report.Ended = append(report.Ended, worker.Ended{
+			Number:  int64(n + 1),
+			Task:    job.TaskKey{Job: unknownID},
+			Attempt: 1,
+			Outcome: worker.Done,
+		})
+	}
+	return report, nil
+}
+
+// TestTaskWaitsAfterFullFirstReport guards against a placement that never ends because the
+// first report, in which the attempt is absent, was too full to show that.
+func TestTaskWaitsAfterFullFirstReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, release := newRestartTest(t, &fullWorker{restartingWorker: newRestartingWorker()})
+		defer release()
+		placeOnFirstIncarnation(t, s)
+		s.inheritPlacements()
+		s.SetWorkers([]worker.Registration{firstRegistration()})
+		time.Sleep(time.Minute)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.expireLinks()
+		assert.Assert(t, s.state.Placement(job.TaskKey{Job: acceptedID}) == nil,
+			"the task does not run and is still placed after a minute")
+	})
+}
--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -61,7 +61,7 @@
 	worker             job.Worker // as the planner sees it; plannerWorker updates it
 	listed             bool       // is in the directory
 	leavesAt           time.Time  // when a draining worker leaves at the earliest; zero otherwise
-	answered           bool       // has answered under the fencing token of this term
+	answered           bool       // has sent a complete report under the fencing token
 	lastAnswer         time.Time  // to a poll; a refusal does not count
 	lastExtension      time.Time  // the latest time at which the worker lease may have been extended
 	workerClockMillis  int64      // the worker's clock according to its last report
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -40,8 +40,9 @@
 		s.replaceLink(l, r, l.listed)
 		return nil
 	}
-	first := !l.answered
-	l.answered = true
+	complete := len(report.Ended) < maxEndedPerReport
+	first := complete && !l.answered
+	l.answered = l.answered || complete
 	l.lastAnswer = time.Now()
 	l.workerClockMillis, l.workerClockAt = report.ClockMillis, sent
 	records, ended := s.recordEnded(l, report.Ended)
