Measure an attempt's progress anew after a restart of its worker

Cause: an attempt that the next incarnation of a worker carries out starts from its checkpoint. If it showed the progress of the last incarnation, the first report counted as no progress since then, and the attempt was stopped. Change: the time of the last progress is reset when the link is replaced.

--- a/internal/cluster/shard/incarnation_test.go
+++ b/internal/cluster/shard/incarnation_test.go
@@ -92,3 +92,37 @@
 			"the task does not run and is still placed after a minute")
 	})
 }
+
+// TestRestartedAttemptHasNotStalled guards against an attempt that is stopped as stalled in
+// the first report of a restarted worker, by the progress of the last incarnation.
+func TestRestartedAttemptHasNotStalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		task := job.TaskKey{Job: acceptedID}
+		client := newRestartingWorker()
+		client.hold = true
+		s, release := newRestartTest(t, client)
+		defer release()
+		s.SetWorkers([]worker.Registration{firstRegistration()})
+		time.Sleep(pollsAnswered)
+		s.sendStarts([]job.Record{placeOnFirstIncarnation(t, s)})
+		time.Sleep(orderTimeout / 2)
+		client.mu.Lock()
+		client.hold = false // the second copy is carried out
+		client.mu.Unlock()
+		time.Sleep(orderTimeout/2 + 1400*time.Millisecond)
+		client.restart()
+		time.Sleep(10 * time.Millisecond)
+		client.mu.Lock()
+		client.start(client.held[0])
+		client.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		assert.Equal(t, len(client.ended), 0, "the owner has stopped the attempt: %v", client.ended)
+		p := s.state.Placement(task)
+		assert.Assert(t, p != nil)
+		assert.Equal(t, p.Worker.Incarnation, int64(2))
+	})
+}
--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -146,7 +146,7 @@
 	s.earlier[r.ID] = append(s.earlier[r.ID], l.key())
 	s.addLink(r, listed)
 	for _, p := range remaining {
-		p.Confirmed, p.StoppedMillis = false, 0
+		p.Confirmed, p.StoppedMillis, p.ProgressMillis = false, 0, 0
 	}
 }
 
