Start nothing on a restarted worker before the directory describes it

Cause: when a report tells of a new incarnation, its link keeps the registration of the last one. A worker may restart with another kind and capacity. Change: such a link gets no work until an entry of the new incarnation.

--- a/internal/cluster/shard/incarnation_test.go
+++ b/internal/cluster/shard/incarnation_test.go
@@ -126,3 +126,35 @@
 		assert.Equal(t, p.Worker.Incarnation, int64(2))
 	})
 }
+
+// TestRestartedWorkerIsNotUsedAsBefore guards against starts on a restarted worker
+// according to the kind and capacity of its last incarnation, which may be different ones.
+func TestRestartedWorkerIsNotUsedAsBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := newRestartingWorker()
+		s, release := newRestartTest(t, client)
+		defer release()
+		registration := firstRegistration()
+		registration.Capacity = job.Resources{MilliCores: 32000}
+		registration.Labels = []string{"large"}
+		s.SetWorkers([]worker.Registration{registration})
+		time.Sleep(pollsAnswered)
+		client.restart()
+		time.Sleep(500 * time.Millisecond)
+		s.mu.Lock()
+		w := *s.links["w"].plannerWorker(time.Now())
+		s.mu.Unlock()
+		assert.Equal(t, w.Incarnation, int64(2))
+		assert.Assert(t, !w.Usable, "the directory has not said yet what the new incarnation is")
+
+		registration.Incarnation = 2
+		registration.Capacity = job.Resources{MilliCores: 8000}
+		registration.Labels = []string{"small"}
+		s.SetWorkers([]worker.Registration{registration})
+		s.mu.Lock()
+		w = *s.links["w"].plannerWorker(time.Now())
+		s.mu.Unlock()
+		assert.Assert(t, w.Usable)
+		assert.Equal(t, w.Capacity, registration.Capacity)
+	})
+}
--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -60,6 +60,7 @@
 	registration       worker.Registration
 	worker             job.Worker // as the planner sees it; plannerWorker updates it
 	listed             bool       // is in the directory
+	provisional        bool       // registration is that of an earlier incarnation
 	leavesAt           time.Time  // when a draining worker leaves at the earliest; zero otherwise
 	answered           bool       // has sent a complete report under the fencing token
 	lastAnswer         time.Time  // to a poll; a refusal does not count
@@ -108,7 +109,7 @@
 			l.leavesAt = departure(r)
 		}
 		l.registration = r
-		l.listed = true
+		l.listed, l.provisional = true, false
 	default:
 		s.log.Warn("workerEntryIgnored", "worker", r.ID, "born", r.Incarnation, "known", l.registration.Incarnation, "address", r.Address)
 	}
@@ -265,7 +266,7 @@
 	w.ID, w.Incarnation, w.Service = r.ID, r.Incarnation, r.Service
 	w.Zone, w.Rack, w.Labels = r.Zone, r.Rack, r.Labels
 	w.Capacity = r.Capacity
-	w.Usable = l.answered && l.listed && !r.Draining && now.Sub(l.lastAnswer) < unresponsiveAfter && now.After(l.quarantinedUntil)
+	w.Usable = l.answered && l.listed && !l.provisional && !r.Draining && now.Sub(l.lastAnswer) < unresponsiveAfter && now.After(l.quarantinedUntil)
 	w.Penalty = l.failures
 	return w
 }
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -38,6 +38,7 @@
 		r := l.registration
 		r.Incarnation = report.Incarnation
 		s.replaceLink(l, r, l.listed)
+		s.links[r.ID].provisional = true // the new incarnation may differ
 		return nil
 	}
 	complete := len(report.Ended) < maxEndedPerReport
