Ignore directory entries of incarnations that are known to have ended

A task could run twice at the same time (TWICE). Cause: incarnations are compared by the time of day at which they started. After the clock of a worker was set back, the entry of its last incarnation looked newer than the present one, and ended the attempts that ran there as lost. Change: a link knows the incarnations that it has replaced.

--- a/internal/cluster/shard/incarnation_test.go
+++ b/internal/cluster/shard/incarnation_test.go
@@ -158,3 +158,38 @@
 		assert.Equal(t, w.Capacity, registration.Capacity)
 	})
 }
+
+// TestStaleEntryOfHigherIncarnation guards against a directory entry of the last incarnation
+// that replaces the link to the present one, whose number is lower: it is a time of day,
+// which may have been set back before the restart.
+func TestStaleEntryOfHigherIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		task := job.TaskKey{Job: acceptedID}
+		client := newRestartingWorker()
+		client.incarnation = 2
+		s, release := newRestartTest(t, client)
+		defer release()
+		stale := firstRegistration()
+		stale.Incarnation = 2
+		s.SetWorkers([]worker.Registration{stale})
+		time.Sleep(pollsAnswered)
+		client.restart()
+		client.mu.Lock()
+		client.incarnation = 1
+		client.mu.Unlock()
+		time.Sleep(pollsAnswered)
+		s.sendStarts([]job.Record{placeOnFirstIncarnation(t, s)})
+		time.Sleep(pollsAnswered)
+		s.mu.Lock()
+		assert.Assert(t, s.state.Placement(task).Settled)
+		s.mu.Unlock()
+
+		s.SetWorkers([]worker.Registration{stale})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		assert.Equal(t, client.running[task], 1)
+		assert.Assert(t, s.state.Placement(task) != nil, "the owner may start the task elsewhere, and it runs")
+	})
+}
--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/cluster/store"
@@ -58,6 +59,7 @@
 	// The fields below are guarded by the shard's mu.
 
 	registration       worker.Registration
+	ended              []int64    // earlier incarnations of the worker
 	worker             job.Worker // as the planner sees it; plannerWorker updates it
 	listed             bool       // is in the directory
 	provisional        bool       // registration is that of an earlier incarnation
@@ -92,14 +94,15 @@
 }
 
 // applyRegistration applies one entry of the directory. It ignores an entry of an earlier
-// incarnation, which is out of date, and one of the same incarnation at another address,
-// which is not this worker's: neither shows that running attempts have ended.
+// incarnation, which is out of date and may have the higher number if the worker's clock was
+// set back, and one of the same incarnation at another address, which is not this worker's:
+// neither shows that running attempts have ended.
 func (s *Shard) applyRegistration(r worker.Registration) {
 	l := s.links[r.ID]
 	switch {
 	case l == nil:
 		s.addLink(r, true)
-	case r.Incarnation > l.registration.Incarnation:
+	case r.Incarnation > l.registration.Incarnation && !slices.Contains(l.ended, r.Incarnation):
 		s.replaceLink(l, r, true)
 	case r.Incarnation == l.registration.Incarnation && r.Address == l.registration.Address:
 		if r.Draining != l.registration.Draining {
@@ -146,6 +149,7 @@
 		"unsettled", len(remaining))
 	s.earlier[r.ID] = append(s.earlier[r.ID], l.key())
 	s.addLink(r, listed)
+	s.links[r.ID].ended = append(l.ended, l.registration.Incarnation)
 	for _, p := range remaining {
 		p.Confirmed, p.StoppedMillis, p.ProgressMillis = false, 0, 0
 	}
