Outwait the longest lease for attempts that no report has listed

Cause: an order names the end of the worker lease on the clock of the incarnation that the owner knows. The next incarnation, whose clock starts anew, grants its longest lease, 10 s instead of 6.5 s. If the worker was then cut off before the owner knew of the restart, the owner gave the attempt up while it ran. Change: attempts that a report of the incarnation has listed are given up as before; the others once the longest lease has certainly expired.

--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -267,6 +267,7 @@
 		Advisors:          n.advisors,
 		JobStateRetention: n.options.JobStateRetention,
 		WorkerLease:       n.options.WorkerLease,
+		MaxWorkerLease:    n.options.MaxWorkerLease,
 		Log:               n.log,
 	})
 	if err != nil {
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -52,6 +52,8 @@
 	// WorkerLease is the duration of the worker lease: how long a worker keeps its
 	// tasks running without contact with the owner.
 	WorkerLease time.Duration
+	// MaxWorkerLease is the longest worker lease that workers grant.
+	MaxWorkerLease time.Duration
 	// Cores is the processor capacity that the node may use, in cores of the usual speed.
 	Cores float64
 	Log   *slog.Logger
--- a/internal/cluster/settings/settings.go
+++ b/internal/cluster/settings/settings.go
@@ -139,12 +139,16 @@
 // WorkerLease returns the duration of the worker lease: how long a worker keeps tasks
 // running without hearing from the owner.
 func (s Settings) WorkerLease() time.Duration {
+	return time.Duration(workerLeaseFraction * float64(s.MaxWorkerLease()))
+}
+
+// MaxWorkerLease returns the longest worker lease that workers grant.
+func (s Settings) MaxWorkerLease() time.Duration {
 	const defaultMaxLease = 10 * time.Second
-	maxLease := time.Duration(s.MaxWorkerLeaseMillis) * time.Millisecond
-	if maxLease <= 0 {
-		maxLease = defaultMaxLease
+	if s.MaxWorkerLeaseMillis <= 0 {
+		return defaultMaxLease
 	}
-	return time.Duration(workerLeaseFraction * float64(maxLease))
+	return time.Duration(s.MaxWorkerLeaseMillis) * time.Millisecond
 }
 
 // JobStateRetention returns how long the state of an ended job is kept.
--- a/internal/cluster/shard/incarnation_test.go
+++ b/internal/cluster/shard/incarnation_test.go
@@ -181,7 +181,7 @@
 		s.sendStarts([]job.Record{placeOnFirstIncarnation(t, s)})
 		time.Sleep(pollsAnswered)
 		s.mu.Lock()
-		assert.Assert(t, s.state.Placement(task).Settled)
+		assert.Assert(t, s.state.Placement(task).Settled())
 		s.mu.Unlock()
 
 		s.SetWorkers([]worker.Registration{stale})
@@ -193,3 +193,79 @@
 		assert.Assert(t, s.state.Placement(task) != nil, "the owner may start the task elsewhere, and it runs")
 	})
 }
+
+// maxTestLease is the longest lease that a leasedWorker grants, as on the platform.
+const maxTestLease = 10 * time.Second
+
+// leasedWorker is a restartingWorker with a clock and a lease, which can be cut off.
+type leasedWorker struct {
+	*restartingWorker
+	clockOrigin time.Time
+	leaseEnd    time.Time
+	cut         bool // requests get no answer and have no effect
+}
+
+func (w *leasedWorker) Start(ctx context.Context, request worker.Start) (worker.Answer, int64, error) {
+	w.mu.Lock()
+	until := min(time.Duration(request.UntilMillis)*time.Millisecond, time.Since(w.clockOrigin)+maxTestLease)
+	w.leaseEnd = w.clockOrigin.Add(until)
+	w.mu.Unlock()
+	answer, clock, err := w.restartingWorker.Start(ctx, request)
+	w.mu.Lock()
+	w.cut = true
+	w.mu.Unlock()
+	return answer, clock, err
+}
+
+func (w *leasedWorker) Poll(ctx context.Context, poll worker.Poll) (worker.Report, error) {
+	w.mu.Lock()
+	cut := w.cut
+	w.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return worker.Report{}, ctx.Err()
+	}
+	report, err := w.restartingWorker.Poll(ctx, poll)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut {
+		return worker.Report{}, context.DeadlineExceeded
+	}
+	report.ClockMillis = time.Since(w.clockOrigin).Milliseconds()
+	return report, err
+}
+
+// TestLeaseOfRestartedWorkerOutlastsOwner guards against an attempt that is given up while
+// it runs: the end of the lease in its start order is a time on the clock of the last
+// incarnation, and on that of the present one it is the longest lease away.
+func TestLeaseOfRestartedWorkerOutlastsOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := &leasedWorker{
+			restartingWorker: newRestartingWorker(),
+			clockOrigin:      time.Now().Add(-time.Hour),
+		}
+		s, release := newRestartTest(t, client)
+		defer release()
+		s.SetWorkers([]worker.Registration{firstRegistration()})
+		time.Sleep(pollsAnswered)
+		placed := placeOnFirstIncarnation(t, s)
+		client.restart()
+		client.mu.Lock()
+		client.clockOrigin = time.Now()
+		client.mu.Unlock()
+		s.sendStarts([]job.Record{placed})
+		synctest.Wait()
+		client.mu.Lock()
+		leaseEnd := client.leaseEnd
+		client.mu.Unlock()
+		assert.Equal(t, leaseEnd.Sub(time.Now()), maxTestLease)
+		for time.Now().Before(leaseEnd) {
+			s.mu.Lock()
+			s.expireLinks()
+			p := s.state.Placement(job.TaskKey{Job: acceptedID})
+			s.mu.Unlock()
+			assert.Assert(t, p != nil, "given up %v before the end of the lease", time.Until(leaseEnd))
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -142,7 +142,7 @@
 func (s *Shard) replaceLink(l *link, r worker.Registration, listed bool) {
 	s.closeLink(l)
 	s.losePlacements(l.key(), "new incarnation", func(p *job.Placement) bool {
-		return p.Settled || (!p.Uncertain && !p.Confirmed)
+		return p.Settled() || (!p.Uncertain && !p.Confirmed)
 	})
 	remaining := s.state.Placements(l.key())
 	s.log.Info("workerReborn", "worker", r.ID, "born", r.Incarnation, "before", l.registration.Incarnation,
@@ -151,7 +151,7 @@
 	s.addLink(r, listed)
 	s.links[r.ID].ended = append(l.ended, l.registration.Incarnation)
 	for _, p := range remaining {
-		p.Confirmed, p.StoppedMillis, p.ProgressMillis = false, 0, 0
+		p.Confirmed, p.Reported, p.StoppedMillis, p.ProgressMillis = false, false, 0, 0
 	}
 }
 
@@ -236,19 +236,33 @@
 // maxWorkerLease returns how long a worker lease may last on the owner's clock after it
 // was extended.
 func (s *Shard) maxWorkerLease() time.Duration {
-	return time.Duration(float64(s.options.WorkerLease)*clockDriftFactor) + leaseExpirySlack
+	return onOwnerClock(s.options.WorkerLease)
+}
+
+// onOwnerClock returns how long a time span on a worker's clock may last.
+func onOwnerClock(span time.Duration) time.Duration {
+	return time.Duration(float64(span)*clockDriftFactor) + leaseExpirySlack
 }
 
 // expireLinks ends the placements on unresponsive workers whose worker lease has certainly
-// expired, and drops the links of those workers that the directory no longer lists. The
+// expired, and drops the links of those workers that the directory no longer lists. An
+// attempt that no report has listed may run on the worker's next incarnation, whose clock
+// starts anew, so that the end of the lease in the order means the longest lease there. The
 // caller holds s.mu.
 func (s *Shard) expireLinks() {
+	const reason = "worker lease expired; the worker does not respond"
 	now := time.Now()
 	for _, l := range s.links {
 		if now.Sub(l.lastAnswer) < unresponsiveAfter || now.Before(l.lastExtension.Add(s.maxWorkerLease())) {
 			continue
 		}
-		s.losePlacements(l.key(), "worker lease expired; the worker does not respond", nil)
+		if now.Before(l.lastExtension.Add(onOwnerClock(s.options.MaxWorkerLease))) {
+			s.losePlacements(l.key(), reason, func(p *job.Placement) bool {
+				return p.Reported
+			})
+			continue
+		}
+		s.losePlacements(l.key(), reason, nil)
 		if !l.listed {
 			s.dropLink(l, "gone")
 		}
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -190,7 +190,7 @@
 			continue
 		}
 		s.confirmRunning(p)
-		p.Settled = p.Settled || p.Orders == 1
+		p.Reported = true
 		s.checkProgress(l, p, r.Percent)
 	}
 	if len(report.Ended) >= maxEndedPerReport {
--- a/internal/cluster/shard/restart_test.go
+++ b/internal/cluster/shard/restart_test.go
@@ -136,7 +136,7 @@
 	term, release, err := store.Claim(t.Context(), emptyStore{}, "fleet", store.Owner{}, log)
 	assert.NilError(t, err)
 	s := newShardWithClient(term, client, log)
-	s.options.WorkerLease = 6500 * time.Millisecond
+	s.options.WorkerLease, s.options.MaxWorkerLease = 6500*time.Millisecond, maxTestLease
 	s.agreement = &operator.Agreement{}
 	s.journal, _, err = store.OpenJournal(t.Context(), emptyStore{}, term, s.snapshot, log)
 	assert.NilError(t, err)
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -65,7 +65,9 @@
 	// WorkerLease is the duration of a worker lease: how long a worker keeps its tasks
 	// running without hearing from the owner.
 	WorkerLease time.Duration
-	Log         *slog.Logger
+	// MaxWorkerLease is the longest worker lease that workers grant.
+	MaxWorkerLease time.Duration
+	Log            *slog.Logger
 }
 
 // Shard manages one shard during a term of ownership. Create it with Open.
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -141,9 +141,8 @@
 	Uncertain bool // a start request has no answer and may still be carried out
 	// Orders is the number of start requests that this owner has sent.
 	Orders int
-	// Settled is set once a report of the worker's incarnation has listed the attempt,
-	// unless another copy of its start request may still be carried out.
-	Settled  bool
+	// Reported is set once a report of the worker's incarnation has listed the attempt.
+	Reported bool
 	Stopping bool // the attempt is to be stopped
 	// StoppedMillis is the Unix millisecond of the owner's clock at which the worker
 	// confirmed the stop; zero before.
@@ -157,6 +156,12 @@
 	ProgressMillis int64
 }
 
+// Settled reports whether the attempt certainly runs on its incarnation of the worker, and no
+// other copy of its start request can be carried out.
+func (p *Placement) Settled() bool {
+	return p.Reported && p.Orders == 1
+}
+
 const (
 	// An attempt may report the same progress for stallBaseMillis plus
 	// stallEstimateShare of its estimated run time, and longer without checkpoints: see
