Count the completion of an attempt that was given up

A task could start again after a run of it had completed (TWICE). Cause: an end reported by a worker counted only if it was that of the current attempt on that worker, but was acknowledged in any case. An attempt that was given up and completed all the same was forgotten by its worker, and the task started again. Change: such a completion marks the task as done, or all members of its gang, and stops later attempts. Result: four of five cases of TestTaskStartsAfterLateCompletion failed before (the fifth, an endless task, must not end) and pass.

--- a/internal/cluster/shard/incarnation_test.go
+++ b/internal/cluster/shard/incarnation_test.go
@@ -269,3 +269,103 @@
 		}
 	})
 }
+
+// TestTaskStartsAfterLateCompletion guards against a task that starts again although an
+// attempt that was given up has completed, and its end is acknowledged.
+func TestTaskStartsAfterLateCompletion(t *testing.T) {
+	for name, c := range map[string]struct {
+		spec          job.StepSpec
+		placed        bool // the next attempt is placed elsewhere
+		wantRemaining int  // tasks that are not done
+	}{
+		"not placed": {
+			spec: job.StepSpec{Count: 1},
+		},
+		"placed elsewhere": {
+			spec:   job.StepSpec{Count: 1},
+			placed: true,
+		},
+		"one of two tasks": {
+			spec:          job.StepSpec{Count: 2},
+			wantRemaining: 1,
+		},
+		"gang": {
+			spec: job.StepSpec{
+				Count: 2,
+				Gang:  true,
+			},
+		},
+		"endless": {
+			spec: job.StepSpec{
+				Count:   1,
+				Endless: true,
+			},
+			wantRemaining: 1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, release := newRestartTest(t, newRestartingWorker())
+				defer release()
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				task := job.TaskKey{Job: unknownID}
+				records := []job.Record{
+					{
+						Kind: job.RecordAccept,
+						Job:  unknownID,
+						Submission: &job.Submission{
+							Steps: []job.StepSpec{c.spec},
+						},
+					},
+					{
+						Kind:    job.RecordPlace,
+						Job:     unknownID,
+						Attempt: 1,
+						Worker:  "w",
+					},
+					{
+						Kind:    job.RecordAttemptEnd,
+						Job:     unknownID,
+						Attempt: 1,
+					},
+				}
+				if c.placed {
+					records = append(records, job.Record{
+						Kind:    job.RecordPlace,
+						Job:     unknownID,
+						Attempt: 2,
+						Worker:  "other",
+					})
+				}
+				for _, r := range records {
+					assert.NilError(t, s.state.Apply(r))
+				}
+				l := s.newLink(t.Context(), firstRegistration(), true)
+				defer l.cancel()
+				changes, _ := s.recordEnded(l, []worker.Ended{{
+					Number:  1,
+					Task:    task,
+					Attempt: 1,
+					Outcome: worker.Done,
+				}})
+				remaining := 0
+				for _, t := range s.state.Job(unknownID).Steps[0].Tasks {
+					if !t.Done {
+						remaining++
+					}
+				}
+				assert.Equal(t, remaining, c.wantRemaining)
+				assert.Equal(t, s.state.Job(unknownID).Outcome == job.Completed, c.wantRemaining == 0)
+				if p := s.state.Placement(task); p != nil {
+					assert.Assert(t, p.Stopping)
+				}
+				rebuilt := job.NewState()
+				for _, r := range append(records, changes...) {
+					assert.NilError(t, rebuilt.Apply(r))
+				}
+				assert.Equal(t, rebuilt.Job(unknownID).Outcome, s.state.Job(unknownID).Outcome)
+			})
+		})
+	}
+}
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -87,6 +87,9 @@
 		s.markStarted(e.Task.Job)
 		p := s.state.Placement(e.Task)
 		if p == nil || p.Attempt != e.Attempt || p.Worker != l.key() {
+			if e.Outcome == worker.Done {
+				records = s.recordLateCompletion(records, e)
+			}
 			continue
 		}
 		outcome := job.AttemptLost
@@ -107,6 +110,42 @@
 	return records, ended
 }
 
+// recordLateCompletion marks the task of an attempt that was given up and has completed all
+// the same as done, or all members of its gang, since the worker forgets the attempt once it
+// is acknowledged. It stops later attempts. It returns records followed by those of the
+// changes.
+func (s *Shard) recordLateCompletion(records []job.Record, e worker.Ended) []job.Record {
+	j, t := s.state.Job(e.Task.Job), s.state.Task(e.Task)
+	if t == nil || t.Done || j.Outcome != job.Open || j.Steps[e.Task.Step].Spec.Endless {
+		return records
+	}
+	s.log.Info("lateCompletion", "job", e.Task.Job, "step", e.Task.Step, "index", e.Task.Index, "attempt", e.Attempt)
+	step := j.Steps[e.Task.Step]
+	for n := range step.Tasks {
+		t := &step.Tasks[n]
+		if n != e.Task.Index && !step.Spec.Gang {
+			continue
+		}
+		records = s.apply(records, job.Record{
+			Kind:       job.RecordTaskState,
+			Job:        j.ID,
+			Step:       e.Task.Step,
+			Index:      n,
+			Attempt:    t.Attempt,
+			Failures:   t.Failures,
+			Checkpoint: t.Checkpoint,
+			Done:       true,
+		})
+		if t.Placement != nil {
+			s.requestStop(t.Placement)
+		}
+	}
+	if j.Complete() {
+		records = s.finishJob(records, j, job.Completed)
+	}
+	return records
+}
+
 // countFailure counts a failure of the worker and quarantines it after
 // quarantineFailures in a row.
 func (l *link) countFailure() {
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -14,7 +14,7 @@
 	RecordPlace                            // an attempt of a task is placed on a worker
 	RecordAttemptEnd                       // an attempt ends
 	RecordJobEnd                           // a job ends
-	RecordTaskState                        // state of a task, in snapshots only
+	RecordTaskState                        // state of a task, in snapshots and when it is done late
 )
 
 // AttemptOutcome is how an attempt ended, as far as its job is concerned.
