--- a/internal/cluster/shard/incarnation_test.go
+++ b/internal/cluster/shard/incarnation_test.go
@@ -369,3 +369,48 @@
 		})
 	}
 }
+
+// TestLateOrderAfterNextRestart guards against a task that runs on a late copy of a start
+// order of an attempt that was given up: the incarnation that showed that the attempt does
+// not run had seen a higher token or a stop order, but the next one has seen neither.
+func TestLateOrderAfterNextRestart(t *testing.T) {
+	task := job.TaskKey{Job: acceptedID}
+	for name, giveUp := range map[string]func(s *Shard, client *restartingWorker){
+		"stopped before the restart": func(*Shard, *restartingWorker) {
+			time.Sleep(3 * time.Second)
+		},
+		"absent from the report after an earlier restart": func(s *Shard, client *restartingWorker) {
+			time.Sleep(100 * time.Millisecond)
+			client.restart()
+			registration := firstRegistration()
+			registration.Incarnation = 2
+			s.SetWorkers([]worker.Registration{registration})
+			time.Sleep(time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client := newRestartingWorker()
+				client.hold = true
+				s, release := newRestartTest(t, client)
+				defer release()
+				s.SetWorkers([]worker.Registration{firstRegistration()})
+				time.Sleep(pollsAnswered)
+				s.sendStarts([]job.Record{placeOnFirstIncarnation(t, s)})
+				giveUp(s, client)
+				client.restart()
+
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				client.mu.Lock()
+				defer client.mu.Unlock()
+				for _, request := range client.held {
+					client.start(request)
+				}
+				waiting := s.state.Placement(task) == nil
+				assert.Assert(t, !waiting || client.running[task] == 0,
+					"the owner may start the task elsewhere, and it runs")
+			})
+		})
+	}
+}
