End the attempts of a worker whose address has passed on to another

Callers saw: jobs with a task on a crashed worker waited about 9 s for its next start.

Cause: a crashed worker comes back under another ID at its address. The owner learned that from the refusal of its polls, and from the directory that the worker was gone, but ended the attempts only once the worker lease had expired, 5 s later in the median.

Change: the link is dropped once both facts are known.

Test: TestTaskWaitsForLeaseOfReplacedWorker; three of its six cases failed before (answer first, directory first, crash before the takeover), the others guard against an end on one fact alone.

--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -61,6 +61,7 @@
 	worker             job.Worker // as the planner sees it; plannerWorker updates it
 	listed             bool       // is in the directory
 	leavesAt           time.Time  // when a draining worker leaves at the earliest; zero otherwise
+	replaced           bool       // another worker answers at the address
 	answered           bool       // has answered under the fencing token of this term
 	lastAnswer         time.Time  // to a poll; a refusal does not count
 	lastExtension      time.Time  // the latest time at which the worker lease may have been extended
@@ -85,6 +86,7 @@
 		if l.listed && !listed[id] {
 			s.log.Info("workerUnlisted", "worker", id, "placements", len(s.state.Placements(l.key())))
 			l.listed = false
+			s.dropReplacedLink(l)
 		}
 	}
 	s.requestPass()
@@ -194,6 +196,16 @@
 	s.losePlacements(l.key(), reason, nil)
 }
 
+// dropReplacedLink drops the link if its incarnation has certainly ended: the directory does
+// not list the worker, and another one answers at its address. Either alone does not show
+// it: the directory omits workers that cannot reach the store, and its address may be out of
+// date.
+func (s *Shard) dropReplacedLink(l *link) {
+	if l.replaced && !l.listed {
+		s.dropLink(l, "replaced by another worker")
+	}
+}
+
 // losePlacements records that those attempts placed on this incarnation of the worker that
 // match, or all if match is nil, do not run any more.
 func (s *Shard) losePlacements(key job.WorkerKey, reason string, match func(*job.Placement) bool) {
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -41,7 +41,7 @@
 		return nil
 	}
 	first := !l.answered
-	l.answered = true
+	l.answered, l.replaced = true, false
 	l.lastAnswer = time.Now()
 	l.workerClockMillis, l.workerClockAt = report.ClockMillis, sent
 	records, ended := s.recordEnded(l, report.Ended)
@@ -66,8 +66,12 @@
 
 func (s *Shard) handlePollRefusal(l *link, answer worker.Answer) {
 	s.log.Warn("lookRefused", "worker", l.registration.ID, "answer", answer)
-	if answer == worker.RefusedToken {
+	switch answer {
+	case worker.RefusedToken:
 		s.term.Revoke(errors.New("a worker has seen a higher fencing token"))
+	case worker.WrongIncarnation:
+		l.replaced = true
+		s.dropReplacedLink(l)
 	}
 }
 
