--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/cluster/store"
@@ -58,11 +59,13 @@
 	// The fields below are guarded by the shard's mu.
 
 	registration       worker.Registration
+	ended              []int64    // earlier incarnations of the worker
 	worker             job.Worker // as the planner sees it; plannerWorker updates it
 	listed             bool       // is in the directory
+	provisional        bool       // registration is that of an earlier incarnation
 	leavesAt           time.Time  // when a draining worker leaves at the earliest; zero otherwise
 	replaced           bool       // another worker answers at the address
-	answered           bool       // has answered under the fencing token of this term
+	answered           bool       // has sent a complete report under the fencing token
 	lastAnswer         time.Time  // to a poll; a refusal does not count
 	lastExtension      time.Time  // the latest time at which the worker lease may have been extended
 	workerClockMillis  int64      // the worker's clock according to its last report
@@ -93,14 +96,15 @@
 }
 
 // applyRegistration applies one entry of the directory. It ignores an entry of an earlier
-// incarnation, which is out of date, and one of the same incarnation at another address,
-// which is not this worker's: neither shows that running attempts have ended.
+// incarnation, which is out of date and may have the higher number if the worker's clock was
+// set back, and one of the same incarnation at another address, which is not this worker's:
+// neither shows that running attempts have ended.
 func (s *Shard) applyRegistration(r worker.Registration) {
 	l := s.links[r.ID]
 	switch {
 	case l == nil:
 		s.addLink(r, true)
-	case r.Incarnation > l.registration.Incarnation:
+	case r.Incarnation > l.registration.Incarnation && !slices.Contains(l.ended, r.Incarnation):
 		s.replaceLink(l, r, true)
 	case r.Incarnation == l.registration.Incarnation && r.Address == l.registration.Address:
 		if r.Draining != l.registration.Draining {
@@ -110,7 +114,7 @@
 			l.leavesAt = departure(r)
 		}
 		l.registration = r
-		l.listed = true
+		l.listed, l.provisional = true, false
 	default:
 		s.log.Warn("workerEntryIgnored", "worker", r.ID, "born", r.Incarnation, "known", l.registration.Incarnation, "address", r.Address)
 	}
@@ -126,6 +130,9 @@
 	for _, p := range s.state.Placements(l.key()) {
 		// An earlier owner may have sent a start order that is yet to be carried out.
 		p.Uncertain = true
+		if p.Stopping {
+			go s.retryStop(l, p) // the stop was requested when the worker had no link
+		}
 	}
 	go l.run()
 }
@@ -137,18 +144,16 @@
 func (s *Shard) replaceLink(l *link, r worker.Registration, listed bool) {
 	s.closeLink(l)
 	s.losePlacements(l.key(), "new incarnation", func(p *job.Placement) bool {
-		return p.Settled || (!p.Uncertain && !p.Confirmed)
+		return p.Settled() || (!p.Uncertain && !p.Confirmed)
 	})
 	remaining := s.state.Placements(l.key())
 	s.log.Info("workerReborn", "worker", r.ID, "born", r.Incarnation, "before", l.registration.Incarnation,
 		"unsettled", len(remaining))
 	s.earlier[r.ID] = append(s.earlier[r.ID], l.key())
 	s.addLink(r, listed)
+	s.links[r.ID].ended = append(l.ended, l.registration.Incarnation)
 	for _, p := range remaining {
-		p.Confirmed, p.StoppedMillis = false, 0
-		if p.Stopping {
-			go s.retryStop(s.links[r.ID], p)
-		}
+		p.Confirmed, p.Reported, p.StoppedMillis, p.ProgressMillis = false, false, 0, 0
 	}
 }
 
@@ -243,19 +248,33 @@
 // maxWorkerLease returns how long a worker lease may last on the owner's clock after it
 // was extended.
 func (s *Shard) maxWorkerLease() time.Duration {
-	return time.Duration(float64(s.options.WorkerLease)*clockDriftFactor) + leaseExpirySlack
+	return onOwnerClock(s.options.WorkerLease)
+}
+
+// onOwnerClock returns how long a time span on a worker's clock may last.
+func onOwnerClock(span time.Duration) time.Duration {
+	return time.Duration(float64(span)*clockDriftFactor) + leaseExpirySlack
 }
 
 // expireLinks ends the placements on unresponsive workers whose worker lease has certainly
-// expired, and drops the links of those workers that the directory no longer lists. The
+// expired, and drops the links of those workers that the directory no longer lists. An
+// attempt that no report has listed may run on the worker's next incarnation, whose clock
+// starts anew, so that the end of the lease in the order means the longest lease there. The
 // caller holds s.mu.
 func (s *Shard) expireLinks() {
+	const reason = "worker lease expired; the worker does not respond"
 	now := time.Now()
 	for _, l := range s.links {
 		if now.Sub(l.lastAnswer) < unresponsiveAfter || now.Before(l.lastExtension.Add(s.maxWorkerLease())) {
 			continue
 		}
-		s.losePlacements(l.key(), "worker lease expired; the worker does not respond", nil)
+		if now.Before(l.lastExtension.Add(onOwnerClock(s.options.MaxWorkerLease))) {
+			s.losePlacements(l.key(), reason, func(p *job.Placement) bool {
+				return p.Reported
+			})
+			continue
+		}
+		s.losePlacements(l.key(), reason, nil)
 		if !l.listed {
 			s.dropLink(l, "gone")
 		}
@@ -277,7 +296,7 @@
 	w.ID, w.Incarnation, w.Service = r.ID, r.Incarnation, r.Service
 	w.Zone, w.Rack, w.Labels = r.Zone, r.Rack, r.Labels
 	w.Capacity = r.Capacity
-	w.Usable = l.answered && l.listed && !r.Draining && now.Sub(l.lastAnswer) < unresponsiveAfter && now.After(l.quarantinedUntil)
+	w.Usable = l.answered && l.listed && !l.provisional && !r.Draining && now.Sub(l.lastAnswer) < unresponsiveAfter && now.After(l.quarantinedUntil)
 	w.Penalty = l.failures
 	return w
 }
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -38,10 +38,13 @@
 		r := l.registration
 		r.Incarnation = report.Incarnation
 		s.replaceLink(l, r, l.listed)
+		s.links[r.ID].provisional = true // the new incarnation may differ
 		return nil
 	}
-	first := !l.answered
-	l.answered, l.replaced = true, false
+	complete := len(report.Ended) < maxEndedPerReport
+	first := complete && !l.answered
+	l.answered = l.answered || complete
+	l.replaced = false
 	l.lastAnswer = time.Now()
 	l.workerClockMillis, l.workerClockAt = report.ClockMillis, sent
 	records, ended := s.recordEnded(l, report.Ended)
@@ -192,7 +195,7 @@
 			continue
 		}
 		s.confirmRunning(p)
-		p.Settled = p.Settled || p.Orders == 1
+		p.Reported = true
 		s.checkProgress(l, p, r.Percent)
 	}
 	if len(report.Ended) >= maxEndedPerReport {
