Let an upstream refuse a claim meant for an earlier incarnation

Cause: a claim reads the upstream's clock in one call and requests the lease in a second one. If the upstream restarts in between, the requested ends are times on the clock of the earlier incarnation, and the new one, whose clock starts at zero, grants a lease and a task lease that last for as long as the earlier one was up. The owner meanwhile counts the tasks as stopped at an earlier time, and could start them elsewhere while they run. Renewals and releases are not affected: their epoch belongs to one incarnation.

Change: a claim names the incarnation whose clock was read, and the stand-in refuses a claim that names another one. The owner then reads the clock again.

--- a/internal/api/upstream/upstream.go
+++ b/internal/api/upstream/upstream.go
@@ -47,6 +47,10 @@
 type LeaseRequest struct {
 	// Holder identifies the owner: only it may claim the lease before the lease ends.
 	Holder string `json:"holder"`
+	// Incarnation is the incarnation on whose clock Until and TasksUntil of a claim
+	// are times. An upstream in another incarnation rejects the claim. The other
+	// requests need not name it, since an epoch belongs to one incarnation.
+	Incarnation string `json:"boot,omitempty"`
 	// Epoch is the epoch of the lease to renew or release; zero claims the lease.
 	Epoch int64 `json:"epoch,omitempty"`
 	// Until is when the lease ends, in milliseconds of the upstream's clock. If it is
@@ -169,6 +173,8 @@
 	ReasonFenced = "fenced"
 	// ReasonHeld rejects the claim of a lease that another holder has.
 	ReasonHeld = "held"
+	// ReasonRestarted rejects a claim meant for another incarnation.
+	ReasonRestarted = "restarted"
 	// ReasonLate rejects a start that arrives after StartRequest.NotAfter.
 	ReasonLate = "late"
 	// ReasonStopped rejects the start of a task that was stopped before, or is the
--- a/internal/entry/upstream/link.go
+++ b/internal/entry/upstream/link.go
@@ -163,7 +163,7 @@
 
 // claim reads the upstream's clock and then requests the lease. It returns
 // ErrFenced if another holder has the lease, or has taken over a lease that this
-// owner held.
+// owner held, and another ErrRefused if the upstream has restarted in between.
 func (l *link) claim(ctx context.Context) error {
 	request := upstream.LeaseRequest{Holder: l.shard.holder}
 	status, err := l.call(ctx, 0, request)
@@ -178,6 +178,7 @@
 			return upstream.ErrFenced
 		}
 	}
+	request.Incarnation = status.Incarnation
 	l.shard.mu.Lock()
 	l.setLeaseEnds(&request)
 	l.shard.mu.Unlock()
--- a/internal/proof/process/bench_test.go
+++ b/internal/proof/process/bench_test.go
@@ -97,10 +97,13 @@
 	u := c.addUpstream(fmt.Sprintf("straight-%d-%d", callers, b.N), "runner", "elsewhere")
 	client, closeClient := apiupstream.NewClient(u.vm.Name, u.vm.Address, 64)
 	defer closeClient()
+	status, err := client.Lease(context.Background(), apiupstream.LeaseRequest{Holder: "bench"})
+	assert.NilError(b, err)
 	lease, err := client.Lease(context.Background(), apiupstream.LeaseRequest{
-		Holder:     "bench",
-		Until:      time.Hour.Milliseconds(),
-		TasksUntil: time.Hour.Milliseconds(),
+		Holder:      "bench",
+		Incarnation: status.Incarnation,
+		Until:       time.Hour.Milliseconds(),
+		TasksUntil:  time.Hour.Milliseconds(),
 	})
 	assert.NilError(b, err)
 	var taskNumber atomic.Int64
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -150,8 +150,8 @@
 }
 
 // Lease claims, renews or releases the owner's lease, or returns only the status
-// if the request has neither Until nor Release. The string is the reason for a
-// refusal, empty if there was none.
+// if the request has neither Until nor Release. A claim must name the incarnation. The
+// string is the reason for a refusal, empty if there was none.
 func (u *Upstream) Lease(request upstream.LeaseRequest) (upstream.LeaseResponse, string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -161,6 +161,8 @@
 	switch {
 	case request.Until == 0 && !request.Release:
 		return u.status(now), ""
+	case claim && request.Incarnation != u.incarnation:
+		return u.status(now), upstream.ReasonRestarted
 	case claim && !expired && u.lease.holder != request.Holder:
 		return u.status(now), upstream.ReasonHeld
 	case !claim && (request.Epoch != u.lease.epoch || expired):
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -15,9 +15,10 @@
 
 func claim(u *Upstream, holder string) (upstream.LeaseResponse, string) {
 	return u.Lease(upstream.LeaseRequest{
-		Holder:     holder,
-		Until:      u.nowMillis() + ttlMillis,
-		TasksUntil: u.nowMillis() + 3*ttlMillis,
+		Holder:      holder,
+		Incarnation: u.incarnation,
+		Until:       u.nowMillis() + ttlMillis,
+		TasksUntil:  u.nowMillis() + 3*ttlMillis,
 	})
 }
 
@@ -61,6 +62,19 @@
 	})
 }
 
+func TestClaimForAnotherIncarnationIsRefused(t *testing.T) {
+	u := New(upstream.Resources{MilliProcessors: 1000})
+	response, refusal := u.Lease(upstream.LeaseRequest{
+		Holder:      "entry-1",
+		Incarnation: "earlier",
+		Until:       3600 * ttlMillis,
+	})
+	assert.Equal(t, refusal, upstream.ReasonRestarted)
+	assert.Equal(t, response.Until, int64(0))
+	_, refusal = claim(u, "entry-2")
+	assert.Equal(t, refusal, "")
+}
+
 func TestLateStartAndStoppedTaskAreRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		u := New(upstream.Resources{MilliProcessors: 1000})
