Answer a retry only from the incarnation that the attempt was sent to

Cause: a retry of a request that must run at most once is answered from its record. If the upstream did not know the task, and the owner held a later epoch of the incarnation in the record, the fate was notRun and the request was dispatched again. The owner learns of a restart only with its next lease call, so the answer could come from a later incarnation, which knows no earlier task: the first attempt may have run. A refusal of the task was taken as notRun without regard to the incarnation.

Change: the responses about tasks name the upstream's incarnation, and the owner takes one for the earlier attempt only if it is the incarnation in the record. The fate is unknown otherwise.

--- a/internal/api/upstream/upstream.go
+++ b/internal/api/upstream/upstream.go
@@ -150,11 +150,14 @@
 // task id and the digest, the SHA-256 of the result in hexadecimal, the owner detects
 // a response that is damaged or belongs to another task.
 type TaskResponse struct {
-	Task   string `json:"task"`
-	State  string `json:"state"`
-	Reason string `json:"reason,omitempty"`
-	Result []byte `json:"result,omitempty"`
-	Digest string `json:"digest,omitempty"`
+	// Incarnation is the incarnation that responds, which knows nothing of the tasks
+	// of earlier ones. Responses that reject a call omit it.
+	Incarnation string `json:"boot,omitempty"`
+	Task        string `json:"task"`
+	State       string `json:"state"`
+	Reason      string `json:"reason,omitempty"`
+	Result      []byte `json:"result,omitempty"`
+	Digest      string `json:"digest,omitempty"`
 }
 
 // StopRequest stops a task, or waits for its result (see Client.Result). If the task
--- a/internal/entry/upstream/journal.go
+++ b/internal/entry/upstream/journal.go
@@ -95,7 +95,8 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	response, err := l.client.Result(callCtx, upstream.StopRequest{Task: earlier.Task})
-	if err != nil {
+	if err != nil || response.Incarnation != earlier.Incarnation {
+		// An upstream that has restarted knows nothing of the earlier attempt.
 		return answer
 	}
 	if final, ok := endedAnswer(response, answer); ok {
--- a/internal/entry/upstream/restart_test.go
+++ b/internal/entry/upstream/restart_test.go
@@ -12,8 +12,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/citronbay/citronbay/internal/api/caller"
 	apiplatform "github.com/citronbay/citronbay/internal/api/platform"
 	"github.com/citronbay/citronbay/internal/api/upstream"
+	"github.com/citronbay/citronbay/internal/entry/platform"
 	"github.com/citronbay/citronbay/internal/entry/settings"
 )
 
@@ -87,3 +89,55 @@
 	assert.Check(t, granted.TasksUntil <= now+s.timings.TaskLease.Milliseconds(), "tasks run for %d ms", granted.TasksUntil-now)
 	assert.Check(t, l.taskLeaseUntil >= granted.TasksUntil, "the owner assumes until %d", l.taskLeaseUntil)
 }
+
+// TestRetryAfterRestartIsNotCalledNotRun guards against the fate notRun for a request that
+// ran, because the upstream has restarted since and does not know its task any more, or
+// refuses it.
+func TestRetryAfterRestartIsNotCalledNotRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		incarnation string
+		state       string
+		want        caller.Fate
+	}{
+		"unknown after a restart": {
+			incarnation: "b",
+			state:       upstream.StateUnknown,
+			want:        caller.FateUnknown,
+		},
+		"refused after a restart": {
+			incarnation: "b",
+			state:       upstream.StateRefused,
+			want:        caller.FateUnknown,
+		},
+		"unknown without a restart": {
+			incarnation: "a",
+			state:       upstream.StateUnknown,
+			want:        caller.FateNotRun,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, l := newTestLink(t, func(w http.ResponseWriter, _ *http.Request) {
+				_ = json.NewEncoder(w).Encode(upstream.TaskResponse{
+					Incarnation: c.incarnation,
+					Task:        "1",
+					State:       c.state,
+				})
+			})
+			l.incarnation = "a" // the owner has not learned of the restart yet
+			l.epoch = 2
+			l.clock.observe(time.Now(), time.Now(), 1000)
+			l.leaseUntil = 3000
+			answer := s.earlierAnswer(t.Context(), &platform.RecordedIntent{
+				Intent: platform.Intent{
+					Task:        "1",
+					Upstream:    l.vm.Name,
+					Incarnation: "a",
+					Epoch:       1,
+					Begun:       time.Now(),
+					Answer:      caller.Answer{Fate: caller.FateInProgress},
+				},
+			}, caller.Answer{})
+			assert.Equal(t, answer.Fate, c.want, answer.Reason)
+		})
+	}
+}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -353,8 +353,9 @@
 
 func (u *Upstream) describe(id string) upstream.TaskResponse {
 	response := upstream.TaskResponse{
-		Task:  id,
-		State: upstream.StateUnknown,
+		Incarnation: u.incarnation,
+		Task:        id,
+		State:       upstream.StateUnknown,
 	}
 	t, ok := u.tasks[id]
 	if !ok {
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -92,6 +92,7 @@
 			Task:  "b/0/1",
 		})
 		assert.Equal(t, response.State, upstream.StateRefused)
+		assert.Equal(t, response.Incarnation, lease.Incarnation)
 		assert.Equal(t, start(u, lease.Epoch, "b/0/1", 1), upstream.ReasonStopped)
 	})
 }
