--- a/internal/standin/proxy/tcp.go
+++ b/internal/standin/proxy/tcp.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -13,11 +15,13 @@
 
 // TCP forwards connections to a target. Create it with NewTCP.
 type TCP struct {
-	listener       net.Listener
+	address        *net.TCPAddr
+	portHolder     int // file descriptor of the socket that keeps the port while listener is nil
 	done           chan struct{}
 	bytesForwarded atomic.Int64
 
 	mu                 sync.Mutex
+	listener           net.Listener // nil while the proxy refuses connections
 	target             string
 	disconnected       bool
 	silent             bool
@@ -38,23 +42,77 @@
 // NewTCP starts a proxy for the target (IP:port) on a free loopback port and
 // returns it with a function that stops it.
 func NewTCP(target string) (*TCP, func(), error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	portHolder, port, err := holdPort()
 	if err != nil {
-		return nil, nil, fmt.Errorf("proxy: listen for %s: %w", target, err)
+		return nil, nil, fmt.Errorf("proxy: reserve a port for %s: %w", target, err)
 	}
 	p := &TCP{
-		listener:    listener,
+		address: &net.TCPAddr{
+			IP:   loopback[:],
+			Port: port,
+		},
+		portHolder:  portHolder,
 		done:        make(chan struct{}),
 		target:      target,
 		connections: map[*connection]struct{}{},
 	}
-	go p.acceptConnections()
+	if err := p.SetRefusing(false); err != nil {
+		_ = syscall.Close(portHolder)
+		return nil, nil, err
+	}
 	return p, p.close, nil
 }
 
+var loopback = [4]byte{127, 0, 0, 1}
+
+// holdPort binds a free port without listening and returns the socket and the port. The
+// system refuses connections to the port unless another socket listens on it.
+func holdPort() (socket, port int, err error) {
+	socket, err = syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, 0, err
+	}
+	address, err := func() (syscall.Sockaddr, error) {
+		// With this option, which Go sets for listeners too, both sockets can have the port.
+		if err := syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+			return nil, err
+		}
+		if err := syscall.Bind(socket, &syscall.SockaddrInet4{Addr: loopback}); err != nil {
+			return nil, err
+		}
+		return syscall.Getsockname(socket)
+	}()
+	if err != nil {
+		return 0, 0, errors.Join(err, syscall.Close(socket))
+	}
+	return socket, address.(*syscall.SockaddrInet4).Port, nil
+}
+
+// SetRefusing closes all connections and, until it is unset, refuses new ones.
+func (p *TCP) SetRefusing(refusing bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if refusing == (p.listener == nil) {
+		return nil
+	}
+	if refusing {
+		err := p.listener.Close()
+		p.listener = nil
+		p.closeConnections()
+		return err
+	}
+	listener, err := net.ListenTCP("tcp", p.address)
+	if err != nil {
+		return fmt.Errorf("proxy: listen for %s: %w", p.target, err)
+	}
+	p.listener = listener
+	go p.acceptConnections(listener)
+	return nil
+}
+
 // Address returns the IP address and port that the proxy listens on.
 func (p *TCP) Address() string {
-	return p.listener.Addr().String()
+	return p.address.String()
 }
 
 // Bytes returns the number of bytes forwarded in both directions.
@@ -148,16 +206,14 @@
 }
 
 func (p *TCP) close() {
-	_ = p.listener.Close()
+	_ = p.SetRefusing(true)
+	_ = syscall.Close(p.portHolder)
 	close(p.done)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closeConnections()
 }
 
-func (p *TCP) acceptConnections() {
+func (p *TCP) acceptConnections(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -186,6 +242,10 @@
 	c.silent = p.silent
 	c.responseBytesLeft = p.responseLimitBytes
 	p.connections[c] = struct{}{}
+	if p.listener == nil { // refuses connections since the accept
+		_ = client.Close()
+		_ = server.Close()
+	}
 	p.mu.Unlock()
 	var copies sync.WaitGroup
 	copies.Go(func() { p.copy(c, server, client, false) })
