--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -38,10 +38,12 @@
 		r := l.registration
 		r.Incarnation = report.Incarnation
 		s.replaceLink(l, r, l.listed)
+		s.links[r.ID].provisional = true // the new incarnation may differ
 		return nil
 	}
-	first := !l.answered
-	l.answered = true
+	complete := len(report.Ended) < maxEndedPerReport
+	first := complete && !l.answered
+	l.answered = l.answered || complete
 	l.lastAnswer = time.Now()
 	l.workerClockMillis, l.workerClockAt = report.ClockMillis, sent
 	records, ended := s.recordEnded(l, report.Ended)
@@ -82,8 +84,12 @@
 			continue
 		}
 		l.newestEnded = e.Number
+		s.markStarted(e.Task.Job)
 		p := s.state.Placement(e.Task)
 		if p == nil || p.Attempt != e.Attempt || p.Worker != l.key() {
+			if e.Outcome == worker.Done {
+				records = s.recordLateCompletion(records, e)
+			}
 			continue
 		}
 		outcome := job.AttemptLost
@@ -104,6 +110,42 @@
 	return records, ended
 }
 
+// recordLateCompletion marks the task of an attempt that was given up and has completed all
+// the same as done, or all members of its gang, since the worker forgets the attempt once it
+// is acknowledged. It stops later attempts. It returns records followed by those of the
+// changes.
+func (s *Shard) recordLateCompletion(records []job.Record, e worker.Ended) []job.Record {
+	j, t := s.state.Job(e.Task.Job), s.state.Task(e.Task)
+	if t == nil || t.Done || j.Outcome != job.Open || j.Steps[e.Task.Step].Spec.Endless {
+		return records
+	}
+	s.log.Info("lateCompletion", "job", e.Task.Job, "step", e.Task.Step, "index", e.Task.Index, "attempt", e.Attempt)
+	step := j.Steps[e.Task.Step]
+	for n := range step.Tasks {
+		t := &step.Tasks[n]
+		if n != e.Task.Index && !step.Spec.Gang {
+			continue
+		}
+		records = s.apply(records, job.Record{
+			Kind:       job.RecordTaskState,
+			Job:        j.ID,
+			Step:       e.Task.Step,
+			Index:      n,
+			Attempt:    t.Attempt,
+			Failures:   t.Failures,
+			Checkpoint: t.Checkpoint,
+			Done:       true,
+		})
+		if t.Placement != nil {
+			s.requestStop(t.Placement)
+		}
+	}
+	if j.Complete() {
+		records = s.finishJob(records, j, job.Completed)
+	}
+	return records
+}
+
 // countFailure counts a failure of the worker and quarantines it after
 // quarantineFailures in a row.
 func (l *link) countFailure() {
@@ -177,6 +219,7 @@
 		running[r.Task] = r
 		p := s.state.Placement(r.Task)
 		if p == nil || p.Worker != l.key() || p.Attempt != r.Attempt {
+			s.markStarted(r.Task.Job)
 			if p != nil && p.Worker == l.key() && p.Attempt > r.Attempt {
 				continue // a stop of the earlier attempt is in flight
 			}
@@ -186,7 +229,7 @@
 			continue
 		}
 		s.confirmRunning(p)
-		p.Settled = p.Settled || p.Orders == 1
+		p.Reported = true
 		s.checkProgress(l, p, r.Percent)
 	}
 	if len(report.Ended) >= maxEndedPerReport {
@@ -228,10 +271,19 @@
 	s.requestStop(p)
 }
 
+// markStarted marks the job, if it is known, as started: a worker has reported that an
+// attempt of it runs or ran.
+func (s *Shard) markStarted(id string) {
+	if j := s.state.Job(id); j != nil {
+		j.Started = true
+	}
+}
+
 // confirmRunning marks the attempt as running, as its worker has reported, and stops it
 // if its job has failed or been cancelled.
 func (s *Shard) confirmRunning(p *job.Placement) {
 	p.Uncertain = false
+	s.markStarted(p.Task.Job)
 	if !p.Confirmed {
 		p.Confirmed = true
 		p.StartedMillis = s.now()
