--- a/internal/api/upstream/upstream.go
+++ b/internal/api/upstream/upstream.go
@@ -47,6 +47,10 @@
 type LeaseRequest struct {
 	// Holder identifies the owner: only it may claim the lease before the lease ends.
 	Holder string `json:"holder"`
+	// Incarnation is the incarnation on whose clock Until and TasksUntil of a claim
+	// are times. An upstream in another incarnation rejects the claim. The other
+	// requests need not name it, since an epoch belongs to one incarnation.
+	Incarnation string `json:"boot,omitempty"`
 	// Epoch is the epoch of the lease to renew or release; zero claims the lease.
 	Epoch int64 `json:"epoch,omitempty"`
 	// Until is when the lease ends, in milliseconds of the upstream's clock. If it is
@@ -146,11 +150,14 @@
 // task id and the digest, the SHA-256 of the result in hexadecimal, the owner detects
 // a response that is damaged or belongs to another task.
 type TaskResponse struct {
-	Task   string `json:"task"`
-	State  string `json:"state"`
-	Reason string `json:"reason,omitempty"`
-	Result []byte `json:"result,omitempty"`
-	Digest string `json:"digest,omitempty"`
+	// Incarnation is the incarnation that responds, which knows nothing of the tasks
+	// of earlier ones. Responses that reject a call omit it.
+	Incarnation string `json:"boot,omitempty"`
+	Task        string `json:"task"`
+	State       string `json:"state"`
+	Reason      string `json:"reason,omitempty"`
+	Result      []byte `json:"result,omitempty"`
+	Digest      string `json:"digest,omitempty"`
 }
 
 // StopRequest stops a task, or waits for its result (see Client.Result). If the task
@@ -169,6 +176,8 @@
 	ReasonFenced = "fenced"
 	// ReasonHeld rejects the claim of a lease that another holder has.
 	ReasonHeld = "held"
+	// ReasonRestarted rejects a claim meant for another incarnation.
+	ReasonRestarted = "restarted"
 	// ReasonLate rejects a start that arrives after StartRequest.NotAfter.
 	ReasonLate = "late"
 	// ReasonStopped rejects the start of a task that was stopped before, or is the
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -44,6 +44,7 @@
 	complete := len(report.Ended) < maxEndedPerReport
 	first := complete && !l.answered
 	l.answered = l.answered || complete
+	l.replaced = false
 	l.lastAnswer = time.Now()
 	l.workerClockMillis, l.workerClockAt = report.ClockMillis, sent
 	records, ended := s.recordEnded(l, report.Ended)
@@ -68,8 +69,12 @@
 
 func (s *Shard) handlePollRefusal(l *link, answer worker.Answer) {
 	s.log.Warn("lookRefused", "worker", l.registration.ID, "answer", answer)
-	if answer == worker.RefusedToken {
+	switch answer {
+	case worker.RefusedToken:
 		s.term.Revoke(errors.New("a worker has seen a higher fencing token"))
+	case worker.WrongIncarnation:
+		l.replaced = true
+		s.dropReplacedLink(l)
 	}
 }
 
