Do not pair a lost run with the epoch of its upstream's next incarnation

Cause: a start or a stop took the link's present epoch without checking that the run is still counted. If the upstream restarted and was claimed again after the placement, the call was valid for the next incarnation. Change: a run that is not counted any more is neither started nor stopped, and the fate of its request at the deadline is unknown.

--- a/internal/entry/upstream/dispatch.go
+++ b/internal/entry/upstream/dispatch.go
@@ -63,7 +63,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if !r.link.leaseValid(now) {
+	if !r.isCounted() || !r.link.leaseValid(now) {
 		return upstream.StartRequest{}, false
 	}
 	r.notAfter = r.link.clock.lowerBound(now) + startWindow.Milliseconds()
@@ -190,8 +190,13 @@
 // and the run stays counted until it has ended.
 func (s *Shard) stopAfterDeadline(ctx context.Context, r *run, answer caller.Answer, uncertain bool) caller.Answer {
 	s.mu.Lock()
-	epoch := r.link.epoch
+	epoch, counted := r.link.epoch, r.isCounted()
 	s.mu.Unlock()
+	if !counted {
+		answer.Fate = caller.FateUnknown
+		answer.Reason = "the upstream has restarted or its task lease has expired"
+		return answer
+	}
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopMargin)
 	defer cancel()
 	response, err := r.link.client.Stop(stopCtx, upstream.StopRequest{
--- a/internal/entry/upstream/placement.go
+++ b/internal/entry/upstream/placement.go
@@ -232,17 +232,23 @@
 func (s *Shard) isRemoved(r *run) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return r.link.runs[r.id] != r
+	return !r.isCounted()
+}
+
+// isCounted reports whether the run may exist on the present incarnation of its upstream. The
+// lock must be held.
+func (r *run) isCounted() bool {
+	return r.link.runs[r.id] == r
 }
 
 // prepareTaskStart returns the call that starts the task, and records in the run
 // until when that call can take effect. It returns false if the lease may have
-// ended or the job was cancelled.
+// ended, the run was lost or the job was cancelled.
 func (s *Shard) prepareTaskStart(j *job, r *run) (upstream.StartRequest, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if !r.link.leaseValid(now) || j.record.Cancelled {
+	if !r.isCounted() || !r.link.leaseValid(now) || j.record.Cancelled {
 		return upstream.StartRequest{}, false
 	}
 	spec := j.record.Spec
--- a/internal/entry/upstream/restart_test.go
+++ b/internal/entry/upstream/restart_test.go
@@ -141,3 +141,62 @@
 		})
 	}
 }
+
+// newLostRun returns a run of incarnation a that is lost since the owner has claimed
+// incarnation b of its upstream.
+func newLostRun(s *Shard, l *link, id, jobID string) *run {
+	r := &run{
+		id:   id,
+		team: "team",
+		job:  jobID,
+		link: l,
+		size: upstream.Resources{Slots: 1},
+		lost: make(chan struct{}),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.incarnation, l.epoch = "a", 1
+	s.addRun(r)
+	l.incarnation, l.epoch, l.claimed, l.leaseUntil = "b", 2, true, 3000
+	l.clock.observe(time.Now(), time.Now(), 1000)
+	s.markLost(r, "the upstream no longer runs it")
+	return r
+}
+
+// TestLostRunStartsAtNextIncarnation guards against the start of a run that was lost with the
+// last incarnation of its upstream, under the epoch of the next one.
+func TestLostRunStartsAtNextIncarnation(t *testing.T) {
+	for name, prepare := range map[string]func(*Shard, *run) bool{
+		"task of a job": func(s *Shard, r *run) bool {
+			_, ok := s.prepareTaskStart(newJob(JobRecord{JobID: r.job}), r)
+			return ok
+		},
+		"request": func(s *Shard, r *run) bool {
+			_, ok := s.prepareRequestStart(r, caller.Request{})
+			return ok
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, l := newTestLink(t, func(http.ResponseWriter, *http.Request) {})
+			r := newLostRun(s, l, "run", "")
+			assert.Assert(t, !prepare(s, r), "the run is not counted and starts")
+		})
+	}
+}
+
+// TestStopAtNextIncarnationIsNotCalledNotRun guards against the fate notRun for a request that
+// may have run on the last incarnation of its upstream, because the next one refuses it.
+func TestStopAtNextIncarnationIsNotCalledNotRun(t *testing.T) {
+	s, l := newTestLink(t, func(w http.ResponseWriter, r *http.Request) {
+		var request upstream.StopRequest
+		_ = json.NewDecoder(r.Body).Decode(&request)
+		_ = json.NewEncoder(w).Encode(upstream.TaskResponse{
+			Incarnation: "b",
+			Task:        request.Task,
+			State:       upstream.StateRefused,
+		})
+	})
+	r := newLostRun(s, l, "run", "")
+	answer := s.stopAfterDeadline(t.Context(), r, caller.Answer{}, true)
+	assert.Equal(t, answer.Fate, caller.FateUnknown, answer.Reason)
+}
