Acknowledge only ends of the incarnation that a save covers

Cause: sequence numbers of ended tasks start anew with each incarnation. A save that was under way while the upstream restarted acknowledged the same numbers of the next incarnation, which it did not cover. An owner that then took over never heard of those ends. Change: the incarnation is noted beside the sequence number.

--- a/internal/entry/upstream/restart_test.go
+++ b/internal/entry/upstream/restart_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"log/slog"
@@ -200,3 +201,36 @@
 	answer := s.stopAfterDeadline(t.Context(), r, caller.Answer{}, true)
 	assert.Equal(t, answer.Fate, caller.FateUnknown, answer.Reason)
 }
+
+// restartingStore changes the state of an upstream while it writes.
+type restartingStore struct {
+	apiplatform.Store
+	restart func()
+}
+
+func (s *restartingStore) Write(context.Context, apiplatform.WriteRequest) (int64, error) {
+	s.restart()
+	return 1, nil
+}
+
+// TestUnsavedEndsOfNextIncarnationAreAcknowledged guards against ended tasks that an upstream
+// forgets although no save covers them, because it restarted during a save.
+func TestUnsavedEndsOfNextIncarnationAreAcknowledged(t *testing.T) {
+	s, l := newTestLink(t, func(http.ResponseWriter, *http.Request) {})
+	l.incarnation, l.seenSequence = "a", 100
+	s.Store = &restartingStore{
+		restart: func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			l.incarnation, l.seenSequence, l.ackedSequence = "b", 5, 0
+		},
+	}
+	j := newJob(JobRecord{
+		JobID:  "j",
+		States: "w",
+	})
+	s.jobs[j.record.JobID] = j
+	j.markChanged()
+	s.flush(t.Context())
+	assert.Equal(t, l.ackedSequence, int64(0))
+}
--- a/internal/entry/upstream/save.go
+++ b/internal/entry/upstream/save.go
@@ -97,9 +97,16 @@
 // the upstreams forget the ended tasks that the records cover.
 func (s *Shard) flush(ctx context.Context) {
 	s.mu.Lock()
-	seen := make(map[*link]int64, len(s.links))
+	type progress struct {
+		incarnation string
+		sequence    int64
+	}
+	seen := make(map[*link]progress, len(s.links))
 	for _, l := range s.links {
-		seen[l] = l.seenSequence
+		seen[l] = progress{
+			incarnation: l.incarnation,
+			sequence:    l.seenSequence,
+		}
 	}
 	var dirty []*job
 	for _, j := range s.jobs {
@@ -113,9 +120,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for l, sequence := range seen {
-		// seenSequence starts again at zero if the upstream has restarted.
-		l.ackedSequence = max(l.ackedSequence, min(sequence, l.seenSequence))
+	for l, p := range seen {
+		if l.incarnation == p.incarnation {
+			l.ackedSequence = max(l.ackedSequence, p.sequence)
+		}
 	}
 }
 
