Count the crashes of workers of which a task is suspected

Change: an attempt can end as AttemptCrashed, which counts a crash of its task. CrashLog tells which attempts are suspected of the crash of a worker: those that started up to 500 ms before it was disconnected, and none in an outage of a rack, a zone or a service. A task is given up after two crashes if the second is proven, after three in any case. A survivor of 1 s is cleared. No caller uses this yet. Result: TestCrashSuspects and TestCrashLimit pass; they did not compile before, since nothing counted crashes.

--- /dev/null
+++ b/internal/decide/job/crash.go
@@ -0,0 +1,215 @@
+package job
+
+import "slices"
+
+const (
+	// suspectWindowMillis is how long before the crash of a worker an attempt may have
+	// started to be suspected of causing it. It covers delays of answers and of the owner.
+	suspectWindowMillis = 500
+	// clearMillis is how long a suspected attempt must run to be cleared.
+	clearMillis = 2 * suspectWindowMillis
+	// togetherMillis is the maximum time between disconnections that may have a common
+	// cause, such as a power failure.
+	togetherMillis = 500
+	// minOutage is the minimum number of disconnections with separate causes that an outage
+	// of a rack, a zone or a service must explain.
+	minOutage = 3
+	// outageDivisor: an outage is assumed if at least the number of disconnections divided
+	// by it were of workers on which nothing had just started.
+	outageDivisor = 3
+	// crashLogMillis is how long disconnections are kept, which is longer than it takes to
+	// learn that the worker has crashed.
+	crashLogMillis = 60_000
+	// maxCrashes is the number of crashes at which a task is given up, and maxProvenCrashes
+	// the one if the last crash is proven to be its own.
+	maxCrashes       = 3
+	maxProvenCrashes = 2
+)
+
+// Suspect is an attempt that may have crashed its worker.
+type Suspect struct {
+	Placement *Placement
+	// Proven is set if the attempt had certainly started, and only tasks of its job were on
+	// the worker.
+	Proven bool
+}
+
+// CrashLog keeps the recent disconnections of workers, and tells which attempts may have
+// caused the crash of a worker. The zero value is an empty log.
+type CrashLog struct {
+	disconnections []disconnection // in the order in which they were recorded
+}
+
+type disconnection struct {
+	worker              WorkerKey
+	atMillis            int64
+	service, zone, rack string
+	// recent holds the attempts, by task, that may have started just before.
+	recent map[TaskKey]int
+}
+
+// Disconnect records that the connection to the worker was lost at the Unix millisecond
+// now, unless the log already holds an earlier loss. The parameter aliveMillis is the
+// latest Unix millisecond at which the worker is known to have run.
+func (l *CrashLog) Disconnect(state *State, w *Worker, aliveMillis, now int64) {
+	if l.find(w.Key()) != nil {
+		return
+	}
+	l.disconnections = slices.DeleteFunc(l.disconnections, func(d disconnection) bool {
+		return now-d.atMillis > crashLogMillis
+	})
+	d := disconnection{
+		worker:   w.Key(),
+		atMillis: now,
+		service:  w.Service,
+		zone:     w.Zone,
+		rack:     w.Rack,
+		recent:   map[TaskKey]int{},
+	}
+	for key, p := range state.placements[w.Key()] {
+		if p.mayHaveStartedSince(aliveMillis - suspectWindowMillis) {
+			d.recent[key] = p.Attempt
+		}
+	}
+	l.disconnections = append(l.disconnections, d)
+}
+
+func (l *CrashLog) find(key WorkerKey) *disconnection {
+	for n := range l.disconnections {
+		if l.disconnections[n].worker == key {
+			return &l.disconnections[n]
+		}
+	}
+	return nil
+}
+
+// mayHaveStartedSince reports whether the attempt started at the Unix millisecond since or
+// later, or its start order was sent then and is not confirmed.
+func (p *Placement) mayHaveStartedSince(since int64) bool {
+	if p.Confirmed {
+		return p.StartedMillis >= since
+	}
+	return p.OrderedMillis > 0 && p.OrderedMillis >= since
+}
+
+// Reconnect removes the worker from the log, because the same incarnation has answered.
+func (l *CrashLog) Reconnect(key WorkerKey) {
+	l.disconnections = slices.DeleteFunc(l.disconnections, func(d disconnection) bool {
+		return d.worker == key
+	})
+}
+
+// Suspects returns the attempts that may have crashed the worker, which has certainly
+// crashed: those that started just before it was disconnected. There are none if the log
+// does not hold the disconnection, or if it was part of an outage.
+func (l *CrashLog) Suspects(state *State, key WorkerKey) []Suspect {
+	d := l.find(key)
+	if d == nil || l.inOutage(d) {
+		return nil
+	}
+	placements := state.placements[key]
+	jobs := map[string]bool{}
+	for k := range placements {
+		jobs[k.Job] = true
+	}
+	var suspects []Suspect
+	for k, p := range placements {
+		if attempt, ok := d.recent[k]; ok && attempt == p.Attempt {
+			suspects = append(suspects, Suspect{
+				Placement: p,
+				Proven:    p.Confirmed && len(jobs) == 1,
+			})
+		}
+	}
+	return suspects
+}
+
+// inOutage reports whether the disconnection was part of an outage of its rack, zone or
+// service. Nothing had just started on many of the workers that an outage disconnects,
+// whereas a task crashes its worker just after its start. Workers that a common job may
+// have crashed count as one.
+func (l *CrashLog) inOutage(d *disconnection) bool {
+	var rack, zone, service []disconnection
+	for _, o := range l.disconnections {
+		if o.service != d.service || max(o.atMillis-d.atMillis, d.atMillis-o.atMillis) > togetherMillis {
+			continue
+		}
+		service = append(service, o)
+		if o.zone == d.zone {
+			zone = append(zone, o)
+		}
+		if o.rack == d.rack {
+			rack = append(rack, o)
+		}
+	}
+	return isOutage(rack) || isOutage(zone) || isOutage(service)
+}
+
+func isOutage(list []disconnection) bool {
+	unexplained, causes := 0, 0
+	seen := map[string]bool{}
+	for _, d := range list {
+		known := false
+		for key := range d.recent {
+			known = known || seen[key.Job]
+		}
+		for key := range d.recent {
+			seen[key.Job] = true
+		}
+		if len(d.recent) == 0 {
+			unexplained++
+		}
+		if !known {
+			causes++
+		}
+	}
+	return causes >= minOutage && unexplained*outageDivisor >= len(list)
+}
+
+// Crashes returns the number of crashes of which the task is suspected. A gang is
+// suspected as a whole.
+func (s *Step) Crashes(index int) int {
+	if !s.Spec.Gang {
+		return s.Tasks[index].Crashes
+	}
+	crashes := 0
+	for _, t := range s.Tasks {
+		crashes = max(crashes, t.Crashes)
+	}
+	return crashes
+}
+
+// CrashLimitReached reports whether the task is to be given up after its latest crash,
+// which is proven or not as in Suspect.
+func (s *Step) CrashLimitReached(index int, proven bool) bool {
+	crashes := s.Crashes(index)
+	return crashes >= maxCrashes || proven && crashes >= maxProvenCrashes
+}
+
+// setCrashes sets the number of crashes of the task, which must not be done.
+func (s *Step) setCrashes(t *Task, crashes int) {
+	if t.Crashes > 0 {
+		s.suspects--
+	}
+	if crashes > 0 {
+		s.suspects++
+	}
+	t.Crashes = crashes
+}
+
+func (s *Step) hasSuspects() bool {
+	return s.suspects > 0
+}
+
+// ClearSurvivor returns the record that clears the task of its crashes, or false if it has
+// none or its attempt has not run for long enough. The attempt ran at the Unix millisecond
+// now according to its worker. The members of a gang are cleared one by one.
+func (s *Step) ClearSurvivor(p *Placement, now int64) (Record, bool) {
+	t := &s.Tasks[p.Task.Index]
+	if t.Crashes == 0 || t.Done || !p.Confirmed || now-p.StartedMillis < clearMillis {
+		return Record{}, false
+	}
+	r := s.taskState(p.Task.Index)
+	r.Crashes = 0
+	return r, true
+}
--- /dev/null
+++ b/internal/decide/job/crash_test.go
@@ -0,0 +1,198 @@
+package job_test
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/decide/job"
+)
+
+// runTask places the task and marks it as started at the given time, or as ordered but not
+// confirmed if confirmed is false.
+func runTask(t *testing.T, state *job.State, w *job.Worker, id string, index int, at int64, confirmed bool) {
+	t.Helper()
+	key := job.TaskKey{
+		Job:   id,
+		Index: index,
+	}
+	mustApply(t, state, job.Record{
+		Kind:        job.RecordPlace,
+		Job:         id,
+		Index:       index,
+		Attempt:     state.Task(key).Attempt + 1,
+		Worker:      w.ID,
+		Incarnation: w.Incarnation,
+	})
+	p := state.Placement(key)
+	p.OrderedMillis = at
+	if confirmed {
+		p.Confirmed, p.StartedMillis = true, at
+	}
+}
+
+func endTask(t *testing.T, state *job.State, id string, index int, outcome job.AttemptOutcome) {
+	t.Helper()
+	mustApply(t, state, job.Record{
+		Kind:           job.RecordAttemptEnd,
+		Job:            id,
+		Index:          index,
+		Attempt:        state.Job(id).Steps[0].Tasks[index].Attempt,
+		AttemptOutcome: outcome,
+	})
+}
+
+// TestCrashSuspects checks which attempts are suspected of the crash of the first worker at
+// 10 000 ms: those that started last, and none in an outage of a place.
+func TestCrashSuspects(t *testing.T) {
+	type start struct {
+		job         string
+		index       int
+		worker      int
+		at          int64
+		unconfirmed bool
+	}
+	beside := []start{{job: "new", at: 9_980}, {job: "old", at: 5_000}}
+	for name, c := range map[string]struct {
+		starts  []start
+		crashes map[int]int64 // when the connection to each worker was lost
+		alive   int64         // when the first worker was last known to run, if not at the loss
+		want    []string
+	}{
+		"started last": {
+			starts:  beside,
+			crashes: map[int]int64{0: 10_000},
+			want:    []string{"new.0"},
+		},
+		"alone": {
+			starts:  []start{{job: "new", at: 9_980}, {job: "new", index: 1, at: 8_000}},
+			crashes: map[int]int64{0: 10_000},
+			want:    []string{"new.0 proven"},
+		},
+		"not confirmed": {
+			starts:  []start{{job: "new", at: 9_980, unconfirmed: true}},
+			crashes: map[int]int64{0: 10_000},
+			want:    []string{"new.0"},
+		},
+		"silent before": {
+			starts:  []start{{job: "new", at: 8_100}, {job: "old", at: 5_000}},
+			crashes: map[int]int64{0: 10_000},
+			alive:   8_300,
+			want:    []string{"new.0"},
+		},
+		"nothing started": {
+			starts:  []start{{job: "old", at: 5_000}},
+			crashes: map[int]int64{0: 10_000},
+		},
+		"answered again": {
+			starts: beside,
+		},
+		"outage of a rack": {
+			starts:  beside,
+			crashes: map[int]int64{0: 10_000, 1: 10_020, 2: 9_900},
+		},
+		"outage elsewhere at another time": {
+			starts:  beside,
+			crashes: map[int]int64{0: 10_000, 1: 12_000, 2: 12_000, 3: 12_000},
+			want:    []string{"new.0"},
+		},
+		"members of one job": {
+			starts: append([]start{
+				{job: "new", index: 1, worker: 1, at: 9_970},
+				{job: "new", index: 2, worker: 2, at: 9_990},
+			}, beside...),
+			crashes: map[int]int64{0: 10_000, 1: 10_001, 2: 10_002, 3: 10_100},
+			want:    []string{"new.0"},
+		},
+		"several jobs": {
+			starts: append([]start{
+				{job: "a", worker: 1, at: 9_970},
+				{job: "b", worker: 2, at: 9_990},
+			}, beside...),
+			crashes: map[int]int64{0: 10_000, 1: 10_001, 2: 10_002},
+			want:    []string{"new.0"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			workers := newWorkers(4)
+			for _, id := range []string{"new", "old", "a", "b"} {
+				acceptJob(t, state, id, "team0", "plain", 0, job.StepSpec{Count: 3})
+			}
+			for _, s := range c.starts {
+				runTask(t, state, workers[s.worker], s.job, s.index, s.at, !s.unconfirmed)
+			}
+			var log job.CrashLog
+			for n, at := range c.crashes {
+				alive := at
+				if n == 0 && c.alive != 0 {
+					alive = c.alive
+				}
+				log.Disconnect(state, workers[n], alive, at)
+			}
+			if len(c.crashes) == 0 {
+				log.Disconnect(state, workers[0], 10_000, 10_000)
+				log.Reconnect(workers[0].Key())
+			}
+			var got []string
+			for _, s := range log.Suspects(state, workers[0].Key()) {
+				name := fmt.Sprintf("%s.%d", s.Placement.Task.Job, s.Placement.Task.Index)
+				if s.Proven {
+					name += " proven"
+				}
+				got = append(got, name)
+			}
+			sort.Strings(got)
+			assert.DeepEqual(t, got, c.want)
+		})
+	}
+}
+
+// TestCrashLimit checks when a task is given up, also after a new owner has rebuilt the
+// state, and that a survivor is cleared.
+func TestCrashLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		gang     bool
+		crashed  []int // the member that is suspected, for each crash
+		proven   bool
+		survives bool // before the last crash
+		want     bool
+	}{
+		"first":                   {crashed: []int{0}, proven: true},
+		"second, proven":          {crashed: []int{0, 0}, proven: true, want: true},
+		"second, not proven":      {crashed: []int{0, 0}},
+		"third, not proven":       {crashed: []int{0, 0, 0}, want: true},
+		"other task":              {crashed: []int{1, 0}, proven: true},
+		"gang, twice":             {gang: true, crashed: []int{1, 1}, proven: true, want: true},
+		"gang, members at a time": {gang: true, crashed: []int{1, 0}, proven: true},
+		"cleared between":         {crashed: []int{0, 0}, proven: true, survives: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			w := newWorkers(1)[0]
+			acceptJob(t, state, "a", "team0", "plain", 0, job.StepSpec{
+				Count: 2,
+				Gang:  c.gang,
+			})
+			for n, index := range c.crashed {
+				runTask(t, state, w, "a", index, 1_000, true)
+				step := state.Job("a").Steps[0]
+				p := step.Tasks[index].Placement
+				_, early := step.ClearSurvivor(p, 1_900)
+				assert.Assert(t, !early)
+				if r, ok := step.ClearSurvivor(p, 2_100); ok && c.survives && n == len(c.crashed)-1 {
+					mustApply(t, state, r)
+				}
+				endTask(t, state, "a", index, job.AttemptCrashed)
+				rebuilt := job.NewState()
+				for _, r := range state.Snapshot(0) {
+					mustApply(t, rebuilt, r)
+				}
+				state = rebuilt
+			}
+			assert.Equal(t, state.Job("a").Steps[0].CrashLimitReached(0, c.proven), c.want)
+		})
+	}
+}
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -143,6 +143,9 @@
 	// StoppedMillis is the Unix millisecond of the owner's clock at which the worker
 	// confirmed the stop; zero before.
 	StoppedMillis int64
+	// OrderedMillis is the Unix millisecond at which the start order was first sent; zero
+	// before.
+	OrderedMillis int64
 	// StartedMillis is the Unix millisecond at which the worker first reported that the
 	// attempt runs; zero before.
 	StartedMillis int64
@@ -230,9 +233,12 @@
 
 // Task is the state of one task.
 type Task struct {
-	Done       bool
-	Attempt    int // number of the latest attempt; zero before the first
-	Failures   int
+	Done     bool
+	Attempt  int // number of the latest attempt; zero before the first
+	Failures int
+	// Crashes is the number of workers that crashed while an attempt of the task was
+	// suspected of causing it, since the task was last cleared.
+	Crashes    int
 	Checkpoint string     // latest one reported at the end of an attempt, or empty
 	Placement  *Placement // nil if the task is not placed
 }
@@ -254,6 +260,8 @@
 	done     int
 	unplaced int
 	placed   int
+	// suspects is the number of tasks that are not done and have crashes.
+	suspects int
 }
 
 // Job is a job of the shard and its state.
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -14,7 +14,7 @@
 	RecordPlace                            // an attempt of a task is placed on a worker
 	RecordAttemptEnd                       // an attempt ends
 	RecordJobEnd                           // a job ends
-	RecordTaskState                        // state of a task, in snapshots only
+	RecordTaskState                        // state of a task, in snapshots and when it is cleared of crashes
 )
 
 // AttemptOutcome is how an attempt ended, as far as its job is concerned.
@@ -30,6 +30,9 @@
 	AttemptCompleted
 	// AttemptFailed means that a failure is counted and the task is queued again.
 	AttemptFailed
+	// AttemptCrashed means that the worker crashed and the attempt is suspected of having
+	// caused it; a crash is counted and the task is queued again.
+	AttemptCrashed
 )
 
 // Record is one change of the state; replaying all records in order rebuilds it. The
@@ -53,6 +56,7 @@
 	OverRate       bool           `cbor:"15,keyasint,omitempty"`
 	Failures       int            `cbor:"16,keyasint,omitempty"`
 	Done           bool           `cbor:"17,keyasint,omitempty"`
+	Crashes        int            `cbor:"18,keyasint,omitempty"`
 }
 
 // State is the state of a shard's jobs and their placements. Create it with NewState.
@@ -60,7 +64,9 @@
 	jobs map[string]*Job
 	open map[string]*Job
 	// unplaced indexes the open jobs with tasks that are neither done nor placed.
-	unplaced   map[string]*Job
+	unplaced map[string]*Job
+	// suspects indexes the open jobs with tasks that are suspected of crashing workers.
+	suspects   map[string]*Job
 	placements map[WorkerKey]map[TaskKey]*Placement
 	// used and teamUsed are the sums of the placements' demands per worker incarnation
 	// and per team.
@@ -92,6 +98,7 @@
 		open: map[string]*Job{},
 
 		unplaced:   map[string]*Job{},
+		suspects:   map[string]*Job{},
 		placements: map[WorkerKey]map[TaskKey]*Placement{},
 		used:       map[WorkerKey]Resources{},
 		teamUsed:   map[string]Resources{},
@@ -177,7 +184,7 @@
 	if j == nil {
 		return fmt.Errorf("record of kind %d for unknown job %s", r.Kind, r.Job)
 	}
-	defer s.updateUnplaced(j)
+	defer s.updateIndexes(j)
 	if r.Kind == RecordAccept {
 		return nil
 	}
@@ -206,12 +213,17 @@
 	return fmt.Errorf("record of unknown kind %d", r.Kind)
 }
 
-func (s *State) updateUnplaced(j *Job) {
-	if j.Outcome == Open && slices.ContainsFunc(j.Steps, (*Step).hasUnplaced) {
-		s.unplaced[j.ID] = j
+func (s *State) updateIndexes(j *Job) {
+	updateIndex(s.unplaced, j, (*Step).hasUnplaced)
+	updateIndex(s.suspects, j, (*Step).hasSuspects)
+}
+
+func updateIndex(index map[string]*Job, j *Job, contains func(*Step) bool) {
+	if j.Outcome == Open && slices.ContainsFunc(j.Steps, contains) {
+		index[j.ID] = j
 		return
 	}
-	delete(s.unplaced, j.ID)
+	delete(index, j.ID)
 }
 
 func (s *Step) hasUnplaced() bool {
@@ -268,6 +280,7 @@
 	delete(s.jobs, id)
 	delete(s.open, id)
 	delete(s.unplaced, id)
+	delete(s.suspects, id)
 }
 
 func (s *State) finishJob(j *Job, r Record) {
@@ -338,6 +351,8 @@
 		step.markDone(t)
 	case AttemptFailed:
 		t.Failures++
+	case AttemptCrashed:
+		step.setCrashes(t, t.Crashes+1)
 	}
 	return nil
 }
@@ -347,6 +362,7 @@
 	if t.Done {
 		return
 	}
+	s.setCrashes(t, 0)
 	t.Done = true
 	s.done++
 	if t.Placement == nil {
@@ -368,6 +384,9 @@
 	t.Attempt = r.Attempt
 	t.Failures = r.Failures
 	t.Checkpoint = r.Checkpoint
+	if !t.Done {
+		step.setCrashes(t, r.Crashes)
+	}
 	if r.Attempt > 0 {
 		step.Job.Started = true
 	}
@@ -468,16 +487,7 @@
 	var records []Record
 	for n, t := range s.Tasks {
 		if t.Attempt > 0 || t.Done {
-			records = append(records, Record{
-				Kind:       RecordTaskState,
-				Job:        s.Job.ID,
-				Step:       s.Number,
-				Index:      n,
-				Attempt:    t.Attempt,
-				Failures:   t.Failures,
-				Checkpoint: t.Checkpoint,
-				Done:       t.Done,
-			})
+			records = append(records, s.taskState(n))
 		}
 		if t.Placement != nil {
 			records = append(records, Record{
@@ -493,3 +503,18 @@
 	}
 	return records
 }
+
+func (s *Step) taskState(index int) Record {
+	t := s.Tasks[index]
+	return Record{
+		Kind:       RecordTaskState,
+		Job:        s.Job.ID,
+		Step:       s.Number,
+		Index:      index,
+		Attempt:    t.Attempt,
+		Failures:   t.Failures,
+		Crashes:    t.Crashes,
+		Checkpoint: t.Checkpoint,
+		Done:       t.Done,
+	}
+}
