Run tasks suspected of crashing workers on workers of their own

Cause: a task that has crashed a worker starts again beside others and takes them with it; those that were beside it cannot be told from it. Change: the planner assigns a worker to each job that has suspects, the one that is empty soonest, and starts nothing else there until the suspects are cleared. At most an eighth of a service's workers is assigned at a time, or what one gang needs. The job's other tasks wait meanwhile. Explain and the causes of waiting show it. Result: TestCrashingTaskRunsIsolated, TestSuspectDoesNotStarve, TestSuspectJobUsesOneWorker and TestSuspectAsksPolicyAboutMoreWorkers are new; TestPlacementsRespectAllLimits checks that no task is placed beside a suspect of another job in 60 seeded plays.

--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -252,7 +252,7 @@
 // canUseQuery reports whether an answer about the step could let one of its tasks start
 // now, or no call about the step has succeeded yet.
 func (p *Planner) canUseQuery(step *Step) bool {
-	return !step.Advice.answered || (step.Spec.Needs.FitsIn(p.largestFree) && p.withinCap(step, 1))
+	return !step.Advice.answered || (step.Spec.Needs.FitsIn(p.largestFree) && p.withinCap(step, 1) && !p.awaitsIsolation(step))
 }
 
 // canWait reports whether the step is a gang that does not fit now but would fit
--- a/internal/decide/job/explain.go
+++ b/internal/decide/job/explain.go
@@ -23,6 +23,9 @@
 	lines := []string{fmt.Sprintf("step %d: %d of %d tasks done, %d placed, %d neither done nor placed",
 		step.Number, step.done, len(step.Tasks), step.placed, step.unplaced)}
 	for n, t := range step.Tasks {
+		if t.Crashes > 0 {
+			lines = append(lines, fmt.Sprintf("step %d task %d: suspected of crashing %d workers", step.Number, n, t.Crashes))
+		}
 		if t.Placement != nil {
 			lines = append(lines, fmt.Sprintf("step %d task %d: attempt %d on worker %s, confirmed %v, uncertain %v, stopping %v, progress %.0f %%",
 				step.Number, n, t.Placement.Attempt, t.Placement.Worker.ID, t.Placement.Confirmed, t.Placement.Uncertain, t.Placement.Stopping, t.Placement.Percent))
@@ -43,6 +46,7 @@
 	WaitQueue      WaitCause = "queue"      // the operators' configuration has no such queue
 	WaitCap        WaitCause = "cap"        // the team's cap
 	WaitPolicy     WaitCause = "policy"     // the policy service has not answered yet
+	WaitIsolation  WaitCause = "isolation"  // suspected of crashing workers, and no empty worker is isolated for it
 	WaitWorkers    WaitCause = "workers"    // no usable worker is allowed
 	WaitCapacity   WaitCause = "capacity"   // no allowed worker has room for a task
 	WaitGang       WaitCause = "gang"       // the gang does not fit at once
@@ -88,6 +92,9 @@
 	if queue.Policy != nil && !step.Advice.answered {
 		return WaitPolicy, 0
 	}
+	if p.awaitsIsolation(step) {
+		return WaitIsolation, 0
+	}
 	allowed := p.allowedWorkers(step, queue)
 	fits := slices.ContainsFunc(allowed, func(w *Worker) bool {
 		return step.Spec.Needs.FitsIn(p.freeFor(step, w))
@@ -119,6 +126,8 @@
 		return "it would exceed its team's cap"
 	case WaitPolicy:
 		return "the policy service has not answered yet"
+	case WaitIsolation:
+		return "tasks of the job are suspected of crashing workers, and must run on a worker without other jobs"
 	case WaitWorkers:
 		return "no usable worker has the service, the label and the policy's permission that the step requires"
 	case WaitCapacity:
--- /dev/null
+++ b/internal/decide/job/isolation.go
@@ -0,0 +1,177 @@
+package job
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// maxIsolatedDivisor bounds the number of a service's workers that are isolated for suspects
+// at a time: their number divided by it, but at least one. A gang that needs more is isolated
+// while no other job is.
+const maxIsolatedDivisor = 8
+
+// isolateSuspects assigns workers to the jobs that have suspects, in the order in which
+// their steps are served. A job that is not a gang gets one worker at a time, so that it
+// crashes few. Until a suspect is cleared, nothing of another job starts on its worker.
+func (p *Planner) isolateSuspects(now int64) {
+	if len(p.state.suspects) == 0 {
+		return
+	}
+	p.withoutWorkers = map[*Step]bool{}
+	isolated, isolatedJobs := p.findIsolated()
+	full := map[string]bool{} // by service
+	for _, step := range p.steps {
+		if !step.hasSuspects() || isolatedJobs[step.Job.ID] || !p.withinCap(step, p.tasksAtOnce(step)) {
+			continue
+		}
+		queue := p.rules.Queues[step.Job.Queue]
+		if full[queue.Service] {
+			continue
+		}
+		workers := p.workersToIsolate(step, queue, now)
+		if len(workers) == 0 {
+			p.withoutWorkers[step] = true
+			continue
+		}
+		count := isolated[queue.Service] + len(workers)
+		if isolated[queue.Service] > 0 && count > p.maxIsolated(queue.Service) {
+			full[queue.Service] = true // jobs that need fewer workers must not overtake gangs
+			continue
+		}
+		for _, w := range workers {
+			w.isolatedFor = step.Job.ID
+		}
+		isolated[queue.Service] = count
+		isolatedJobs[step.Job.ID] = true
+	}
+}
+
+// findIsolated sets isolatedFor of the workers with suspects. It returns the number of
+// those by service, including workers that are gone, and the suspects' jobs.
+func (p *Planner) findIsolated() (map[string]int, map[string]bool) {
+	isolatedFor := map[WorkerKey]string{}
+	for _, j := range p.state.suspects {
+		for _, step := range j.Steps {
+			for n := range step.Tasks {
+				if placement := step.Tasks[n].Placement; placement != nil && step.hasSuspects() && step.Crashes(n) > 0 {
+					isolatedFor[placement.Worker] = j.ID
+				}
+			}
+		}
+	}
+	byService := map[string]int{}
+	jobs := map[string]bool{}
+	for _, id := range isolatedFor {
+		byService[p.rules.Queues[p.state.jobs[id].Queue].Service]++
+		jobs[id] = true
+	}
+	for _, w := range p.workers {
+		w.isolatedFor = isolatedFor[w.Key()]
+	}
+	return byService, jobs
+}
+
+func (p *Planner) maxIsolated(service string) int {
+	n := 0
+	for _, w := range p.workers {
+		if w.Service == service {
+			n++
+		}
+	}
+	return max(1, n/maxIsolatedDivisor)
+}
+
+// tasksAtOnce returns how many tasks of the step must start together.
+func (p *Planner) tasksAtOnce(step *Step) int {
+	if step.Spec.Gang {
+		return step.Spec.Count
+	}
+	return 1
+}
+
+// workersToIsolate returns the workers on which a task of the step, or all members of a
+// gang, will fit once no other job runs there, those first that are empty soonest. It
+// returns none if the tasks fit on no workers.
+func (p *Planner) workersToIsolate(step *Step, queue Queue, now int64) []*Worker {
+	candidates := slices.DeleteFunc(p.permittedWorkers(step, queue), func(w *Worker) bool {
+		return w.isolatedFor != ""
+	})
+	drainMillis := map[*Worker]int64{}
+	for _, w := range candidates {
+		drainMillis[w] = p.drainMillis(w, step.Job.ID, now)
+	}
+	slices.SortFunc(candidates, func(a, b *Worker) int {
+		return cmp.Or(cmp.Compare(drainMillis[a], drainMillis[b]),
+			cmp.Compare(p.placementCost(step, a), p.placementCost(step, b)), cmp.Compare(a.ID, b.ID))
+	})
+	remaining := p.tasksAtOnce(step)
+	var workers []*Worker
+	for _, w := range candidates {
+		room := w.Capacity.Minus(p.usedByJob(w, step.Job.ID))
+		n := step.Spec.Needs.fitCount(room, min(remaining, p.remainingPerWorker(step, w)))
+		if n == 0 || drainMillis[w] == math.MaxInt64 {
+			continue
+		}
+		workers = append(workers, w)
+		if remaining -= n; remaining == 0 {
+			return workers
+		}
+	}
+	return nil
+}
+
+// drainMillis returns the expected time in milliseconds until no task of another job runs
+// on the worker; math.MaxInt64 if it runs endless ones.
+func (p *Planner) drainMillis(w *Worker, id string, now int64) int64 {
+	millis := int64(0)
+	for key, placement := range p.state.placements[w.Key()] {
+		if key.Job != id {
+			millis = max(millis, p.state.jobs[key.Job].Steps[key.Step].RemainingMillis(placement, now))
+		}
+	}
+	return millis
+}
+
+func (p *Planner) usedByJob(w *Worker, id string) Resources {
+	var used Resources
+	for key, placement := range p.state.placements[w.Key()] {
+		if key.Job == id {
+			used = used.Plus(placement.Needs)
+		}
+	}
+	return used
+}
+
+// isSuspect reports whether the job has tasks that are suspected of crashing workers.
+func (p *Planner) isSuspect(j *Job) bool {
+	return p.state.suspects[j.ID] != nil
+}
+
+// admits reports whether the isolation of suspects allows tasks of the step on the worker
+// now. Suspects need a worker that is isolated for their job and runs no other.
+func (p *Planner) admits(w *Worker, step *Step) bool {
+	if !p.isSuspect(step.Job) {
+		return w.isolatedFor == ""
+	}
+	if w.isolatedFor != step.Job.ID {
+		return false
+	}
+	for key := range p.state.placements[w.Key()] {
+		if key.Job != step.Job.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitsIsolation reports whether the step must wait until a worker is isolated for its job
+// and runs no other, or until the suspects of its job's other steps are cleared.
+func (p *Planner) awaitsIsolation(step *Step) bool {
+	if !p.isSuspect(step.Job) || p.withoutWorkers[step] {
+		return false
+	}
+	return !step.hasSuspects() || !slices.ContainsFunc(p.workers, func(w *Worker) bool {
+		return p.admits(w, step)
+	})
+}
--- /dev/null
+++ b/internal/decide/job/isolation_test.go
@@ -0,0 +1,169 @@
+package job_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/decide/job"
+)
+
+// acceptSuspect accepts a job with a task, or a gang, that is suspected of one crash.
+func acceptSuspect(t *testing.T, state *job.State, id, queue string, spec job.StepSpec) {
+	t.Helper()
+	acceptJob(t, state, id, "team0", queue, 0, spec)
+	runTask(t, state, &job.Worker{ID: "gone"}, id, 0, 0, true)
+	endTask(t, state, id, 0, job.AttemptCrashed)
+}
+
+// placedWorkers returns the workers of the records by job.
+func placedWorkers(records []job.Record) map[string][]string {
+	workers := map[string][]string{}
+	for _, r := range records {
+		workers[r.Job] = append(workers[r.Job], r.Worker)
+	}
+	return workers
+}
+
+// TestCrashingTaskRunsIsolated guards against a task that crashes worker after worker with
+// the innocent tasks there. It checks that suspects get empty workers, a bounded number of
+// them, that nothing starts beside them, and that the others go on.
+func TestCrashingTaskRunsIsolated(t *testing.T) {
+	state := job.NewState()
+	rules := newRules(1)
+	workers := newWorkers(24)
+	one := job.StepSpec{
+		Count: 1,
+		Needs: cores(4),
+	}
+	for n := range 5 {
+		acceptSuspect(t, state, fmt.Sprint("suspect", n), "plain", one)
+	}
+	acceptJob(t, state, "innocent", "team0", "plain", 0, job.StepSpec{
+		Count: 21 * 16,
+		Needs: cores(4),
+	})
+	placed := placedWorkers(job.NewPlanner(state, rules, workers, 1).Plan(1))
+	isolated := map[string]bool{}
+	for n := range 3 {
+		id := fmt.Sprint("suspect", n)
+		assert.Equal(t, len(placed[id]), 1, id)
+		isolated[placed[id][0]] = true
+	}
+	assert.Equal(t, len(isolated), 3)
+	assert.Equal(t, len(placed["innocent"]), 21*16)
+	for _, w := range placed["innocent"] {
+		assert.Assert(t, !isolated[w])
+	}
+	assert.Equal(t, len(placed), 4, "an eighth of the workers is isolated")
+}
+
+// TestSuspectDoesNotStarve guards against a suspect that waits for an empty worker in a full
+// fleet, while a stream of tasks of higher priority takes all capacity as it becomes free.
+func TestSuspectDoesNotStarve(t *testing.T) {
+	for name, spec := range map[string]job.StepSpec{
+		"task": {Count: 1, Needs: cores(4)},
+		"gang": {Count: 20, Needs: cores(4), Gang: true}, // needs two of eight workers
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			rules := newRules(1)
+			queue := rules.Queues["plain"]
+			queue.Name, queue.Priority = "low", 5
+			rules.Queues["low"] = queue
+			workers := newWorkers(8)
+			half := job.StepSpec{
+				Count:          1,
+				Needs:          cores(32),
+				EstimateMillis: 200,
+			}
+			var running []string
+			for now := int64(0); now < 4000; now += 100 {
+				for n := range 4 {
+					id := fmt.Sprintf("stream%d-%d", now, n)
+					acceptJob(t, state, id, "team0", "plain", now, half)
+				}
+				if now == 1000 {
+					acceptSuspect(t, state, "suspect", "low", spec)
+				}
+				for len(running) > 12 {
+					endTask(t, state, running[0], 0, job.AttemptCompleted)
+					running = running[1:]
+				}
+				for _, r := range job.NewPlanner(state, rules, workers, now).Plan(now) {
+					if r.Job == "suspect" {
+						return
+					}
+					p := state.Placement(job.TaskKey{Job: r.Job})
+					p.Confirmed, p.StartedMillis = true, now
+					running = append(running, r.Job)
+				}
+			}
+			t.Fatal("the suspect never started")
+		})
+	}
+}
+
+// TestSuspectJobUsesOneWorker checks that a job's other tasks wait for its suspects, that
+// these share a worker, and that the job goes on once they are cleared.
+func TestSuspectJobUsesOneWorker(t *testing.T) {
+	state := job.NewState()
+	rules := newRules(1)
+	workers := newWorkers(16)
+	acceptSuspect(t, state, "a", "plain", job.StepSpec{
+		Count: 5,
+		Needs: cores(24),
+	})
+	runTask(t, state, &job.Worker{ID: "gone"}, "a", 1, 0, true)
+	endTask(t, state, "a", 1, job.AttemptCrashed)
+	records := job.NewPlanner(state, rules, workers, 0).Plan(0)
+	assert.Equal(t, len(records), 2)
+	assert.Equal(t, records[0].Worker, records[1].Worker)
+	step := state.Job("a").Steps[0]
+	for _, r := range records {
+		p := step.Tasks[r.Index].Placement
+		p.Confirmed, p.StartedMillis = true, 1
+		cleared, ok := step.ClearSurvivor(p, 1001)
+		assert.Assert(t, ok)
+		mustApply(t, state, cleared)
+	}
+	assert.Equal(t, len(job.NewPlanner(state, rules, workers, 1001).Plan(1001)), 3)
+}
+
+// TestSuspectAsksPolicyAboutMoreWorkers guards against a suspect that fits on none of the
+// workers about which the policy service has answered, and never asks about others. While
+// it only waits for a worker to be empty, it does not ask.
+func TestSuspectAsksPolicyAboutMoreWorkers(t *testing.T) {
+	for name, c := range map[string]struct {
+		allowed int
+		asks    int
+	}{
+		"none allowed":          {allowed: 0, asks: 1},
+		"allowed but not empty": {allowed: 1, asks: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			rules := newRules(1)
+			workers := newWorkers(60)
+			acceptSuspect(t, state, "a", "advised", job.StepSpec{
+				Count: 1,
+				Needs: cores(4),
+			})
+			q := job.NewPlanner(state, rules, workers, 0).PolicyQueries(0, limitCalls(1, 1))[0]
+			allowed := map[*job.Worker]job.Ticket{}
+			acceptJob(t, state, "busy", "team0", "plain", 0, job.StepSpec{
+				Count: 1,
+				Needs: cores(4),
+			})
+			runTask(t, state, q.Workers[0], "busy", 0, 0, true)
+			for _, w := range q.Workers[:c.allowed] {
+				allowed[w] = job.Ticket{ExpiresMillis: 5000}
+			}
+			q.HandleAnswer(allowed, true)
+			p := job.NewPlanner(state, rules, workers, 1)
+			assert.Equal(t, len(p.Plan(1)), 0)
+			assert.Equal(t, len(p.PolicyQueries(1, limitCalls(1, 1))), c.asks)
+		})
+	}
+}
--- a/internal/decide/job/planner.go
+++ b/internal/decide/job/planner.go
@@ -33,6 +33,9 @@
 	// free is the capacity that is neither used nor reserved for a gang, in the
 	// present pass.
 	free Resources
+	// isolatedFor is the ID of the job whose suspects run on the worker or will run there
+	// once it is empty, in the present pass; empty if there is none.
+	isolatedFor string
 }
 
 // Key returns the key of the worker's incarnation.
@@ -57,6 +60,9 @@
 	// byFree lists the workers in decreasing order of the processors that were free when
 	// the pass first needed the list; nil before.
 	byFree []*Worker
+	// withoutWorkers holds the steps with suspects that fit on none of the workers on which
+	// they may run.
+	withoutWorkers map[*Step]bool
 	// commitMillis is the expected time until a placement is durable.
 	commitMillis int64
 }
@@ -86,8 +92,10 @@
 	}
 	for _, w := range workers {
 		w.free = w.Capacity.Minus(state.used[w.Key()])
+		w.isolatedFor = ""
 	}
 	p.collectSteps(now)
+	p.isolateSuspects(now)
 	for _, w := range workers {
 		if w.Usable {
 			p.largestFree = p.largestFree.componentMax(w.free)
@@ -216,9 +224,21 @@
 		(step.Spec.Label == "" || slices.Contains(w.Labels, step.Spec.Label))
 }
 
-// allowedWorkers returns the eligible workers on which the policy, if any, allows the
-// step to run, whether or not their tickets are still valid.
+// allowedWorkers returns the eligible workers on which the policy, if any, and the
+// isolation of suspects allow the step to run, whether or not its tickets are still valid.
 func (p *Planner) allowedWorkers(step *Step, queue Queue) []*Worker {
+	workers := p.permittedWorkers(step, queue)
+	if len(p.state.suspects) == 0 {
+		return workers
+	}
+	return slices.DeleteFunc(workers, func(w *Worker) bool {
+		return !p.admits(w, step)
+	})
+}
+
+// permittedWorkers returns the eligible workers on which the policy, if any, allows the
+// step to run, whether or not their tickets are still valid.
+func (p *Planner) permittedWorkers(step *Step, queue Queue) []*Worker {
 	var workers []*Worker
 	if queue.Policy == nil {
 		for _, w := range p.workers {
@@ -260,6 +280,9 @@
 	var records []Record
 	gangPriority := map[*Worker]int{}
 	for _, step := range p.steps {
+		if p.awaitsIsolation(step) {
+			continue
+		}
 		queue := p.rules.Queues[step.Job.Queue]
 		fits := step.Advice.reserved != nil || step.Spec.Needs.FitsIn(p.largestFree)
 		ticketValid := queue.Policy == nil || step.Advice.validUntil > p.requiredExpiry(now)
@@ -298,8 +321,8 @@
 	var records []Record
 	for n := range step.Tasks {
 		t := &step.Tasks[n]
-		if t.Done || t.Placement != nil {
-			continue
+		if t.Done || t.Placement != nil || (t.Crashes == 0 && p.isSuspect(step.Job)) {
+			continue // tasks without crashes wait until the job's suspects are cleared
 		}
 		if !p.withinCap(step, 1) {
 			return records
--- a/internal/decide/job/planner_test.go
+++ b/internal/decide/job/planner_test.go
@@ -121,7 +121,8 @@
 
 // TestPlacementsRespectAllLimits places random jobs and checks after each pass that the
 // placements respect worker capacity, team caps, limits per worker, labels and tickets,
-// and that gangs are placed whole or not at all.
+// that gangs are placed whole or not at all, and that no task is placed beside a suspect of
+// another job, nor the other way round.
 func TestPlacementsRespectAllLimits(t *testing.T) {
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
@@ -193,7 +194,7 @@
 					Step:           key.Step,
 					Index:          key.Index,
 					Attempt:        p.Attempt,
-					AttemptOutcome: job.AttemptOutcome(rng.IntN(3)),
+					AttemptOutcome: job.AttemptOutcome(rng.IntN(4)),
 				})
 			}
 		}
@@ -214,6 +215,10 @@
 		step := state.Job(r.Job).Steps[r.Step]
 		w := byID[r.Worker]
 		assert.Assert(t, w.Usable)
+		for key, p := range state.Placements(w.Key()) {
+			suspect := step.Crashes(r.Index) > 0 || state.Job(key.Job).Steps[key.Step].Crashes(key.Index) > 0
+			assert.Assert(t, key.Job == r.Job || !suspect, "%v is placed beside %v", r, p)
+		}
 		if step.Spec.Label != "" {
 			assert.Assert(t, len(w.Labels) > 0)
 		}
