Suspect what started within 200 ms, and isolate up to a quarter of the workers

Change: attempts that started up to 200 ms before the crash are suspected, or 1.5 s if their start order has no answer. They are cleared after 600 ms. Up to a quarter of a service's workers is isolated, of them an eighth of the workers where other jobs have to end first. RunsSuspects tells the owner which workers to poll more often.

--- a/internal/decide/job/crash.go
+++ b/internal/decide/job/crash.go
@@ -5,9 +5,12 @@
 const (
 	// suspectWindowMillis is how long before the crash of a worker an attempt may have
 	// started to be suspected of causing it. It covers delays of answers and of the owner.
-	suspectWindowMillis = 500
+	suspectWindowMillis = 200
+	// orderWindowMillis is the same for an attempt whose start order was sent and has no
+	// answer; the order may have arrived late.
+	orderWindowMillis = 1500
 	// clearMillis is how long a suspected attempt must run to be cleared.
-	clearMillis = 2 * suspectWindowMillis
+	clearMillis = 3 * suspectWindowMillis
 	// togetherMillis is the maximum time between disconnections that may have a common
 	// cause, such as a power failure.
 	togetherMillis = 500
@@ -66,8 +69,13 @@
 		rack:     w.Rack,
 		recent:   map[TaskKey]int{},
 	}
+	for _, p := range state.placements[w.Key()] {
+		if p.Confirmed {
+			aliveMillis = max(aliveMillis, p.StartedMillis)
+		}
+	}
 	for key, p := range state.placements[w.Key()] {
-		if p.mayHaveStartedSince(aliveMillis - suspectWindowMillis) {
+		if p.mayHaveJustStarted(aliveMillis) {
 			d.recent[key] = p.Attempt
 		}
 	}
@@ -83,13 +91,13 @@
 	return nil
 }
 
-// mayHaveStartedSince reports whether the attempt started at the Unix millisecond since or
-// later, or its start order was sent then and is not confirmed.
-func (p *Placement) mayHaveStartedSince(since int64) bool {
+// mayHaveJustStarted reports whether the attempt may have started just before the Unix
+// millisecond at, or later.
+func (p *Placement) mayHaveJustStarted(at int64) bool {
 	if p.Confirmed {
-		return p.StartedMillis >= since
+		return p.StartedMillis >= at-suspectWindowMillis
 	}
-	return p.OrderedMillis > 0 && p.OrderedMillis >= since
+	return p.OrderedMillis > 0 && p.OrderedMillis >= at-orderWindowMillis
 }
 
 // Reconnect removes the worker from the log, because the same incarnation has answered.
@@ -201,6 +209,20 @@
 	return s.suspects > 0
 }
 
+// RunsSuspects reports whether tasks that are suspected of crashing workers are placed on the
+// worker incarnation.
+func (s *State) RunsSuspects(w WorkerKey) bool {
+	if len(s.suspects) == 0 {
+		return false
+	}
+	for key := range s.placements[w] {
+		if s.Task(key).Crashes > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // ClearSurvivor returns the record that clears the task of its crashes, or false if it has
 // none or its attempt has not run for long enough. The attempt ran at the Unix millisecond
 // now according to its worker. The members of a gang are cleared one by one.
--- a/internal/decide/job/isolation.go
+++ b/internal/decide/job/isolation.go
@@ -6,10 +6,14 @@
 	"slices"
 )
 
-// maxIsolatedDivisor bounds the number of a service's workers that are isolated for suspects
-// at a time: their number divided by it, but at least one. A gang that needs more is isolated
-// while no other job is.
-const maxIsolatedDivisor = 8
+// The number of a service's workers that are isolated for suspects at a time is at most their
+// number divided by maxIsolatedDivisor, and that of those on which other jobs have to end
+// first is at most their number divided by maxDrainedDivisor, but at least one. A gang that
+// needs more is isolated while no other job is.
+const (
+	maxIsolatedDivisor = 4
+	maxDrainedDivisor  = 8
+)
 
 // isolateSuspects assigns workers to the jobs that have suspects, in the order in which
 // their steps are served. A job that is not a gang gets one worker at a time, so that it
@@ -20,7 +24,8 @@
 	}
 	p.withoutWorkers = map[*Step]bool{}
 	isolated, isolatedJobs := p.findIsolated()
-	full := map[string]bool{} // by service
+	drained := map[string]int{} // by service, like isolated
+	full := map[string]bool{}   // by service
 	for _, step := range p.steps {
 		if !step.hasSuspects() || isolatedJobs[step.Job.ID] || !p.withinCap(step, p.tasksAtOnce(step)) {
 			continue
@@ -35,14 +40,21 @@
 			continue
 		}
 		count := isolated[queue.Service] + len(workers)
-		if isolated[queue.Service] > 0 && count > p.maxIsolated(queue.Service) {
+		drainedCount := drained[queue.Service]
+		for _, w := range workers {
+			if p.runsOthers(w, step.Job.ID) {
+				drainedCount++
+			}
+		}
+		total := p.countWorkers(queue.Service)
+		if isolated[queue.Service] > 0 && (count > total/maxIsolatedDivisor || drainedCount > max(1, total/maxDrainedDivisor)) {
 			full[queue.Service] = true // jobs that need fewer workers must not overtake gangs
 			continue
 		}
 		for _, w := range workers {
 			w.isolatedFor = step.Job.ID
 		}
-		isolated[queue.Service] = count
+		isolated[queue.Service], drained[queue.Service] = count, drainedCount
 		isolatedJobs[step.Job.ID] = true
 	}
 }
@@ -72,14 +84,14 @@
 	return byService, jobs
 }
 
-func (p *Planner) maxIsolated(service string) int {
+func (p *Planner) countWorkers(service string) int {
 	n := 0
 	for _, w := range p.workers {
 		if w.Service == service {
 			n++
 		}
 	}
-	return max(1, n/maxIsolatedDivisor)
+	return n
 }
 
 // tasksAtOnce returns how many tasks of the step must start together.
@@ -157,12 +169,17 @@
 	if w.isolatedFor != step.Job.ID {
 		return false
 	}
+	return !p.runsOthers(w, step.Job.ID)
+}
+
+// runsOthers reports whether the worker has placements of other jobs than the given one.
+func (p *Planner) runsOthers(w *Worker, id string) bool {
 	for key := range p.state.placements[w.Key()] {
-		if key.Job != step.Job.ID {
-			return false
+		if key.Job != id {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // awaitsIsolation reports whether the step must wait until a worker is isolated for its job
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -145,6 +145,9 @@
 	// unless another copy of its start request may still be carried out.
 	Settled  bool
 	Stopping bool // the attempt is to be stopped
+	// Suspected and Proven are set if the attempt may have crashed the worker, as in Suspect,
+	// but the worker's next incarnation may have carried out its start order since.
+	Suspected, Proven bool
 	// StoppedMillis is the Unix millisecond of the owner's clock at which the worker
 	// confirmed the stop; zero before.
 	StoppedMillis int64
