End attempts as crashed when their worker has certainly crashed

Change: the first failed poll is the moment of a crash. When the restart of the worker under its ID shows that it has crashed, its suspects end as crashed, at once or, where the new incarnation may have carried out the start order, when its first report does not list them. A job is failed after the second or third crash of a task. Survivors are cleared by reports; polls wait 200 ms at workers with suspects. A worker that was only cut off proves nothing: its attempts end as lost with the worker lease. The log (attemptCrashedWorker, jobGivenUp, suspectCleared), the metrics citronbay_jobs_given_up_total and citronbay_attempts_lost_total (reason "crashed"), and the explanation of the job tell why.

--- /dev/null
+++ b/internal/cluster/shard/crash_test.go
@@ -0,0 +1,128 @@
+package shard
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/job"
+)
+
+// crashingWorker is a restartingWorker whose polls fail while it is away.
+type crashingWorker struct {
+	*restartingWorker
+	away atomic.Bool
+}
+
+func (w *crashingWorker) Poll(ctx context.Context, poll worker.Poll) (worker.Report, error) {
+	report, err := w.restartingWorker.Poll(ctx, poll)
+	if w.away.Load() {
+		return worker.Report{}, io.EOF
+	}
+	return report, err
+}
+
+// TestTaskCrashesWorkers guards against a task that is started again and again although it
+// crashes each worker that starts it. A worker that is only cut off proves nothing.
+func TestTaskCrashesWorkers(t *testing.T) {
+	const timeAway, cutTime = 3 * time.Second, 12 * time.Second
+	const crashTime = 10 * time.Millisecond
+	for name, c := range map[string]struct {
+		runTimes    []time.Duration // of the attempts, until the worker crashes or is cut off
+		cut         bool
+		listed      bool // the directory, not a report, tells the owner of the restart
+		wantCrashes int
+		wantOutcome job.Outcome
+	}{
+		"first crash": {
+			runTimes:    []time.Duration{crashTime},
+			wantCrashes: 1,
+		},
+		"second crash": {
+			runTimes:    []time.Duration{crashTime, crashTime},
+			wantCrashes: 2,
+			wantOutcome: job.Failed,
+		},
+		"second crash, listed": {
+			runTimes:    []time.Duration{crashTime, crashTime},
+			listed:      true,
+			wantCrashes: 2,
+			wantOutcome: job.Failed,
+		},
+		"cleared before the second crash": {
+			runTimes: []time.Duration{crashTime, 2 * time.Second},
+		},
+		"long after the start": {
+			runTimes: []time.Duration{time.Second},
+		},
+		"cut off": {
+			runTimes: []time.Duration{crashTime, crashTime},
+			cut:      true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client := &crashingWorker{restartingWorker: newRestartingWorker()}
+				s, release := newRestartTest(t, client)
+				defer release()
+				registration := worker.Registration{
+					ID:          "w",
+					Incarnation: 1,
+				}
+				s.SetWorkers([]worker.Registration{registration})
+				for n, runTime := range c.runTimes {
+					time.Sleep(pollsAnswered)
+					placed := job.Record{
+						Kind:        job.RecordPlace,
+						Job:         acceptedID,
+						Attempt:     n + 1,
+						Worker:      "w",
+						Incarnation: registration.Incarnation,
+					}
+					s.mu.Lock()
+					assert.NilError(t, s.state.Apply(placed))
+					s.mu.Unlock()
+					s.sendStarts([]job.Record{placed})
+					time.Sleep(runTime)
+					client.away.Store(true)
+					if c.cut {
+						time.Sleep(cutTime)
+						s.mu.Lock()
+						s.expireLinks()
+						s.mu.Unlock()
+						client.restart()
+						client.incarnation--
+						client.away.Store(false)
+						continue
+					}
+					client.restart()
+					time.Sleep(timeAway)
+					client.away.Store(false)
+					registration.Incarnation++
+					if c.listed {
+						s.SetWorkers([]worker.Registration{registration})
+					}
+					time.Sleep(time.Second)
+				}
+				explained := s.Explain(acceptedID)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				j := s.state.Job(acceptedID)
+				task := j.Steps[0].Tasks[0]
+				assert.Assert(t, task.Placement == nil)
+				assert.Equal(t, task.Crashes, c.wantCrashes)
+				assert.Equal(t, j.Outcome, c.wantOutcome)
+				if c.wantCrashes == 2 {
+					assert.Assert(t, slices.Contains(explained, "step 0 task 0: suspected of crashing 2 workers"))
+				}
+			})
+		})
+	}
+}
--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -14,6 +14,8 @@
 	// pollWait is how long a worker may wait for an attempt to end before it
 	// answers a poll.
 	pollWait = time.Second
+	// suspectPollWait is the same for a worker with suspects, which are to be cleared soon.
+	suspectPollWait = 200 * time.Millisecond
 	// pollTimeoutSlack is what a poll may take beyond its wait. It is also the pause
 	// after a refused poll; the pause after a failed one is half as long.
 	pollTimeoutSlack = 700 * time.Millisecond
@@ -128,15 +130,20 @@
 	go l.run()
 }
 
+// settled reports whether the next incarnation of the worker cannot carry out a start order
+// of the attempt, because the present one has, or because none was sent.
+func settled(p *job.Placement) bool {
+	return p.Settled || (!p.Uncertain && !p.Confirmed)
+}
+
 // replaceLink replaces the link to an incarnation that has ended by one to the next. An
 // attempt that ran there, or was not ordered yet, is lost. The others stay placed until the
 // first report of the new incarnation, which may have carried out their start orders: the
 // orders name only the worker, whose ID is the same.
 func (s *Shard) replaceLink(l *link, r worker.Registration, listed bool) {
 	s.closeLink(l)
-	s.losePlacements(l.key(), "new incarnation", func(p *job.Placement) bool {
-		return p.Settled || (!p.Uncertain && !p.Confirmed)
-	})
+	s.endSuspects(l, settled)
+	s.losePlacements(l.key(), "new incarnation", settled)
 	remaining := s.state.Placements(l.key())
 	s.log.Info("workerReborn", "worker", r.ID, "born", r.Incarnation, "before", l.registration.Incarnation,
 		"unsettled", len(remaining))
@@ -294,6 +301,7 @@
 		cancel()
 		if err != nil {
 			l.logPollFailure(err)
+			l.notePollFailure(err)
 			sleep(l.ctx, pollTimeoutSlack/2)
 			continue
 		}
@@ -330,6 +338,9 @@
 	}
 	if l.answered && time.Since(l.lastAnswer) < unresponsiveAfter {
 		poll.WaitMillis = pollWait.Milliseconds()
+		if s.state.RunsSuspects(l.key()) {
+			poll.WaitMillis = suspectPollWait.Milliseconds()
+		}
 	}
 	return poll
 }
--- a/internal/cluster/shard/metrics.go
+++ b/internal/cluster/shard/metrics.go
@@ -46,6 +46,10 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_attempts_lost_total{reason=%q}", reason)).Inc()
 }
 
+func countGivenUpJob(queue string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_jobs_given_up_total{queue=%q}", queue)).Inc()
+}
+
 // setGauges updates the gauges from the state; the caller holds s.mu.
 func (s *Shard) setGauges(workers []*job.Worker) {
 	metrics.GetOrCreateGauge("citronbay_open_jobs", nil).Set(float64(len(s.state.OpenJobs())))
--- a/internal/cluster/shard/orders.go
+++ b/internal/cluster/shard/orders.go
@@ -79,11 +79,15 @@
 	j := s.state.Job(p.Task.Job)
 	step := j.Steps[p.Task.Step]
 	p.Orders++
+	untilMillis := l.extendLease()
+	if untilMillis > 0 && p.OrderedMillis == 0 {
+		p.OrderedMillis = s.now()
+	}
 	return worker.Start{
 		Task:        p.Task,
 		Attempt:     p.Attempt,
 		Payload:     j.Payload,
-		UntilMillis: l.extendLease(),
+		UntilMillis: untilMillis,
 		Token:       l.token,
 		Checkpoint:  step.Checkpoint(p.Task.Index),
 		Ticket:      step.TicketValue(&l.worker),
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -40,6 +40,7 @@
 		s.replaceLink(l, r, l.listed)
 		return nil
 	}
+	s.crashes.Reconnect(l.key())
 	first := !l.answered
 	l.answered = true
 	l.lastAnswer = time.Now()
@@ -172,6 +173,7 @@
 // sent is when the poll was sent, and first marks the first report of this incarnation
 // of the worker in this term of ownership.
 func (s *Shard) reconcile(records []job.Record, l *link, report worker.Report, ended map[job.TaskKey]int, sent time.Time, first bool) []job.Record {
+	sentMillis := s.millisAt(sent)
 	running := map[job.TaskKey]worker.Running{}
 	for _, r := range report.Running {
 		running[r.Task] = r
@@ -188,11 +190,11 @@
 		s.confirmRunning(p)
 		p.Settled = p.Settled || p.Orders == 1
 		s.checkProgress(l, p, r.Percent)
+		records = s.clearSurvivor(records, p, sentMillis)
 	}
 	if len(report.Ended) >= maxEndedPerReport {
 		return records
 	}
-	sentMillis := s.openedMillis + sent.Sub(s.openedAt).Milliseconds()
 	for key, p := range s.state.Placements(l.key()) {
 		if _, ok := running[key]; ok || ended[key] >= p.Attempt {
 			continue
@@ -207,6 +209,10 @@
 		countLostAttempt("absent")
 		s.log.Info("attemptAbsent", "job", key.Job, "step", key.Step, "index", key.Index, "attempt", p.Attempt,
 			"worker", l.registration.ID, "inherited", inherited, "stopped", stopped)
+		if inherited && p.Suspected {
+			records = s.endSuspect(records, p)
+			continue
+		}
 		records = s.endAttempt(records, p, job.AttemptLost, "")
 	}
 	return records
@@ -231,7 +237,7 @@
 // confirmRunning marks the attempt as running, as its worker has reported, and stops it
 // if its job has failed or been cancelled.
 func (s *Shard) confirmRunning(p *job.Placement) {
-	p.Uncertain = false
+	p.Uncertain, p.Suspected = false, false
 	if !p.Confirmed {
 		p.Confirmed = true
 		p.StartedMillis = s.now()
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -98,6 +98,7 @@
 	// earlier holds the incarnations that had placements before the term, until a link of
 	// their worker takes these over, by the ID of the worker.
 	earlier      map[string][]job.WorkerKey
+	crashes      job.CrashLog
 	busyAdvisors map[string]bool // by the name of the node
 	slowCalls    int             // slow calls to the policy service in flight
 }
@@ -166,7 +167,12 @@
 // now returns the owner's clock in Unix milliseconds. It is monotonic: changes of the
 // system clock do not affect it.
 func (s *Shard) now() int64 {
-	return s.openedMillis + time.Since(s.openedAt).Milliseconds()
+	return s.millisAt(time.Now())
+}
+
+// millisAt returns the owner's clock at the given time, like now.
+func (s *Shard) millisAt(t time.Time) int64 {
+	return s.openedMillis + t.Sub(s.openedAt).Milliseconds()
 }
 
 // Run places work until the term of ownership ends, and returns why it ended.
