Give a task up only after two crashes under attempts that had started

Cause: callers saw a job as failed although one worker only had crashed under its task (LOST): its first start order had no answer, because the worker had crashed before it arrived, and still counted as the first of two crashes. Change: crashes under attempts that had certainly started are counted apart.

--- a/internal/cluster/shard/crash.go
+++ b/internal/cluster/shard/crash.go
@@ -46,9 +46,8 @@
 	}
 	s.noteDisconnection(l, l.lastAnswer)
 	var records []job.Record
-	for _, suspect := range s.crashes.Suspects(s.state, l.key()) {
-		p := suspect.Placement
-		p.Suspected, p.Proven = true, suspect.Proven
+	for p, suspicion := range s.crashes.Suspects(s.state, l.key()) {
+		p.Suspicion = suspicion
 		if match == nil || match(p) {
 			records = s.endSuspect(records, p)
 		}
@@ -65,17 +64,17 @@
 func (s *Shard) endSuspect(records []job.Record, p *job.Placement) []job.Record {
 	j := s.state.Job(p.Task.Job)
 	step := j.Steps[p.Task.Step]
-	records = s.endAttempt(records, p, job.AttemptCrashed, "")
+	records = s.endAttempt(records, p, p.Suspicion.Outcome(), "")
 	crashes := step.Crashes(p.Task.Index)
 	countLostAttempt("crashed")
 	s.log.Warn("attemptCrashedWorker", "job", j.ID, "step", p.Task.Step, "index", p.Task.Index, "attempt", p.Attempt,
-		"worker", p.Worker.ID, "crashes", crashes, "confirmed", p.Confirmed, "proven", p.Proven)
-	if j.Outcome != job.Open || !step.CrashLimitReached(p.Task.Index, p.Proven) {
+		"worker", p.Worker.ID, "crashes", crashes, "suspicion", p.Suspicion)
+	if j.Outcome != job.Open || !step.CrashLimitReached(p.Task.Index, p.Suspicion) {
 		return records
 	}
 	countGivenUpJob(j.Queue)
 	s.log.Warn("jobGivenUp", "job", j.ID, "team", j.Team, "queue", j.Queue, "step", p.Task.Step, "index", p.Task.Index,
-		"crashes", crashes, "worker", p.Worker.ID, "proven", p.Proven)
+		"crashes", crashes, "worker", p.Worker.ID, "suspicion", p.Suspicion)
 	return s.finishJob(records, j, job.Failed)
 }
 
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -209,7 +209,7 @@
 		countLostAttempt("absent")
 		s.log.Info("attemptAbsent", "job", key.Job, "step", key.Step, "index", key.Index, "attempt", p.Attempt,
 			"worker", l.registration.ID, "inherited", inherited, "stopped", stopped)
-		if inherited && p.Suspected {
+		if inherited && p.Suspicion != job.NotSuspected {
 			records = s.endSuspect(records, p)
 			continue
 		}
@@ -237,7 +237,7 @@
 // confirmRunning marks the attempt as running, as its worker has reported, and stops it
 // if its job has failed or been cancelled.
 func (s *Shard) confirmRunning(p *job.Placement) {
-	p.Uncertain, p.Suspected = false, false
+	p.Uncertain, p.Suspicion = false, job.NotSuspected
 	if !p.Confirmed {
 		p.Confirmed = true
 		p.StartedMillis = s.now()
--- a/internal/decide/job/crash.go
+++ b/internal/decide/job/crash.go
@@ -23,18 +23,46 @@
 	// crashLogMillis is how long disconnections are kept, which is longer than it takes to
 	// learn that the worker has crashed.
 	crashLogMillis = 60_000
-	// maxCrashes is the number of crashes at which a task is given up, and maxProvenCrashes
-	// the one if the last crash is proven to be its own.
-	maxCrashes       = 3
-	maxProvenCrashes = 2
+	// A task is given up after minCertainCrashes crashes under attempts that had certainly
+	// started, if the last crash is proven to be its own or crashesWithoutProof were counted,
+	// and in any case after maxCrashes.
+	minCertainCrashes   = 2
+	crashesWithoutProof = 3
+	maxCrashes          = 5
 )
 
-// Suspect is an attempt that may have crashed its worker.
-type Suspect struct {
-	Placement *Placement
-	// Proven is set if the attempt had certainly started, and only tasks of its job were on
-	// the worker.
-	Proven bool
+// Suspicion is how strongly an attempt is suspected of having crashed its worker.
+type Suspicion uint8
+
+// The degrees of suspicion.
+const (
+	NotSuspected   Suspicion = iota
+	MayHaveStarted           // its start order was sent and had no answer
+	HadStarted               // it had started, beside tasks of other jobs
+	Proven                   // it had started, and only tasks of its job were on the worker
+)
+
+var suspicionNames = map[Suspicion]string{
+	NotSuspected:   "none",
+	MayHaveStarted: "mayHaveStarted",
+	HadStarted:     "hadStarted",
+	Proven:         "proven",
+}
+
+// String returns the name of the suspicion for logs.
+func (s Suspicion) String() string {
+	return suspicionNames[s]
+}
+
+// Outcome returns the outcome of an attempt that is suspected so when its worker has crashed.
+func (s Suspicion) Outcome() AttemptOutcome {
+	switch s {
+	case NotSuspected:
+		return AttemptLost
+	case MayHaveStarted:
+		return AttemptMayHaveCrashed
+	}
+	return AttemptCrashed
 }
 
 // CrashLog keeps the recent disconnections of workers, and tells which attempts may have
@@ -110,7 +138,7 @@
 // Suspects returns the attempts that may have crashed the worker, which has certainly
 // crashed: those that started just before it was disconnected. There are none if the log
 // does not hold the disconnection, or if it was part of an outage.
-func (l *CrashLog) Suspects(state *State, key WorkerKey) []Suspect {
+func (l *CrashLog) Suspects(state *State, key WorkerKey) map[*Placement]Suspicion {
 	d := l.find(key)
 	if d == nil || l.inOutage(d) {
 		return nil
@@ -120,13 +148,17 @@
 	for k := range placements {
 		jobs[k.Job] = true
 	}
-	var suspects []Suspect
+	suspects := map[*Placement]Suspicion{}
 	for k, p := range placements {
-		if attempt, ok := d.recent[k]; ok && attempt == p.Attempt {
-			suspects = append(suspects, Suspect{
-				Placement: p,
-				Proven:    p.Confirmed && len(jobs) == 1,
-			})
+		attempt, ok := d.recent[k]
+		switch {
+		case !ok || attempt != p.Attempt:
+		case !p.Confirmed:
+			suspects[p] = MayHaveStarted
+		case len(jobs) > 1:
+			suspects[p] = HadStarted
+		default:
+			suspects[p] = Proven
 		}
 	}
 	return suspects
@@ -177,32 +209,36 @@
 // Crashes returns the number of crashes of which the task is suspected. A gang is
 // suspected as a whole.
 func (s *Step) Crashes(index int) int {
+	crashes, _ := s.crashes(index)
+	return crashes
+}
+
+func (s *Step) crashes(index int) (all, certain int) {
 	if !s.Spec.Gang {
-		return s.Tasks[index].Crashes
+		return s.Tasks[index].Crashes, s.Tasks[index].CertainCrashes
 	}
-	crashes := 0
 	for _, t := range s.Tasks {
-		crashes = max(crashes, t.Crashes)
+		all, certain = max(all, t.Crashes), max(certain, t.CertainCrashes)
 	}
-	return crashes
+	return all, certain
 }
 
-// CrashLimitReached reports whether the task is to be given up after its latest crash,
-// which is proven or not as in Suspect.
-func (s *Step) CrashLimitReached(index int, proven bool) bool {
-	crashes := s.Crashes(index)
-	return crashes >= maxCrashes || proven && crashes >= maxProvenCrashes
+// CrashLimitReached reports whether the task is to be given up after its latest crash, of
+// which it is suspected as given.
+func (s *Step) CrashLimitReached(index int, suspicion Suspicion) bool {
+	all, certain := s.crashes(index)
+	return all >= maxCrashes || certain >= minCertainCrashes && (suspicion == Proven || all >= crashesWithoutProof)
 }
 
-// setCrashes sets the number of crashes of the task, which must not be done.
-func (s *Step) setCrashes(t *Task, crashes int) {
+// setCrashes sets the numbers of crashes of the task, which must not be done.
+func (s *Step) setCrashes(t *Task, crashes, certain int) {
 	if t.Crashes > 0 {
 		s.suspects--
 	}
 	if crashes > 0 {
 		s.suspects++
 	}
-	t.Crashes = crashes
+	t.Crashes, t.CertainCrashes = crashes, certain
 }
 
 func (s *Step) hasSuspects() bool {
@@ -232,6 +268,6 @@
 		return Record{}, false
 	}
 	r := s.taskState(p.Task.Index)
-	r.Crashes = 0
+	r.Crashes, r.CertainCrashes = 0, 0
 	return r, true
 }
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -145,9 +145,9 @@
 	// unless another copy of its start request may still be carried out.
 	Settled  bool
 	Stopping bool // the attempt is to be stopped
-	// Suspected and Proven are set if the attempt may have crashed the worker, as in Suspect,
-	// but the worker's next incarnation may have carried out its start order since.
-	Suspected, Proven bool
+	// Suspicion is set if the attempt may have crashed the worker, but the worker's next
+	// incarnation may have carried out its start order since.
+	Suspicion Suspicion
 	// StoppedMillis is the Unix millisecond of the owner's clock at which the worker
 	// confirmed the stop; zero before.
 	StoppedMillis int64
@@ -245,10 +245,11 @@
 	Attempt  int // number of the latest attempt; zero before the first
 	Failures int
 	// Crashes is the number of workers that crashed while an attempt of the task was
-	// suspected of causing it, since the task was last cleared.
-	Crashes    int
-	Checkpoint string     // latest one reported at the end of an attempt, or empty
-	Placement  *Placement // nil if the task is not placed
+	// suspected of causing it, since the task was last cleared. In CertainCrashes of them
+	// the attempt had certainly started.
+	Crashes, CertainCrashes int
+	Checkpoint              string     // latest one reported at the end of an attempt, or empty
+	Placement               *Placement // nil if the task is not placed
 }
 
 // Step is one step of a job and its tasks.
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -30,9 +30,11 @@
 	AttemptCompleted
 	// AttemptFailed means that a failure is counted and the task is queued again.
 	AttemptFailed
-	// AttemptCrashed means that the worker crashed and the attempt is suspected of having
-	// caused it; a crash is counted and the task is queued again.
+	// AttemptCrashed means that the attempt had started, the worker crashed and the attempt
+	// is suspected of having caused it; a crash is counted and the task is queued again.
 	AttemptCrashed
+	// AttemptMayHaveCrashed is the same for an attempt that may not have started.
+	AttemptMayHaveCrashed
 )
 
 // Record is one change of the state; replaying all records in order rebuilds it. The
@@ -57,6 +59,7 @@
 	Failures       int            `cbor:"16,keyasint,omitempty"`
 	Done           bool           `cbor:"17,keyasint,omitempty"`
 	Crashes        int            `cbor:"18,keyasint,omitempty"`
+	CertainCrashes int            `cbor:"19,keyasint,omitempty"`
 }
 
 // State is the state of a shard's jobs and their placements. Create it with NewState.
@@ -352,7 +355,9 @@
 	case AttemptFailed:
 		t.Failures++
 	case AttemptCrashed:
-		step.setCrashes(t, t.Crashes+1)
+		step.setCrashes(t, t.Crashes+1, t.CertainCrashes+1)
+	case AttemptMayHaveCrashed:
+		step.setCrashes(t, t.Crashes+1, t.CertainCrashes)
 	}
 	return nil
 }
@@ -362,7 +367,7 @@
 	if t.Done {
 		return
 	}
-	s.setCrashes(t, 0)
+	s.setCrashes(t, 0, 0)
 	t.Done = true
 	s.done++
 	if t.Placement == nil {
@@ -403,7 +408,7 @@
 	t.Failures = r.Failures
 	t.Checkpoint = r.Checkpoint
 	if !t.Done {
-		step.setCrashes(t, r.Crashes)
+		step.setCrashes(t, r.Crashes, r.CertainCrashes)
 	}
 	if r.Attempt > 0 {
 		step.Job.Started = true
@@ -525,14 +530,15 @@
 func (s *Step) taskState(index int) Record {
 	t := s.Tasks[index]
 	return Record{
-		Kind:       RecordTaskState,
-		Job:        s.Job.ID,
-		Step:       s.Number,
-		Index:      index,
-		Attempt:    t.Attempt,
-		Failures:   t.Failures,
-		Crashes:    t.Crashes,
-		Checkpoint: t.Checkpoint,
-		Done:       t.Done,
+		Kind:           RecordTaskState,
+		Job:            s.Job.ID,
+		Step:           s.Number,
+		Index:          index,
+		Attempt:        t.Attempt,
+		Failures:       t.Failures,
+		Crashes:        t.Crashes,
+		CertainCrashes: t.CertainCrashes,
+		Checkpoint:     t.Checkpoint,
+		Done:           t.Done,
 	}
 }
