--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -313,7 +313,6 @@
 		step.unplaced--
 	}
 	step.placed++
-	j.Started = true
 	placements := s.placements[p.Worker]
 	if placements == nil {
 		placements = map[TaskKey]*Placement{}
@@ -336,6 +335,9 @@
 	if r.Checkpoint != "" {
 		t.Checkpoint = r.Checkpoint
 	}
+	if r.AttemptOutcome != AttemptLost || r.Checkpoint != "" {
+		j.Started = true
+	}
 	if t.Done {
 		return nil
 	}
@@ -410,7 +412,7 @@
 	if !t.Done {
 		step.setCrashes(t, r.Crashes, r.CertainCrashes)
 	}
-	if r.Attempt > 0 {
+	if r.Done || r.Failures > 0 || r.CertainCrashes > 0 || r.Checkpoint != "" {
 		step.Job.Started = true
 	}
 	if r.Done {
