Count crashes under suspects that were placed before the term of ownership

Cause: a new owner does not know when the attempts of a worker that had crashed before started, and counted no crash of a task that was already suspected of some; each change of owner could add a start. Change: such attempts count as ones that may have crashed the worker. Result: the new case of TestCrashSuspects fails without the change.

--- a/internal/cluster/shard/crash.go
+++ b/internal/cluster/shard/crash.go
@@ -41,10 +41,9 @@
 // crashed, and match, or all if match is nil. It marks the others, whose start orders the
 // worker's next incarnation may have carried out. The caller holds s.mu.
 func (s *Shard) endSuspects(l *link, match func(*job.Placement) bool) {
-	if !l.answered {
-		return // whether its attempts had just started is not known
+	if l.answered {
+		s.noteDisconnection(l, l.lastAnswer)
 	}
-	s.noteDisconnection(l, l.lastAnswer)
 	var records []job.Record
 	for p, suspicion := range s.crashes.Suspects(s.state, l.key()) {
 		p.Suspicion = suspicion
--- a/internal/decide/job/crash.go
+++ b/internal/decide/job/crash.go
@@ -136,19 +136,28 @@
 }
 
 // Suspects returns the attempts that may have crashed the worker, which has certainly
-// crashed: those that started just before it was disconnected. There are none if the log
-// does not hold the disconnection, or if it was part of an outage.
+// crashed: those that started just before it was disconnected. There are none if the
+// disconnection was part of an outage. If the log does not hold it, because the worker
+// crashed before the term of ownership, attempts of tasks with crashes may be the cause.
 func (l *CrashLog) Suspects(state *State, key WorkerKey) map[*Placement]Suspicion {
 	d := l.find(key)
-	if d == nil || l.inOutage(d) {
+	placements := state.placements[key]
+	suspects := map[*Placement]Suspicion{}
+	if d == nil {
+		for k, p := range placements {
+			if state.Task(k).Crashes > 0 {
+				suspects[p] = MayHaveStarted
+			}
+		}
+		return suspects
+	}
+	if l.inOutage(d) {
 		return nil
 	}
-	placements := state.placements[key]
 	jobs := map[string]bool{}
 	for k := range placements {
 		jobs[k.Job] = true
 	}
-	suspects := map[*Placement]Suspicion{}
 	for k, p := range placements {
 		attempt, ok := d.recent[k]
 		switch {
--- a/internal/decide/job/crash_test.go
+++ b/internal/decide/job/crash_test.go
@@ -59,6 +59,7 @@
 		starts  []start
 		crashes map[int]int64 // when the connection to each worker was lost
 		alive   int64         // when the first worker was last known to run, if not at the loss
+		unknown bool          // the log holds no disconnection
 		want    []string
 	}{
 		"started last": {
@@ -89,6 +90,11 @@
 		"answered again": {
 			starts: beside,
 		},
+		"crashed before the term": {
+			starts:  []start{{job: "suspect", at: 9_980}, {job: "new", at: 9_980}},
+			unknown: true,
+			want:    []string{"suspect.0 mayHaveStarted"},
+		},
 		"outage of a rack": {
 			starts:  beside,
 			crashes: map[int]int64{0: 10_000, 1: 10_020, 2: 9_900},
@@ -121,6 +127,7 @@
 			for _, id := range []string{"new", "old", "a", "b"} {
 				acceptJob(t, state, id, "team0", "plain", 0, job.StepSpec{Count: 3})
 			}
+			acceptSuspect(t, state, "suspect", "plain", job.StepSpec{Count: 1})
 			for _, s := range c.starts {
 				runTask(t, state, workers[s.worker], s.job, s.index, s.at, !s.unconfirmed)
 			}
@@ -132,7 +139,7 @@
 				}
 				log.Disconnect(state, workers[n], alive, at)
 			}
-			if len(c.crashes) == 0 {
+			if len(c.crashes) == 0 && !c.unknown {
 				log.Disconnect(state, workers[0], 10_000, 10_000)
 				log.Reconnect(workers[0].Key())
 			}
