--- a/internal/cluster/shard/incarnation_test.go
+++ b/internal/cluster/shard/incarnation_test.go
@@ -269,3 +269,148 @@
 		}
 	})
 }
+
+// TestTaskStartsAfterLateCompletion guards against a task that starts again although an
+// attempt that was given up has completed, and its end is acknowledged.
+func TestTaskStartsAfterLateCompletion(t *testing.T) {
+	for name, c := range map[string]struct {
+		spec          job.StepSpec
+		placed        bool // the next attempt is placed elsewhere
+		wantRemaining int  // tasks that are not done
+	}{
+		"not placed": {
+			spec: job.StepSpec{Count: 1},
+		},
+		"placed elsewhere": {
+			spec:   job.StepSpec{Count: 1},
+			placed: true,
+		},
+		"one of two tasks": {
+			spec:          job.StepSpec{Count: 2},
+			wantRemaining: 1,
+		},
+		"gang": {
+			spec: job.StepSpec{
+				Count: 2,
+				Gang:  true,
+			},
+		},
+		"endless": {
+			spec: job.StepSpec{
+				Count:   1,
+				Endless: true,
+			},
+			wantRemaining: 1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, release := newRestartTest(t, newRestartingWorker())
+				defer release()
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				task := job.TaskKey{Job: unknownID}
+				records := []job.Record{
+					{
+						Kind: job.RecordAccept,
+						Job:  unknownID,
+						Submission: &job.Submission{
+							Steps: []job.StepSpec{c.spec},
+						},
+					},
+					{
+						Kind:    job.RecordPlace,
+						Job:     unknownID,
+						Attempt: 1,
+						Worker:  "w",
+					},
+					{
+						Kind:    job.RecordAttemptEnd,
+						Job:     unknownID,
+						Attempt: 1,
+					},
+				}
+				if c.placed {
+					records = append(records, job.Record{
+						Kind:    job.RecordPlace,
+						Job:     unknownID,
+						Attempt: 2,
+						Worker:  "other",
+					})
+				}
+				for _, r := range records {
+					assert.NilError(t, s.state.Apply(r))
+				}
+				l := s.newLink(t.Context(), firstRegistration(), true)
+				defer l.cancel()
+				changes, _ := s.recordEnded(l, []worker.Ended{{
+					Number:  1,
+					Task:    task,
+					Attempt: 1,
+					Outcome: worker.Done,
+				}})
+				remaining := 0
+				for _, t := range s.state.Job(unknownID).Steps[0].Tasks {
+					if !t.Done {
+						remaining++
+					}
+				}
+				assert.Equal(t, remaining, c.wantRemaining)
+				assert.Equal(t, s.state.Job(unknownID).Outcome == job.Completed, c.wantRemaining == 0)
+				if p := s.state.Placement(task); p != nil {
+					assert.Assert(t, p.Stopping)
+				}
+				rebuilt := job.NewState()
+				for _, r := range append(records, changes...) {
+					assert.NilError(t, rebuilt.Apply(r))
+				}
+				assert.Equal(t, rebuilt.Job(unknownID).Outcome, s.state.Job(unknownID).Outcome)
+			})
+		})
+	}
+}
+
+// TestLateOrderAfterNextRestart guards against a task that runs on a late copy of a start
+// order of an attempt that was given up: the incarnation that showed that the attempt does
+// not run had seen a higher token or a stop order, but the next one has seen neither.
+func TestLateOrderAfterNextRestart(t *testing.T) {
+	task := job.TaskKey{Job: acceptedID}
+	for name, giveUp := range map[string]func(s *Shard, client *restartingWorker){
+		"stopped before the restart": func(*Shard, *restartingWorker) {
+			time.Sleep(3 * time.Second)
+		},
+		"absent from the report after an earlier restart": func(s *Shard, client *restartingWorker) {
+			time.Sleep(100 * time.Millisecond)
+			client.restart()
+			registration := firstRegistration()
+			registration.Incarnation = 2
+			s.SetWorkers([]worker.Registration{registration})
+			time.Sleep(time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client := newRestartingWorker()
+				client.hold = true
+				s, release := newRestartTest(t, client)
+				defer release()
+				s.SetWorkers([]worker.Registration{firstRegistration()})
+				time.Sleep(pollsAnswered)
+				s.sendStarts([]job.Record{placeOnFirstIncarnation(t, s)})
+				giveUp(s, client)
+				client.restart()
+
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				client.mu.Lock()
+				defer client.mu.Unlock()
+				for _, request := range client.held {
+					client.start(request)
+				}
+				waiting := s.state.Placement(task) == nil
+				assert.Assert(t, !waiting || client.running[task] == 0,
+					"the owner may start the task elsewhere, and it runs")
+			})
+		})
+	}
+}
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -14,7 +14,7 @@
 	RecordPlace                            // an attempt of a task is placed on a worker
 	RecordAttemptEnd                       // an attempt ends
 	RecordJobEnd                           // a job ends
-	RecordTaskState                        // state of a task, in snapshots and when it is cleared of crashes
+	RecordTaskState                        // state of a task, in snapshots and when it changes without an attempt
 )
 
 // AttemptOutcome is how an attempt ended, as far as its job is concerned.
