End attempts as crashed when another worker answers at the address

Cause: a worker that comes back under another ID has certainly crashed, but its attempts ended as lost, and no crash was counted. Change: dropReplacedLink ends the suspects first. Result: the case of TestTaskCrashesWorkers with a replaced worker failed before (0 crashes counted instead of 2).

--- a/internal/cluster/shard/crash_test.go
+++ b/internal/cluster/shard/crash_test.go
@@ -15,14 +15,18 @@
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
-// crashingWorker is a restartingWorker whose polls fail while it is away.
+// crashingWorker is a restartingWorker whose polls fail while it is away. Another worker
+// answers at its address while it is replaced.
 type crashingWorker struct {
 	*restartingWorker
-	away atomic.Bool
+	away, replaced atomic.Bool
 }
 
 func (w *crashingWorker) Poll(ctx context.Context, poll worker.Poll) (worker.Report, error) {
 	report, err := w.restartingWorker.Poll(ctx, poll)
+	if w.replaced.Load() {
+		return worker.Report{Refused: worker.WrongIncarnation}, nil
+	}
 	if w.away.Load() {
 		return worker.Report{}, io.EOF
 	}
@@ -37,6 +41,7 @@
 	for name, c := range map[string]struct {
 		runTimes    []time.Duration // of the attempts, until the worker crashes or is cut off
 		cut         bool
+		replaced    bool // the worker comes back under another ID
 		listed      bool // the directory, not a report, tells the owner of the restart
 		wantCrashes int
 		wantOutcome job.Outcome
@@ -56,6 +61,12 @@
 			wantCrashes: 2,
 			wantOutcome: job.Failed,
 		},
+		"second crash, replaced": {
+			runTimes:    []time.Duration{crashTime, crashTime},
+			replaced:    true,
+			wantCrashes: 2,
+			wantOutcome: job.Failed,
+		},
 		"cleared before the second crash": {
 			runTimes: []time.Duration{crashTime, 2 * time.Second},
 		},
@@ -83,7 +94,7 @@
 						Kind:        job.RecordPlace,
 						Job:         acceptedID,
 						Attempt:     n + 1,
-						Worker:      "w",
+						Worker:      registration.ID,
 						Incarnation: registration.Incarnation,
 					}
 					s.mu.Lock()
@@ -106,6 +117,14 @@
 					time.Sleep(timeAway)
 					client.away.Store(false)
 					registration.Incarnation++
+					if c.replaced {
+						client.replaced.Store(true)
+						s.SetWorkers(nil)
+						time.Sleep(time.Second)
+						client.replaced.Store(false)
+						registration.ID += "w"
+						s.SetWorkers([]worker.Registration{registration})
+					}
 					if c.listed {
 						s.SetWorkers([]worker.Registration{registration})
 					}
--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -214,6 +214,7 @@
 // date.
 func (s *Shard) dropReplacedLink(l *link) {
 	if l.replaced && !l.listed {
+		s.endSuspects(l, nil)
 		s.dropLink(l, "replaced by another worker")
 	}
 }
