Guard the stand-in worker of TestTaskCrashesWorkers against a data race

Cause: the test changed the incarnation of the stand-in without its lock, while a poll read it (go test -race, case of a worker that is cut off). Change: the stand-in forgets its attempts under its lock; it stays the same incarnation as before. The checks of the test are the same.

--- a/internal/cluster/shard/crash_test.go
+++ b/internal/cluster/shard/crash_test.go
@@ -108,8 +108,9 @@
 						s.mu.Lock()
 						s.expireLinks()
 						s.mu.Unlock()
-						client.restart()
-						client.incarnation--
+						client.mu.Lock()
+						client.running = map[job.TaskKey]int{} // its lease has expired too
+						client.mu.Unlock()
 						client.away.Store(false)
 						continue
 					}
