--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -41,6 +41,7 @@
 		s.links[r.ID].provisional = true // the new incarnation may differ
 		return nil
 	}
+	s.crashes.Reconnect(l.key())
 	complete := len(report.Ended) < maxEndedPerReport
 	first := complete && !l.answered
 	l.answered = l.answered || complete
@@ -219,6 +220,7 @@
 // sent is when the poll was sent, and first marks the first report of this incarnation
 // of the worker in this term of ownership.
 func (s *Shard) reconcile(records []job.Record, l *link, report worker.Report, ended map[job.TaskKey]int, sent time.Time, first bool) []job.Record {
+	sentMillis := s.millisAt(sent)
 	running := map[job.TaskKey]worker.Running{}
 	for _, r := range report.Running {
 		running[r.Task] = r
@@ -236,11 +238,11 @@
 		s.confirmRunning(p)
 		p.Reported = true
 		s.checkProgress(l, p, r.Percent)
+		records = s.clearSurvivor(records, p, sentMillis)
 	}
 	if len(report.Ended) >= maxEndedPerReport {
 		return records
 	}
-	sentMillis := s.openedMillis + sent.Sub(s.openedAt).Milliseconds()
 	for key, p := range s.state.Placements(l.key()) {
 		if _, ok := running[key]; ok || ended[key] >= p.Attempt {
 			continue
@@ -255,6 +257,10 @@
 		countLostAttempt("absent")
 		s.log.Info("attemptAbsent", "job", key.Job, "step", key.Step, "index", key.Index, "attempt", p.Attempt,
 			"worker", l.registration.ID, "inherited", inherited, "stopped", stopped)
+		if inherited && p.Suspicion != job.NotSuspected {
+			records = s.endSuspect(records, p)
+			continue
+		}
 		records = s.endAttempt(records, p, job.AttemptLost, "")
 	}
 	return records
@@ -287,7 +293,7 @@
 // confirmRunning marks the attempt as running, as its worker has reported, and stops it
 // if its job has failed or been cancelled.
 func (s *Shard) confirmRunning(p *job.Placement) {
-	p.Uncertain = false
+	p.Uncertain, p.Suspicion = false, job.NotSuspected
 	s.markStarted(p.Task.Job)
 	if !p.Confirmed {
 		p.Confirmed = true
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -144,9 +144,15 @@
 	// Reported is set once a report of the worker's incarnation has listed the attempt.
 	Reported bool
 	Stopping bool // the attempt is to be stopped
+	// Suspicion is set if the attempt may have crashed the worker, but the worker's next
+	// incarnation may have carried out its start order since.
+	Suspicion Suspicion
 	// StoppedMillis is the Unix millisecond of the owner's clock at which the worker
 	// confirmed the stop; zero before.
 	StoppedMillis int64
+	// OrderedMillis is the Unix millisecond at which the start order was first sent; zero
+	// before.
+	OrderedMillis int64
 	// StartedMillis is the Unix millisecond at which the worker first reported that the
 	// attempt runs; zero before.
 	StartedMillis int64
@@ -240,11 +246,15 @@
 
 // Task is the state of one task.
 type Task struct {
-	Done       bool
-	Attempt    int // number of the latest attempt; zero before the first
-	Failures   int
-	Checkpoint string     // latest one reported at the end of an attempt, or empty
-	Placement  *Placement // nil if the task is not placed
+	Done     bool
+	Attempt  int // number of the latest attempt; zero before the first
+	Failures int
+	// Crashes is the number of workers that crashed while an attempt of the task was
+	// suspected of causing it, since the task was last cleared. In CertainCrashes of them
+	// the attempt had certainly started.
+	Crashes, CertainCrashes int
+	Checkpoint              string     // latest one reported at the end of an attempt, or empty
+	Placement               *Placement // nil if the task is not placed
 }
 
 // Step is one step of a job and its tasks.
@@ -264,6 +274,8 @@
 	done     int
 	unplaced int
 	placed   int
+	// suspects is the number of tasks that are not done and have crashes.
+	suspects int
 }
 
 // Job is a job of the shard and its state.
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -14,7 +14,7 @@
 	RecordPlace                            // an attempt of a task is placed on a worker
 	RecordAttemptEnd                       // an attempt ends
 	RecordJobEnd                           // a job ends
-	RecordTaskState                        // state of a task, in snapshots and when it is done late
+	RecordTaskState                        // state of a task, in snapshots and when it changes without an attempt
 )
 
 // AttemptOutcome is how an attempt ended, as far as its job is concerned.
@@ -30,6 +30,11 @@
 	AttemptCompleted
 	// AttemptFailed means that a failure is counted and the task is queued again.
 	AttemptFailed
+	// AttemptCrashed means that the attempt had started, the worker crashed and the attempt
+	// is suspected of having caused it; a crash is counted and the task is queued again.
+	AttemptCrashed
+	// AttemptMayHaveCrashed is the same for an attempt that may not have started.
+	AttemptMayHaveCrashed
 )
 
 // Record is one change of the state; replaying all records in order rebuilds it. The
@@ -53,6 +58,8 @@
 	OverRate       bool           `cbor:"15,keyasint,omitempty"`
 	Failures       int            `cbor:"16,keyasint,omitempty"`
 	Done           bool           `cbor:"17,keyasint,omitempty"`
+	Crashes        int            `cbor:"18,keyasint,omitempty"`
+	CertainCrashes int            `cbor:"19,keyasint,omitempty"`
 }
 
 // State is the state of a shard's jobs and their placements. Create it with NewState.
@@ -60,7 +67,9 @@
 	jobs map[string]*Job
 	open map[string]*Job
 	// unplaced indexes the open jobs with tasks that are neither done nor placed.
-	unplaced   map[string]*Job
+	unplaced map[string]*Job
+	// suspects indexes the open jobs with tasks that are suspected of crashing workers.
+	suspects   map[string]*Job
 	placements map[WorkerKey]map[TaskKey]*Placement
 	// used and teamUsed are the sums of the placements' demands per worker incarnation
 	// and per team.
@@ -92,6 +101,7 @@
 		open: map[string]*Job{},
 
 		unplaced:   map[string]*Job{},
+		suspects:   map[string]*Job{},
 		placements: map[WorkerKey]map[TaskKey]*Placement{},
 		used:       map[WorkerKey]Resources{},
 		teamUsed:   map[string]Resources{},
@@ -177,7 +187,7 @@
 	if j == nil {
 		return fmt.Errorf("record of kind %d for unknown job %s", r.Kind, r.Job)
 	}
-	defer s.updateUnplaced(j)
+	defer s.updateIndexes(j)
 	if r.Kind == RecordAccept {
 		return nil
 	}
@@ -206,12 +216,17 @@
 	return fmt.Errorf("record of unknown kind %d", r.Kind)
 }
 
-func (s *State) updateUnplaced(j *Job) {
-	if j.Outcome == Open && slices.ContainsFunc(j.Steps, (*Step).hasUnplaced) {
-		s.unplaced[j.ID] = j
+func (s *State) updateIndexes(j *Job) {
+	updateIndex(s.unplaced, j, (*Step).hasUnplaced)
+	updateIndex(s.suspects, j, (*Step).hasSuspects)
+}
+
+func updateIndex(index map[string]*Job, j *Job, contains func(*Step) bool) {
+	if j.Outcome == Open && slices.ContainsFunc(j.Steps, contains) {
+		index[j.ID] = j
 		return
 	}
-	delete(s.unplaced, j.ID)
+	delete(index, j.ID)
 }
 
 func (s *Step) hasUnplaced() bool {
@@ -268,6 +283,7 @@
 	delete(s.jobs, id)
 	delete(s.open, id)
 	delete(s.unplaced, id)
+	delete(s.suspects, id)
 }
 
 func (s *State) finishJob(j *Job, r Record) {
@@ -340,6 +356,10 @@
 		step.markDone(t)
 	case AttemptFailed:
 		t.Failures++
+	case AttemptCrashed:
+		step.setCrashes(t, t.Crashes+1, t.CertainCrashes+1)
+	case AttemptMayHaveCrashed:
+		step.setCrashes(t, t.Crashes+1, t.CertainCrashes)
 	}
 	return nil
 }
@@ -349,6 +369,7 @@
 	if t.Done {
 		return
 	}
+	s.setCrashes(t, 0, 0)
 	t.Done = true
 	s.done++
 	if t.Placement == nil {
@@ -388,7 +409,10 @@
 	t.Attempt = r.Attempt
 	t.Failures = r.Failures
 	t.Checkpoint = r.Checkpoint
-	if r.Done || r.Failures > 0 || r.Checkpoint != "" {
+	if !t.Done {
+		step.setCrashes(t, r.Crashes, r.CertainCrashes)
+	}
+	if r.Done || r.Failures > 0 || r.CertainCrashes > 0 || r.Checkpoint != "" {
 		step.Job.Started = true
 	}
 	if r.Done {
@@ -488,16 +512,7 @@
 	var records []Record
 	for n, t := range s.Tasks {
 		if t.Attempt > 0 || t.Done {
-			records = append(records, Record{
-				Kind:       RecordTaskState,
-				Job:        s.Job.ID,
-				Step:       s.Number,
-				Index:      n,
-				Attempt:    t.Attempt,
-				Failures:   t.Failures,
-				Checkpoint: t.Checkpoint,
-				Done:       t.Done,
-			})
+			records = append(records, s.taskState(n))
 		}
 		if t.Placement != nil {
 			records = append(records, Record{
@@ -513,3 +528,19 @@
 	}
 	return records
 }
+
+func (s *Step) taskState(index int) Record {
+	t := s.Tasks[index]
+	return Record{
+		Kind:           RecordTaskState,
+		Job:            s.Job.ID,
+		Step:           s.Number,
+		Index:          index,
+		Attempt:        t.Attempt,
+		Failures:       t.Failures,
+		Crashes:        t.Crashes,
+		CertainCrashes: t.CertainCrashes,
+		Checkpoint:     t.Checkpoint,
+		Done:           t.Done,
+	}
+}
