--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -50,8 +50,8 @@
 type link struct {
 	shard *Shard
 	// token is the fencing token of all requests. It is higher than those of earlier
-	// links and of earlier terms, so that after the first answer no earlier request can
-	// take effect, not even one that was meant for an earlier incarnation.
+	// links and of earlier terms. Once an incarnation has answered, it carries out no
+	// earlier request, not even one that was meant for the incarnation before.
 	token  int64
 	client worker.Client
 	close  func()
