--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -41,11 +41,6 @@
 	predecessorExtension = store.OwnershipLeaseTime + workerLeaseGrace
 )
 
-// maxLinks is the maximum number of links in a term of ownership, which a link's fencing
-// token has room for. The tokens of all terms remain within the 53 bits that a JSON number
-// can hold exactly for the first 2^37 revisions of the store.
-const maxLinks = 1 << 16
-
 // link is the owner's connection to one incarnation of a worker.
 type link struct {
 	shard *Shard
@@ -61,12 +56,12 @@
 	// The fields below are guarded by the shard's mu.
 
 	registration       worker.Registration
-	ended              []int64    // earlier incarnations of the worker
+	endedIncarnations  []int64    // earlier incarnations of the worker
 	worker             job.Worker // as the planner sees it; plannerWorker updates it
 	listed             bool       // is in the directory
 	provisional        bool       // registration is that of an earlier incarnation
 	leavesAt           time.Time  // when a draining worker leaves at the earliest; zero otherwise
-	replaced           bool       // another worker answers at the address
+	addressReused      bool       // another worker answers at the address
 	answered           bool       // has sent a complete report under the fencing token
 	lastAnswer         time.Time  // to a poll; a refusal does not count
 	lastExtension      time.Time  // the latest time at which the worker lease may have been extended
@@ -106,7 +101,7 @@
 	switch {
 	case l == nil:
 		s.addLink(r, true)
-	case r.Incarnation > l.registration.Incarnation && !slices.Contains(l.ended, r.Incarnation):
+	case r.Incarnation > l.registration.Incarnation && !slices.Contains(l.endedIncarnations, r.Incarnation):
 		s.replaceLink(l, r, true)
 	case r.Incarnation == l.registration.Incarnation && r.Address == l.registration.Address:
 		if r.Draining != l.registration.Draining {
@@ -139,31 +134,6 @@
 	go l.run()
 }
 
-// settled reports whether the next incarnation of the worker cannot carry out a start order
-// of the attempt, because the present one has, or because none was sent.
-func settled(p *job.Placement) bool {
-	return p.Settled() || (!p.Uncertain && !p.Confirmed)
-}
-
-// replaceLink replaces the link to an incarnation that has ended by one to the next. An
-// attempt that ran there, or was not ordered yet, is lost. The others stay placed until the
-// first report of the new incarnation, which may have carried out their start orders: the
-// orders name only the worker, whose ID is the same.
-func (s *Shard) replaceLink(l *link, r worker.Registration, listed bool) {
-	s.closeLink(l)
-	s.endSuspects(l, settled)
-	s.losePlacements(l.key(), "new incarnation", settled)
-	remaining := s.state.Placements(l.key())
-	s.log.Info("workerReborn", "worker", r.ID, "born", r.Incarnation, "before", l.registration.Incarnation,
-		"unsettled", len(remaining))
-	s.earlier[r.ID] = append(s.earlier[r.ID], l.key())
-	s.addLink(r, listed)
-	s.links[r.ID].ended = append(l.ended, l.registration.Incarnation)
-	for _, p := range remaining {
-		p.Confirmed, p.Reported, p.StoppedMillis, p.ProgressMillis = false, false, 0, 0
-	}
-}
-
 func (s *Shard) newLink(ctx context.Context, r worker.Registration, listed bool) *link {
 	client, closeClient := s.options.NewWorkerClient(r)
 	ctx, cancel := context.WithCancel(ctx)
@@ -181,16 +151,6 @@
 	}
 }
 
-// newLinkToken returns the fencing token of a new link. The term ends once its tokens are
-// used up.
-func (s *Shard) newLinkToken() int64 {
-	s.linkCount++
-	if s.linkCount == maxLinks {
-		s.term.Revoke(errors.New("shard: all fencing tokens of the term are used"))
-	}
-	return s.term.Token()*maxLinks + min(s.linkCount, maxLinks-1)
-}
-
 // closeLink ends the calls of the link and removes it.
 func (s *Shard) closeLink(l *link) {
 	l.cancel()
@@ -208,17 +168,6 @@
 	s.losePlacements(l.key(), reason, nil)
 }
 
-// dropReplacedLink drops the link if its incarnation has certainly ended: the directory does
-// not list the worker, and another one answers at its address. Either alone does not show
-// it: the directory omits workers that cannot reach the store, and its address may be out of
-// date.
-func (s *Shard) dropReplacedLink(l *link) {
-	if l.replaced && !l.listed {
-		s.endSuspects(l, nil)
-		s.dropLink(l, "replaced by another worker")
-	}
-}
-
 // losePlacements records that those attempts placed on this incarnation of the worker that
 // match, or all if match is nil, do not run any more.
 func (s *Shard) losePlacements(key job.WorkerKey, reason string, match func(*job.Placement) bool) {
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -45,7 +45,7 @@
 	complete := len(report.Ended) < maxEndedPerReport
 	first := complete && !l.answered
 	l.answered = l.answered || complete
-	l.replaced = false
+	l.addressReused = false
 	l.lastAnswer = time.Now()
 	l.workerClockMillis, l.workerClockAt = report.ClockMillis, sent
 	records, ended := s.recordEnded(l, report.Ended)
@@ -74,7 +74,7 @@
 	case worker.RefusedToken:
 		s.term.Revoke(errors.New("a worker has seen a higher fencing token"))
 	case worker.WrongIncarnation:
-		l.replaced = true
+		l.addressReused = true
 		s.dropReplacedLink(l)
 	}
 }
