End the logger of TestLogDoesNotBlock with its test

The counter of write errors belongs to the process, and the logger of the test before went on writing to its closed pipe. Change: TestLogDoesNotBlock waits until its logger has ended. The checks are the same.

--- a/internal/cluster/operator/log_test.go
+++ b/internal/cluster/operator/log_test.go
@@ -47,7 +47,7 @@
 // TestLogDoesNotBlock logs to a pipe that nobody reads.
 func TestLogDoesNotBlock(t *testing.T) {
 	reader, writer := io.Pipe()
-	log, _ := operator.NewLogger(writer)
+	log, flush := operator.NewLogger(writer)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -61,6 +61,7 @@
 		t.Fatal("logging blocked on its writer")
 	}
 	assert.NilError(t, reader.Close())
+	flush() // ends the logger, whose write errors would count in other tests
 }
 
 // faultyWriter accepts only the given number of bytes of each of its first writes.
