Log what a retry at another owner is answered, and on what grounds

Change: the entry draws an identity for each caller's call, which all attempts to pass it to an owner carry and which the lines of entry and owner name. New lines: attemptUnanswered and requestRepeated at the entry, submissionConfirmed at the owner. An agreement now has the time as of which it is known to be the newest; submissionConfirmed and requestTurnedAway have its age. No decision changes.

--- a/internal/cluster/caller/caller.go
+++ b/internal/cluster/caller/caller.go
@@ -13,6 +13,19 @@
 	Cancel
 )
 
+// String returns the verb's name, for logs.
+func (v Verb) String() string {
+	switch v {
+	case Submit:
+		return "submit"
+	case Read:
+		return "read"
+	case Cancel:
+		return "cancel"
+	}
+	return "unknown"
+}
+
 // Request is a request of a caller. Host and the prefix of Path select the queue; the
 // rest of Path is the job's ID, or empty for the queue itself.
 type Request struct {
@@ -29,6 +42,9 @@
 	// Repeated is set on a retry if an earlier attempt at the same request may have
 	// taken effect.
 	Repeated bool `cbor:"7,keyasint,omitempty"`
+	// Call identifies the call among all calls of callers. The entry draws it; all
+	// attempts to pass the call to an owner carry the same one.
+	Call uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Status is the outcome of a request.
@@ -54,6 +70,22 @@
 	NotOwner
 )
 
+var statusNames = map[Status]string{
+	Unknown:  "unknown",
+	OK:       "ok",
+	Refused:  "refused",
+	Invalid:  "invalid",
+	NoQueue:  "noQueue",
+	BadKey:   "badKey",
+	NoJob:    "noJob",
+	NotOwner: "notOwner",
+}
+
+// String returns the status's name, for logs.
+func (s Status) String() string {
+	return statusNames[s]
+}
+
 // JobState is a job's state as reported to its caller.
 type JobState uint8
 
--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -10,7 +10,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/citronbay/citronbay/internal/cluster/operator"
 	"github.com/citronbay/citronbay/internal/cluster/shard"
 	"github.com/citronbay/citronbay/internal/cluster/store"
 )
@@ -255,14 +254,14 @@
 // why it ended.
 func (n *Node) own(ctx context.Context, term *store.Term) error {
 	start := time.Now()
-	agreement := make(chan *operator.Agreement, 1)
+	agreement := make(chan shard.DatedAgreement, 1)
 	go func() {
 		agreement <- n.readAgreement(term.Context())
 	}()
 	s, err := shard.Open(term.Context(), shard.Options{
 		Store:             n.options.Store,
 		Term:              term,
-		Agreement:         func() *operator.Agreement { return <-agreement },
+		Agreement:         func() shard.DatedAgreement { return <-agreement },
 		NewWorkerClient:   n.options.NewWorkerClient,
 		Advisors:          n.advisors,
 		JobStateRetention: n.options.JobStateRetention,
@@ -274,11 +273,11 @@
 		return err
 	}
 	directory := newDirectoryReader(n.options.Directory, n.log)
-	go store.Follow(term.Context(), n.options.Store, n.options.Directory.Prefix, n.log, func(items map[string]store.Item) {
+	go store.Follow(term.Context(), n.options.Store, n.options.Directory.Prefix, n.log, func(items map[string]store.Item, _ time.Duration) {
 		s.SetWorkers(directory.read(items))
 	})
-	go store.Follow(term.Context(), n.options.Store, n.options.AgreementSource.Key, n.log, func(items map[string]store.Item) {
-		n.applyAgreement(s, items)
+	go store.Follow(term.Context(), n.options.Store, n.options.AgreementSource.Key, n.log, func(items map[string]store.Item, asOf time.Duration) {
+		n.applyAgreement(s, items, asOf)
 	})
 	self := store.Owner{
 		Node:        n.options.Name,
@@ -333,25 +332,29 @@
 }
 
 // readAgreement reads the agreement from the store, retrying until it can be decoded,
-// and returns nil if the context ends first.
-func (n *Node) readAgreement(ctx context.Context) *operator.Agreement {
+// and returns the zero value if the context ends first.
+func (n *Node) readAgreement(ctx context.Context) shard.DatedAgreement {
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		asOf := store.TimeSinceBoot()
 		item, err := n.options.Store.Get(callCtx, n.options.AgreementSource.Key)
 		cancel()
 		if err == nil {
 			a, err := n.options.AgreementSource.Decode(item.Value)
 			if err == nil {
-				return a
+				return shard.DatedAgreement{
+					Agreement: a,
+					AsOf:      asOf,
+				}
 			}
 			n.log.Error("agreementUnreadable", "revision", item.Revision, "error", err)
 		}
 		sleep(ctx, electInterval)
 	}
-	return nil
+	return shard.DatedAgreement{}
 }
 
-func (n *Node) applyAgreement(s *shard.Shard, items map[string]store.Item) {
+func (n *Node) applyAgreement(s *shard.Shard, items map[string]store.Item, asOf time.Duration) {
 	item, ok := items[n.options.AgreementSource.Key]
 	if !ok {
 		return
@@ -361,5 +364,8 @@
 		n.log.Error("agreementUnreadable", "revision", item.Revision, "error", err)
 		return
 	}
-	s.SetAgreement(a)
+	s.SetAgreement(shard.DatedAgreement{
+		Agreement: a,
+		AsOf:      asOf,
+	})
 }
--- a/internal/cluster/node/forward.go
+++ b/internal/cluster/node/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -42,19 +43,23 @@
 func (n *Node) Serve(ctx context.Context, r caller.Request) caller.Response {
 	outcomeUnknown := false
 	start := time.Now()
+	r.Call = rand.Uint64()
 	for ctx.Err() == nil {
 		r.Repeated = outcomeUnknown
+		owner, _ := n.currentOwner()
 		response, err := n.attempt(ctx, r)
 		if err == nil && response.Status != caller.NotOwner && response.Status != caller.Unknown {
+			if outcomeUnknown {
+				n.log.Info("requestRepeated", "path", r.Path, "verb", r.Verb, "call", r.Call, "status", response.Status,
+					"owner", owner.Node, "token", owner.Token, "waited", time.Since(start))
+			}
 			return response
 		}
-		if err == nil && response.Status == caller.Unknown {
+		if !outcomeUnknown && r.Verb != caller.Read && mayHaveTakenEffect(response, err) {
 			outcomeUnknown = true
+			n.log.Info("attemptUnanswered", "path", r.Path, "verb", r.Verb, "call", r.Call,
+				"owner", owner.Node, "token", owner.Token, "waited", time.Since(start), "error", err)
 		}
-		if err != nil && !errors.Is(err, peer.ErrNotSent) && !errors.Is(err, errNoOwner) {
-			outcomeUnknown = true
-		}
-		outcomeUnknown = outcomeUnknown && r.Verb != caller.Read
 		n.triggerElection()
 		if !outcomeUnknown && (time.Since(start) > maxOwnerWait || n.expectsNoOwner()) {
 			break
@@ -63,14 +68,14 @@
 	}
 	if outcomeUnknown {
 		metrics.GetOrCreateCounter("citronbay_requests_unknown_total").Inc()
-		n.log.Warn("requestUnknown", "path", r.Path, "verb", r.Verb, "waited", time.Since(start))
+		n.log.Warn("requestUnknown", "path", r.Path, "verb", r.Verb, "call", r.Call, "waited", time.Since(start))
 		return caller.Response{
 			Status: caller.Unknown,
 			Reason: "the owner has not answered in time",
 		}
 	}
 	metrics.GetOrCreateCounter("citronbay_requests_refused_total{reason=\"noOwner\"}").Inc()
-	n.log.Warn("requestRefused", "path", r.Path, "verb", r.Verb, "reason", "noOwner", "waited", time.Since(start))
+	n.log.Warn("requestRefused", "path", r.Path, "verb", r.Verb, "call", r.Call, "reason", "noOwner", "waited", time.Since(start))
 	return caller.Response{
 		Status:      caller.Refused,
 		Reason:      "no owner of the shard can be reached",
@@ -78,6 +83,15 @@
 	}
 }
 
+// mayHaveTakenEffect reports whether an attempt without a definite response may have taken
+// effect or may still do so.
+func mayHaveTakenEffect(response caller.Response, err error) bool {
+	if err == nil {
+		return response.Status == caller.Unknown
+	}
+	return !errors.Is(err, peer.ErrNotSent) && !errors.Is(err, errNoOwner)
+}
+
 // expectsNoOwner reports whether requests need not wait for an owner: this node does not
 // reach the store, and no owner has served for longer than a handover takes.
 func (n *Node) expectsNoOwner() bool {
--- a/internal/cluster/shard/capacity_test.go
+++ b/internal/cluster/shard/capacity_test.go
@@ -76,8 +76,8 @@
 				s, err := Open(t.Context(), Options{
 					Store: client,
 					Term:  term,
-					Agreement: func() *operator.Agreement {
-						return &operator.Agreement{
+					Agreement: func() DatedAgreement {
+						return DatedAgreement{Agreement: &operator.Agreement{
 							Routes: []operator.Route{{
 								Host:       "jobs.example",
 								Prefix:     "/queue/",
@@ -85,7 +85,7 @@
 								AuthExempt: true,
 							}},
 							Rules: job.Rules{Queues: map[string]job.Queue{"queue": {Service: "service"}}},
-						}
+						}}
 					},
 					NewWorkerClient: func(worker.Registration) (worker.Client, func()) {
 						return w, func() {}
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -66,6 +66,7 @@
 	switch {
 	case ok && (known || route.AuthExempt):
 	case s.wasAccepted(r):
+		s.logConfirmation(r, path.Base(r.Path), "repeated")
 		return s.awaitAcceptance(ctx, path.Base(r.Path), nil)
 	case !ok:
 		defer s.mu.Unlock()
@@ -113,7 +114,10 @@
 		return caller.Response{}, false
 	}
 	switch {
-	case r.Verb == caller.Submit && j.Recorded, r.Verb == caller.Cancel && j.EndRecorded:
+	case r.Verb == caller.Submit && j.Recorded:
+		s.logConfirmation(r, id, "allowed")
+		return caller.Response{Status: caller.OK}, true
+	case r.Verb == caller.Cancel && j.EndRecorded:
 		return caller.Response{Status: caller.OK}, true
 	case r.Verb == caller.Read && j.EndRecorded:
 		return caller.Response{
@@ -124,10 +128,18 @@
 	return caller.Response{}, false
 }
 
+// logConfirmation logs that a submission of a job that exists is confirmed. The grounds are
+// "allowed" if the agreement allows the submission. The caller holds s.mu.
+func (s *Shard) logConfirmation(r caller.Request, id, grounds string) {
+	s.log.Info("submissionConfirmed", "job", id, "call", r.Call, "repeated", r.Repeated, "grounds", grounds,
+		"agreement", s.agreement.Version, "agreementAge", s.agreement.age(), "leaseRemaining", s.term.Remaining())
+}
+
 // reject answers a request that the agreement does not allow. The caller holds s.mu.
 func (s *Shard) reject(r caller.Request, status caller.Status, reason responseReason) caller.Response {
 	countSubmission(string(reason))
-	s.log.Info("requestTurnedAway", "host", r.Host, "path", r.Path, "reason", reason, "agreement", s.agreement.Version)
+	s.log.Info("requestTurnedAway", "host", r.Host, "path", r.Path, "verb", r.Verb, "call", r.Call, "reason", reason,
+		"agreement", s.agreement.Version, "agreementAge", s.agreement.age())
 	return caller.Response{
 		Status: status,
 		Reason: string(reason),
@@ -149,6 +161,7 @@
 func (s *Shard) submit(ctx context.Context, r caller.Request, route operator.Route, team, id string) caller.Response {
 	if s.state.Job(id) != nil {
 		// A repeated submission gets the same answer as the first.
+		s.logConfirmation(r, id, "allowed")
 		return s.awaitAcceptance(ctx, id, nil)
 	}
 	if !s.LeaseValid() || s.journal.StalledFor() > storeStallLimit {
@@ -178,7 +191,7 @@
 	}
 	now := s.now()
 	overRate := s.exceedsRate(team, now)
-	s.log.Info("jobAccepted", "job", id, "team", team, "queue", route.Queue, "excess", overRate,
+	s.log.Info("jobAccepted", "job", id, "call", r.Call, "team", team, "queue", route.Queue, "excess", overRate,
 		"steps", len(r.Submission.Steps), "agreement", s.agreement.Version, "open", len(s.state.OpenJobs()))
 	records := s.apply(nil, job.Record{
 		Kind:       job.RecordAccept,
--- a/internal/cluster/shard/requests_test.go
+++ b/internal/cluster/shard/requests_test.go
@@ -104,13 +104,13 @@
 				term:  term,
 				state: state,
 				log:   log,
-				agreement: &operator.Agreement{
+				agreement: DatedAgreement{Agreement: &operator.Agreement{
 					Routes: []operator.Route{{
 						Host:   "jobs.example",
 						Prefix: "/queue/",
 						Queue:  "queue",
 					}},
-				},
+				}},
 			}
 			response := s.Serve(t.Context(), caller.Request{
 				Verb:     caller.Submit,
@@ -157,15 +157,15 @@
 		s, err := Open(t.Context(), Options{
 			Store: client,
 			Term:  term,
-			Agreement: func() *operator.Agreement {
-				return &operator.Agreement{
+			Agreement: func() DatedAgreement {
+				return DatedAgreement{Agreement: &operator.Agreement{
 					Routes: []operator.Route{{
 						Host:       "jobs.example",
 						Prefix:     "/queue/",
 						Queue:      "queue",
 						AuthExempt: true,
 					}},
-				}
+				}}
 			},
 			Advisors: func() []AdvisorNode { return nil },
 			Log:      log,
@@ -250,7 +250,7 @@
 		t.Run(name, func(t *testing.T) {
 			log := slog.New(slog.NewTextHandler(io.Discard, nil))
 			s := newShardWithClient(&store.Term{}, nil, log)
-			s.agreement = &operator.Agreement{}
+			s.agreement = DatedAgreement{Agreement: &operator.Agreement{}}
 			for _, r := range []job.Record{
 				{
 					Kind:  job.RecordAccept,
--- a/internal/cluster/shard/restart_test.go
+++ b/internal/cluster/shard/restart_test.go
@@ -137,7 +137,7 @@
 	assert.NilError(t, err)
 	s := newShardWithClient(term, client, log)
 	s.options.WorkerLease, s.options.MaxWorkerLease = 6500*time.Millisecond, maxTestLease
-	s.agreement = &operator.Agreement{}
+	s.agreement = DatedAgreement{Agreement: &operator.Agreement{}}
 	s.journal, _, err = store.OpenJournal(t.Context(), emptyStore{}, term, s.snapshot, log)
 	assert.NilError(t, err)
 	assert.NilError(t, s.state.Apply(job.Record{
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -48,14 +48,26 @@
 	Ask func(ctx context.Context, jobID string, step int, workers []string) ([]worker.Ticket, error)
 }
 
+// DatedAgreement is the operators' agreement as read from the store.
+type DatedAgreement struct {
+	*operator.Agreement
+	// AsOf is a time at which no newer version was acknowledged yet, in store.TimeSinceBoot.
+	AsOf time.Duration
+}
+
+// age returns how long ago the agreement is known to have been the newest.
+func (a DatedAgreement) age() time.Duration {
+	return store.TimeSinceBoot() - a.AsOf
+}
+
 // Options holds the dependencies and settings of a shard.
 type Options struct {
 	Store store.Client
 	// Term is the term of ownership in which the shard runs.
 	Term *store.Term
 	// Agreement waits until the agreement in force has been read and returns it,
-	// or nil if the term of ownership ends first.
-	Agreement func() *operator.Agreement
+	// or the zero value if the term of ownership ends first.
+	Agreement func() DatedAgreement
 	// NewWorkerClient returns a client of the worker and the function that closes it.
 	NewWorkerClient func(worker.Registration) (worker.Client, func())
 	// Advisors returns the nodes that can ask the policy service now.
@@ -94,7 +106,7 @@
 	// mu guards the fields below. It is also the lock given to the journal's Run.
 	mu        sync.Mutex
 	state     *job.State
-	agreement *operator.Agreement
+	agreement DatedAgreement
 	links     map[string]*link // by the ID of the worker
 	linkCount int64            // links created in this term
 	// earlier holds the incarnations that had placements before the term, until a link of
@@ -144,7 +156,7 @@
 	s.state.MarkRecorded()
 	s.inheritPlacements()
 	applyTime := stepTime()
-	if s.agreement = options.Agreement(); s.agreement == nil {
+	if s.agreement = options.Agreement(); s.agreement.Agreement == nil {
 		return nil, errors.New("shard: recover: the term of ownership ended before the agreement was read")
 	}
 	s.log.Info("shardRecovered", "token", s.term.Token(), "records", len(records),
@@ -223,11 +235,16 @@
 	}
 }
 
-// SetAgreement puts the agreement in force if it is newer than the present one.
-func (s *Shard) SetAgreement(a *operator.Agreement) {
+// SetAgreement puts the agreement in force if it is newer than the present one, and notes
+// until when it is known to have been the newest.
+func (s *Shard) SetAgreement(a DatedAgreement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a.Version <= s.agreement.Version {
+	if a.Version < s.agreement.Version {
+		return
+	}
+	if a.Version == s.agreement.Version {
+		s.agreement.AsOf = max(s.agreement.AsOf, a.AsOf)
 		return
 	}
 	s.log.Info("agreementInForce", "version", a.Version, "before", s.agreement.Version)
--- a/internal/cluster/store/clock.go
+++ b/internal/cluster/store/clock.go
@@ -6,9 +6,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// timeSinceBoot returns the time since boot, including time during which the VM was
-// suspended: the store's leases expire in that time too.
-func timeSinceBoot() time.Duration {
+// TimeSinceBoot returns the time since boot, including time during which the VM was
+// suspended: the store's leases expire, and its items change, in that time too.
+func TimeSinceBoot() time.Duration {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
 		panic("store: read CLOCK_BOOTTIME: " + err.Error())
--- a/internal/cluster/store/follow.go
+++ b/internal/cluster/store/follow.go
@@ -18,11 +18,12 @@
 )
 
 // Follow maintains a copy of all items under the prefix and calls onChange with it
-// after each read and each change, until the context ends. onChange must not keep or
-// modify the map. Besides watching, Follow reads the whole prefix again when a watch
+// after each read and each change, until the context ends. The copy has all changes that
+// the store had acknowledged by asOf, in TimeSinceBoot. onChange must not keep or modify
+// the map. Besides watching, Follow reads the whole prefix again when a watch
 // call returns no changes or fails, and once watchWait has passed, since a watch can miss
 // changes when the store loses its history.
-func Follow(ctx context.Context, client Client, prefix string, log *slog.Logger, onChange func(map[string]Item)) {
+func Follow(ctx context.Context, client Client, prefix string, log *slog.Logger, onChange func(items map[string]Item, asOf time.Duration)) {
 	f := &follower{
 		client: client,
 		prefix: prefix,
@@ -34,7 +35,7 @@
 			sleep(ctx, retryDelay)
 			continue
 		}
-		onChange(f.items)
+		onChange(f.items, f.asOf)
 		if f.failing {
 			f.failing = false
 			log.Info("followRegained", "prefix", prefix, "revision", f.revision)
@@ -50,7 +51,9 @@
 	log      *slog.Logger
 	items    map[string]Item
 	revision int64
-	failing  bool
+	// asOf is the start of the last call that the store has answered.
+	asOf    time.Duration
+	failing bool
 }
 
 // logFailure logs the first of a series of failures; Follow logs its end.
@@ -67,6 +70,7 @@
 func (f *follower) read(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	asOf := TimeSinceBoot()
 	items, revision, err := f.client.Range(callCtx, f.prefix)
 	if err != nil {
 		return err
@@ -79,14 +83,16 @@
 		f.items[item.Key] = item
 	}
 	f.revision = revision
+	f.asOf = asOf
 	return nil
 }
 
 // watch applies changes until a call returns none or fails, or watchWait has passed.
-func (f *follower) watch(ctx context.Context, onChange func(map[string]Item)) {
+func (f *follower) watch(ctx context.Context, onChange func(map[string]Item, time.Duration)) {
 	started := time.Now()
 	for ctx.Err() == nil && time.Since(started) < watchWait {
 		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+		asOf := TimeSinceBoot()
 		events, revision, err := f.client.Watch(callCtx, f.prefix, f.revision, watchWait)
 		cancel()
 		if err != nil {
@@ -107,7 +113,8 @@
 			f.items[e.Key] = e
 		}
 		f.revision = max(f.revision, revision)
-		onChange(f.items)
+		f.asOf = asOf
+		onChange(f.items, f.asOf)
 	}
 }
 
