Confirm a retry only if its own call was accepted

Cause: an entry that repeated a call at the next owner said only that an earlier attempt might have taken effect. The owner then took the existence of the job for the effect of that call. Change: each caller's call has an identity, drawn by its entry. An owner whose agreement does not allow a submission confirms it only if the job was accepted for this call. Request.Repeated is gone. Requests of nodes of the version before carry no identity and are judged by the agreement. Why it holds: the record is durable before any answer, so the next owner knows which call was accepted whatever happened to the answer; no other call has its identity. An entry's attempts carry one identity: TestAttemptsCarryTheIdentityOfTheirCall. TestRepeatedSubmissionIsNotRejected had the flag that is gone; its cases now name the call, and two cases are new.

--- a/internal/cluster/caller/caller.go
+++ b/internal/cluster/caller/caller.go
@@ -39,11 +39,9 @@
 	// InvalidReason says why the body of a Submit could not be decoded; empty if it
 	// was decoded.
 	InvalidReason string `cbor:"6,keyasint,omitempty"`
-	// Repeated is set on a retry if an earlier attempt at the same request may have
-	// taken effect.
-	Repeated bool `cbor:"7,keyasint,omitempty"`
-	// Call identifies the call among all calls of callers. The entry draws it; all
-	// attempts to pass the call to an owner carry the same one.
+	// Call identifies the caller's call among all calls; it is never zero. The entry draws
+	// it, and all attempts to pass the call to an owner carry the same one. Two calls that
+	// submit the same job differ in it.
 	Call uint64 `cbor:"8,keyasint,omitempty"`
 }
 
--- a/internal/cluster/node/forward.go
+++ b/internal/cluster/node/forward.go
@@ -43,9 +43,8 @@
 func (n *Node) Serve(ctx context.Context, r caller.Request) caller.Response {
 	outcomeUnknown := false
 	start := time.Now()
-	r.Call = rand.Uint64()
+	r.Call = newCall()
 	for ctx.Err() == nil {
-		r.Repeated = outcomeUnknown
 		owner, _ := n.currentOwner()
 		response, err := n.attempt(ctx, r)
 		if err == nil && response.Status != caller.NotOwner && response.Status != caller.Unknown {
@@ -83,6 +82,11 @@
 	}
 }
 
+// newCall returns the identity of a caller's call.
+func newCall() uint64 {
+	return max(1, rand.Uint64())
+}
+
 // mayHaveTakenEffect reports whether an attempt without a definite response may have taken
 // effect or may still do so.
 func mayHaveTakenEffect(response caller.Response, err error) bool {
--- a/internal/cluster/node/forward_test.go
+++ b/internal/cluster/node/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -78,3 +79,33 @@
 		})
 	}
 }
+
+// TestAttemptsCarryTheIdentityOfTheirCall guards against an owner that cannot tell a retry
+// from another call: all attempts at one call have its identity, and no other call has it.
+func TestAttemptsCarryTheIdentityOfTheirCall(t *testing.T) {
+	var mu sync.Mutex
+	var calls []uint64
+	server := peer.NewServer()
+	peer.Handle(server, methodServe, func(_ context.Context, r caller.Request) (caller.Response, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		calls = append(calls, r.Call)
+		if len(calls)%2 == 1 {
+			return caller.Response{Status: caller.Unknown}, nil
+		}
+		return caller.Response{Status: caller.OK}, nil
+	})
+	n := newTestNode(t, "node", "127.0.0.1:1")
+	n.updateOwner(store.Owner{
+		Node:    "owner",
+		Address: servePeer(t, server),
+		Token:   1,
+	})
+	for range 2 {
+		assert.Equal(t, n.Serve(t.Context(), caller.Request{Verb: caller.Submit}).Status, caller.OK)
+	}
+	assert.Equal(t, len(calls), 4)
+	assert.Equal(t, calls[0], calls[1])
+	assert.Equal(t, calls[2], calls[3])
+	assert.Assert(t, calls[0] != calls[2] && calls[0] != 0 && calls[2] != 0)
+}
--- a/internal/cluster/shard/call_test.go
+++ b/internal/cluster/shard/call_test.go
@@ -206,9 +206,7 @@
 				release()
 				owner, release = runOwner(t, client, c.agreement)
 				defer release()
-				retry := submission(acceptedID, c.key, c.call)
-				retry.Repeated = true
-				assert.Equal(t, owner.Serve(t.Context(), retry).Status, c.want)
+				assert.Equal(t, owner.Serve(t.Context(), submission(acceptedID, c.key, c.call)).Status, c.want)
 			})
 		})
 	}
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -65,8 +65,8 @@
 	team, known := s.agreement.TeamByKey[r.Key]
 	switch {
 	case ok && (known || route.AuthExempt):
-	case s.wasAccepted(r):
-		s.logConfirmation(r, path.Base(r.Path), "repeated")
+	case s.isAcceptedCall(r):
+		s.logConfirmation(r, path.Base(r.Path), "acceptedCall")
 		return s.awaitAcceptance(ctx, path.Base(r.Path), nil)
 	case !ok:
 		defer s.mu.Unlock()
@@ -98,11 +98,16 @@
 	return s.readJob(ctx, id, team)
 }
 
-// wasAccepted reports whether the request repeats a submission that was accepted. Such a
-// request must not be rejected, whatever the agreement now in force says about its route
-// and key, since the job already exists. The caller holds s.mu.
-func (s *Shard) wasAccepted(r caller.Request) bool {
-	return r.Verb == caller.Submit && r.Repeated && s.state.Job(path.Base(r.Path)) != nil
+// isAcceptedCall reports whether the request is an attempt at the call that had its job
+// accepted. Such a request must not be rejected, whatever the agreement now in force says
+// about its route and key. Any other call for the same job is judged by that agreement. The
+// caller holds s.mu.
+func (s *Shard) isAcceptedCall(r caller.Request) bool {
+	if r.Verb != caller.Submit || r.Call == 0 {
+		return false
+	}
+	j := s.state.Job(path.Base(r.Path))
+	return j != nil && j.AcceptedBy == r.Call
 }
 
 // durableAnswer answers from what is durable in the journal: that a job was accepted, or
@@ -129,9 +134,10 @@
 }
 
 // logConfirmation logs that a submission of a job that exists is confirmed. The grounds are
-// "allowed" if the agreement allows the submission. The caller holds s.mu.
+// "allowed" if the agreement allows the submission, and otherwise "acceptedCall". The caller
+// holds s.mu.
 func (s *Shard) logConfirmation(r caller.Request, id, grounds string) {
-	s.log.Info("submissionConfirmed", "job", id, "call", r.Call, "repeated", r.Repeated, "grounds", grounds,
+	s.log.Info("submissionConfirmed", "job", id, "call", r.Call, "grounds", grounds,
 		"agreement", s.agreement.Version, "agreementAge", s.agreement.age(), "leaseRemaining", s.term.Remaining())
 }
 
@@ -201,6 +207,7 @@
 		TimeMillis: now,
 		Submission: r.Submission,
 		OverRate:   overRate,
+		Call:       r.Call,
 	})
 	s.requestPass()
 	return s.awaitAcceptance(ctx, id, records)
--- a/internal/cluster/shard/requests_test.go
+++ b/internal/cluster/shard/requests_test.go
@@ -49,42 +49,54 @@
 
 // TestRepeatedSubmissionIsNotRejected checks a repeated submission whose first try was
 // accepted by the previous owner, after which operators withdrew its key or its route.
-// The caller must not be told that the job never runs; a new call is rejected.
+// The caller must not be told that the job never runs; another call is rejected.
 func TestRepeatedSubmissionIsNotRejected(t *testing.T) {
 	for name, c := range map[string]struct {
-		host     string
-		id       string
-		repeated bool
-		want     caller.Status
+		host string
+		id   string
+		call uint64
+		want caller.Status
 	}{
 		"withdrawn key": {
-			host:     "jobs.example",
-			id:       acceptedID,
-			repeated: true,
-			want:     caller.OK,
+			host: "jobs.example",
+			id:   acceptedID,
+			call: firstCall,
+			want: caller.OK,
 		},
 		"withdrawn route": {
-			host:     "other.example",
-			id:       acceptedID,
-			repeated: true,
-			want:     caller.OK,
+			host: "other.example",
+			id:   acceptedID,
+			call: firstCall,
+			want: caller.OK,
 		},
 		"withdrawn key, new call": {
+			host: "jobs.example",
+			id:   acceptedID,
+			call: secondCall,
+			want: caller.BadKey,
+		},
+		"withdrawn route, new call": {
+			host: "other.example",
+			id:   acceptedID,
+			call: secondCall,
+			want: caller.NoQueue,
+		},
+		"withdrawn key, call of unknown identity": {
 			host: "jobs.example",
 			id:   acceptedID,
 			want: caller.BadKey,
 		},
 		"withdrawn key, nothing accepted": {
-			host:     "jobs.example",
-			id:       unknownID,
-			repeated: true,
-			want:     caller.BadKey,
+			host: "jobs.example",
+			id:   unknownID,
+			call: firstCall,
+			want: caller.BadKey,
 		},
 		"withdrawn route, nothing accepted": {
-			host:     "other.example",
-			id:       unknownID,
-			repeated: true,
-			want:     caller.NoQueue,
+			host: "other.example",
+			id:   unknownID,
+			call: firstCall,
+			want: caller.NoQueue,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -94,6 +106,7 @@
 				Job:   acceptedID,
 				Team:  "team",
 				Queue: "queue",
+				Call:  firstCall,
 			}))
 			state.MarkRecorded()
 			log := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -113,11 +126,11 @@
 				}},
 			}
 			response := s.Serve(t.Context(), caller.Request{
-				Verb:     caller.Submit,
-				Host:     c.host,
-				Path:     "/queue/" + c.id,
-				Key:      "withdrawn",
-				Repeated: c.repeated,
+				Verb: caller.Submit,
+				Host: c.host,
+				Path: "/queue/" + c.id,
+				Key:  "withdrawn",
+				Call: c.call,
 			})
 			assert.Equal(t, response.Status, c.want)
 		})
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -292,6 +292,8 @@
 	Outcome        Outcome
 	// OverRate is set if the job was submitted over its team's agreed rate.
 	OverRate bool
+	// AcceptedBy identifies the caller's call that had the job accepted; zero if unknown.
+	AcceptedBy uint64
 	// Started is set once an attempt is known to have run. The records tell this only of
 	// attempts that completed, failed or saved a checkpoint; of others, the present owner
 	// knows it from their worker's report.
--- a/internal/decide/job/snapshot.go
+++ b/internal/decide/job/snapshot.go
@@ -51,6 +51,7 @@
 		Queue:      j.Queue,
 		TimeMillis: j.SubmittedMillis,
 		OverRate:   j.OverRate,
+		Call:       j.AcceptedBy,
 	}
 	if full {
 		accept.Submission = &Submission{Payload: j.Payload}
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -39,7 +39,8 @@
 
 // Record is one change of the state; replaying all records in order rebuilds it. The
 // kind determines which fields are set. TimeMillis is the Unix millisecond of the
-// submission in a RecordAccept and of the job's end in a RecordJobEnd.
+// submission in a RecordAccept and of the job's end in a RecordJobEnd. Call is the caller's
+// call that had the job accepted, in a RecordAccept.
 type Record struct {
 	Kind           RecordKind     `cbor:"1,keyasint"`
 	Job            string         `cbor:"2,keyasint"`
@@ -60,6 +61,7 @@
 	Done           bool           `cbor:"17,keyasint,omitempty"`
 	Crashes        int            `cbor:"18,keyasint,omitempty"`
 	CertainCrashes int            `cbor:"19,keyasint,omitempty"`
+	Call           uint64         `cbor:"20,keyasint,omitempty"`
 }
 
 // State is the state of a shard's jobs and their placements. Create it with NewState.
@@ -243,6 +245,7 @@
 		Queue:           r.Queue,
 		SubmittedMillis: r.TimeMillis,
 		OverRate:        r.OverRate,
+		AcceptedBy:      r.Call,
 	}
 	if r.Submission != nil {
 		j.Payload = r.Submission.Payload
--- a/internal/decide/job/state_test.go
+++ b/internal/decide/job/state_test.go
@@ -43,7 +43,7 @@
 		if j == nil {
 			continue
 		}
-		lines = append(lines, fmt.Sprintf("%s %s %s %d %v %v", id, j.Team, j.Queue, j.Outcome, j.OverRate, j.Started || j.Outcome != job.Open))
+		lines = append(lines, fmt.Sprintf("%s %s %s %d %v %v %d", id, j.Team, j.Queue, j.Outcome, j.OverRate, j.Started || j.Outcome != job.Open, j.AcceptedBy))
 		if j.Outcome != job.Open {
 			continue
 		}
@@ -141,6 +141,7 @@
 		Queue:      "plain",
 		TimeMillis: millis,
 		Submission: submission,
+		Call:       rng.Uint64(),
 	})
 }
 
