End the term of an owner that learns of a newer one

What callers would see: a node that was frozen for longer than its lease answers their requests as the owner, and tells other nodes that it serves, until a renewal of its lease is refused, although an announcement has told it of the next owner. Change: a higher fencing token of another owner, from an announcement, a hello or the store, ends the term at once and takes the shard out of service; a node that knows of one when it is about to serve does not begin. The token is the revision at which the owner's key was created, so a higher one proves that the earlier key is gone. Promise next to it: an owner is not stopped by late news of an earlier one (cases 'earlier owner').

TestOwnerStopsWhenNewerOwnerIsKnown fails in both cases 'newer owner' without the two conditions.

--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -285,8 +285,10 @@
 		Address:     n.options.Address,
 		Token:       term.Token(),
 	}
-	n.setShard(s, self)
-	defer n.setShard(nil, store.Owner{})
+	if !n.setShard(s, term, self) {
+		return context.Cause(term.Context())
+	}
+	defer n.releaseShard(s)
 	n.announceOwnership(self)
 	metrics.GetOrCreateHistogram("citronbay_takeover_seconds").Update(time.Since(start).Seconds())
 	n.log.Info("takeoverDone", "token", term.Token(), "took", time.Since(start))
@@ -317,18 +319,31 @@
 	n.announceRelease(successor)
 }
 
-// setShard sets the shard that this node runs, and makes owner, which is this node, the
-// known owner. When ownership ends, s is nil and owner is ignored.
-func (n *Node) setShard(s *shard.Shard, owner store.Owner) {
+// setShard sets the shard that this node runs in the term, and makes owner, which is this
+// node, the known owner. If a newer one is known already, it ends the term and reports
+// false.
+func (n *Node) setShard(s *shard.Shard, term *store.Term, owner store.Owner) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.shard = s
-	if s == nil {
-		n.ownerServingAt = time.Time{}
-		return
+	if n.owner.Token > owner.Token {
+		term.Revoke(fmt.Errorf("%s is the owner with token %d", n.owner.Node, n.owner.Token))
+		return false
 	}
+	n.shard, n.term = s, term
 	n.markOwnerServing()
 	n.setOwnerLocked(owner)
+	return true
+}
+
+// releaseShard notes that this node no longer runs the shard.
+func (n *Node) releaseShard(s *shard.Shard) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.shard != s {
+		return // a newer owner is known
+	}
+	n.shard, n.term = nil, nil
+	n.ownerServingAt = time.Time{}
 }
 
 // readAgreement reads the agreement from the store, retrying until it can be decoded,
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -86,8 +86,10 @@
 	// ownerChanged is closed when a new owner is known, so that calls to the previous
 	// one are cancelled.
 	ownerChanged chan struct{}
-	// shard is nil unless this node is the owner.
+	// shard and term, the term of ownership in which it runs, are nil unless this node is
+	// the owner.
 	shard *shard.Shard
+	term  *store.Term
 	// members holds the nodes that have sent a hello, by name, and those that an owner
 	// has listed in a response to a hello, by address. A node may be in it under both.
 	members map[string]member
@@ -220,7 +222,8 @@
 	n.ownerLastServing = n.ownerServingAt
 }
 
-// updateOwner replaces the known owner if o has a higher fencing token.
+// updateOwner replaces the known owner if o has a higher fencing token. If that was this
+// node, its term of ownership ends.
 func (n *Node) updateOwner(o store.Owner) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -234,6 +237,11 @@
 		return false
 	}
 	n.log.Info("ownerLearned", "owner", o.Node, "token", o.Token, "before", n.owner.Token)
+	if n.shard != nil {
+		// The lease may still be valid by this node's clock.
+		n.term.Revoke(fmt.Errorf("%s is the owner with token %d", o.Node, o.Token))
+		n.shard, n.term = nil, nil
+	}
 	n.setOwnerLocked(o)
 	return true
 }
