Read an outdated agreement again before answering by it

Cause: an owner decided by the agreement that it had read last, however long ago that was. Change: the agreement has the time as of which it is known to be the newest. Promises next to it: answers in an outage (copy in an outage in TestOutdatedAgreementIsReadAgain, TestStoreUnavailable), no wait after the end of the term (TestEndedTermDoesNotWaitForAgreement), no further calls to the store for a current agreement (wantReads).

TestOutdatedAgreementIsReadAgain fails without the call of refreshAgreement, in three of four cases.

--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -256,12 +256,14 @@
 	start := time.Now()
 	agreement := make(chan shard.DatedAgreement, 1)
 	go func() {
-		agreement <- n.readAgreement(term.Context())
+		agreement <- n.awaitAgreement(term.Context())
 	}()
 	s, err := shard.Open(term.Context(), shard.Options{
 		Store:             n.options.Store,
 		Term:              term,
 		Agreement:         func() shard.DatedAgreement { return <-agreement },
+		ReadAgreement:     n.readAgreement,
+		MaxAgreementAge:   n.options.MaxAgreementAge,
 		NewWorkerClient:   n.options.NewWorkerClient,
 		Advisors:          n.advisors,
 		JobStateRetention: n.options.JobStateRetention,
@@ -331,41 +333,51 @@
 	n.setOwnerLocked(owner)
 }
 
-// readAgreement reads the agreement from the store, retrying until it can be decoded,
+// awaitAgreement reads the agreement from the store, retrying until it can be decoded,
 // and returns the zero value if the context ends first.
-func (n *Node) readAgreement(ctx context.Context) shard.DatedAgreement {
+func (n *Node) awaitAgreement(ctx context.Context) shard.DatedAgreement {
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		asOf := store.TimeSinceBoot()
-		item, err := n.options.Store.Get(callCtx, n.options.AgreementSource.Key)
+		a, err := n.readAgreement(callCtx)
 		cancel()
 		if err == nil {
-			a, err := n.options.AgreementSource.Decode(item.Value)
-			if err == nil {
-				return shard.DatedAgreement{
-					Agreement: a,
-					AsOf:      asOf,
-				}
-			}
-			n.log.Error("agreementUnreadable", "revision", item.Revision, "error", err)
+			return a
 		}
 		sleep(ctx, electInterval)
 	}
 	return shard.DatedAgreement{}
 }
 
-func (n *Node) applyAgreement(s *shard.Shard, items map[string]store.Item, asOf time.Duration) {
-	item, ok := items[n.options.AgreementSource.Key]
-	if !ok {
-		return
+// readAgreement reads the agreement from the store once.
+func (n *Node) readAgreement(ctx context.Context) (shard.DatedAgreement, error) {
+	asOf := store.TimeSinceBoot()
+	item, err := n.options.Store.Get(ctx, n.options.AgreementSource.Key)
+	if err != nil {
+		return shard.DatedAgreement{}, fmt.Errorf("node: read agreement: %w", err)
 	}
+	return n.decodeAgreement(item, asOf)
+}
+
+// decodeAgreement decodes the agreement that was read from the store at the given time or
+// later.
+func (n *Node) decodeAgreement(item store.Item, asOf time.Duration) (shard.DatedAgreement, error) {
 	a, err := n.options.AgreementSource.Decode(item.Value)
 	if err != nil {
 		n.log.Error("agreementUnreadable", "revision", item.Revision, "error", err)
-		return
+		return shard.DatedAgreement{}, err
 	}
-	s.SetAgreement(shard.DatedAgreement{
+	return shard.DatedAgreement{
 		Agreement: a,
 		AsOf:      asOf,
-	})
+	}, nil
+}
+
+func (n *Node) applyAgreement(s *shard.Shard, items map[string]store.Item, asOf time.Duration) {
+	item, ok := items[n.options.AgreementSource.Key]
+	if !ok {
+		return
+	}
+	if a, err := n.decodeAgreement(item, asOf); err == nil {
+		s.SetAgreement(a)
+	}
 }
--- /dev/null
+++ b/internal/cluster/shard/agreement_test.go
@@ -0,0 +1,92 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/cluster/caller"
+	"github.com/citronbay/citronbay/internal/cluster/store"
+)
+
+// TestOutdatedAgreementIsReadAgain guards against answers by an outdated agreement, as those
+// of an owner that was frozen: it would confirm copies of accepted submissions with keys that
+// were withdrawn meanwhile, and reject keys and routes that were added. In an outage of the
+// store, what is durable must still be answered, without waiting for the store each time.
+func TestOutdatedAgreementIsReadAgain(t *testing.T) {
+	const maxAge = 2 * time.Second
+	before := testAgreement(1, queueHost, validKey)
+	withdrawn := testAgreement(2, queueHost, keptKey)
+	added := testAgreement(2, queueHost, validKey, keptKey)
+	for name, c := range map[string]struct {
+		age         time.Duration
+		newest      DatedAgreement
+		unavailable bool // the store
+		key         string
+		want        caller.Status
+		wantReads   int32
+	}{
+		"copy with withdrawn key": {age: 2 * maxAge, newest: withdrawn, key: validKey, want: caller.BadKey, wantReads: 1},
+		"copy with added key":     {age: 2 * maxAge, newest: added, key: keptKey, want: caller.OK, wantReads: 1},
+		"copy in an outage":       {age: 2 * maxAge, unavailable: true, key: validKey, want: caller.OK, wantReads: 1},
+		"current agreement":       {age: maxAge / 2, newest: withdrawn, key: validKey, want: caller.OK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				owner, release := runOwner(t, newMemoryStore(), before)
+				defer release()
+				assert.Equal(t, owner.Serve(t.Context(), submission(acceptedID, validKey, firstCall)).Status, caller.OK)
+				var reads atomic.Int32
+				owner.options.MaxAgreementAge = maxAge
+				owner.options.ReadAgreement = func(ctx context.Context) (DatedAgreement, error) {
+					reads.Add(1)
+					if c.unavailable {
+						<-ctx.Done()
+						return DatedAgreement{}, ctx.Err()
+					}
+					time.Sleep(time.Millisecond)
+					return c.newest, nil
+				}
+				owner.agreement.AsOf = store.TimeSinceBoot() - c.age
+				start := time.Now()
+				var requests sync.WaitGroup
+				for call := range uint64(5) {
+					requests.Go(func() {
+						response := owner.Serve(t.Context(), submission(acceptedID, c.key, secondCall+call))
+						assert.Check(t, response.Status == c.want, "%s", response.Status)
+					})
+				}
+				requests.Wait()
+				assert.Equal(t, owner.Serve(t.Context(), submission(acceptedID, c.key, secondCall)).Status, c.want)
+				assert.Equal(t, reads.Load(), c.wantReads)
+				assert.Assert(t, time.Since(start) <= agreementReadTimeout, "%s", time.Since(start))
+			})
+		})
+	}
+}
+
+// TestEndedTermDoesNotWaitForAgreement guards against a call that waits for a read of the
+// agreement after the term of ownership has ended, when another owner could answer it.
+func TestEndedTermDoesNotWaitForAgreement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner, release := runOwner(t, newMemoryStore(), testAgreement(1, queueHost, validKey))
+		defer release()
+		owner.options.MaxAgreementAge = time.Second
+		owner.options.ReadAgreement = func(context.Context) (DatedAgreement, error) {
+			owner.term.Revoke(errors.New("test"))
+			time.Sleep(agreementReadTimeout)
+			return DatedAgreement{}, store.ErrOutcomeUnknown
+		}
+		owner.agreement.AsOf = 0
+		start := time.Now()
+		assert.Equal(t, owner.Serve(t.Context(), submission(acceptedID, validKey, firstCall)).Status, caller.NotOwner)
+		assert.Assert(t, time.Since(start) < agreementReadTimeout)
+		time.Sleep(agreementReadTimeout) // until the read has ended
+	})
+}
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -57,6 +57,7 @@
 // cancellation may have taken effect or may still do so, and caller.NotOwner if this
 // process can no longer answer as the owner.
 func (s *Shard) Serve(ctx context.Context, r caller.Request) caller.Response {
+	s.refreshAgreement(ctx)
 	if s.term.Context().Err() != nil {
 		return caller.Response{Status: caller.NotOwner}
 	}
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -8,7 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/citronbay/citronbay/internal/cluster/operator"
+	"golang.org/x/sync/singleflight"
+
 	"github.com/citronbay/citronbay/internal/cluster/store"
 	"github.com/citronbay/citronbay/internal/cluster/worker"
 	"github.com/citronbay/citronbay/internal/decide/job"
@@ -48,18 +49,6 @@
 	Ask func(ctx context.Context, jobID string, step int, workers []string) ([]worker.Ticket, error)
 }
 
-// DatedAgreement is the operators' agreement as read from the store.
-type DatedAgreement struct {
-	*operator.Agreement
-	// AsOf is a time at which no newer version was acknowledged yet, in store.TimeSinceBoot.
-	AsOf time.Duration
-}
-
-// age returns how long ago the agreement is known to have been the newest.
-func (a DatedAgreement) age() time.Duration {
-	return store.TimeSinceBoot() - a.AsOf
-}
-
 // Options holds the dependencies and settings of a shard.
 type Options struct {
 	Store store.Client
@@ -68,6 +57,11 @@
 	// Agreement waits until the agreement in force has been read and returns it,
 	// or the zero value if the term of ownership ends first.
 	Agreement func() DatedAgreement
+	// ReadAgreement reads the agreement in force from the store.
+	ReadAgreement func(ctx context.Context) (DatedAgreement, error)
+	// MaxAgreementAge is the age of the agreement above which requests are not answered by
+	// it before it has been read again; zero means no limit.
+	MaxAgreementAge time.Duration
 	// NewWorkerClient returns a client of the worker and the function that closes it.
 	NewWorkerClient func(worker.Registration) (worker.Client, func())
 	// Advisors returns the nodes that can ask the policy service now.
@@ -100,6 +94,9 @@
 	// lastPassDuration is how long the last pass took; only Run uses it.
 	lastPassDuration time.Duration
 
+	// agreementReads has the read of the agreement for which requests wait, if any.
+	agreementReads singleflight.Group
+
 	// passLoad sums up the planning passes for the log; only Run uses it.
 	passLoad passLoad
 
@@ -107,8 +104,11 @@
 	mu        sync.Mutex
 	state     *job.State
 	agreement DatedAgreement
-	links     map[string]*link // by the ID of the worker
-	linkCount int64            // links created in this term
+	// agreementReadFailedAt is when a read by readAgreement last failed, in
+	// store.TimeSinceBoot.
+	agreementReadFailedAt time.Duration
+	links                 map[string]*link // by the ID of the worker
+	linkCount             int64            // links created in this term
 	// earlier holds the incarnations that had placements before the term, until a link of
 	// their worker takes these over, by the ID of the worker.
 	earlier      map[string][]job.WorkerKey
@@ -235,23 +235,6 @@
 	}
 }
 
-// SetAgreement puts the agreement in force if it is newer than the present one, and notes
-// until when it is known to have been the newest.
-func (s *Shard) SetAgreement(a DatedAgreement) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if a.Version < s.agreement.Version {
-		return
-	}
-	if a.Version == s.agreement.Version {
-		s.agreement.AsOf = max(s.agreement.AsOf, a.AsOf)
-		return
-	}
-	s.log.Info("agreementInForce", "version", a.Version, "before", s.agreement.Version)
-	s.agreement = a
-	s.requestPass()
-}
-
 // apply applies the record to the state and appends it to records. A record that the
 // state rejects is logged and left out. The caller holds s.mu.
 func (s *Shard) apply(records []job.Record, r job.Record) []job.Record {
