Show access to other queues' jobs through an open queue

Callers see: a route that needs no key (authExempt) gives GET and DELETE on any job of the cluster whose ID is known, whatever its queue and team; also on jobs of a route or with a key that was withdrawn. Cause: Serve has no team on such a route, and durableAnswer, readJob and cancelJob then take any job of that ID; none compares the job's queue with the route's. Evidence: TestOpenQueueGivesNoAccessToOtherJobs fails in both cases, every time.

--- a/internal/cluster/shard/stale_test.go
+++ b/internal/cluster/shard/stale_test.go
@@ -89,3 +89,24 @@
 		})
 	}
 }
+
+// TestOpenQueueGivesNoAccessToOtherJobs guards against reading and cancelling the jobs of
+// other queues, which need a key, through a queue that needs none.
+func TestOpenQueueGivesNoAccessToOtherJobs(t *testing.T) {
+	for name, verb := range map[string]caller.Verb{
+		"read":   caller.Read,
+		"cancel": caller.Cancel,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, release := newAcceptedJob(t)
+			defer release()
+			response := s.Serve(t.Context(), caller.Request{
+				Verb: verb,
+				Host: "jobs.example",
+				Path: "/open/" + acceptedID,
+			})
+			assert.Equal(t, response.Status, caller.NoJob)
+			assert.Equal(t, s.state.Job(acceptedID).Outcome, job.Open)
+		})
+	}
+}
