Show a start order sent for a placement that is not durable

Callers see: nothing at once. The callback of the withdrawn placement runs after the job was submitted and placed again; sendStarts compares the task and the attempt number, which both placements have. Cause: a withdrawn placement's number is used again, and sendStarts identifies a placement by its number.

--- a/internal/cluster/shard/stale_test.go
+++ b/internal/cluster/shard/stale_test.go
@@ -241,3 +241,17 @@
 		}
 	})
 }
+
+// TestStartOfWithdrawnJobIsNotSentForNextOne guards against starting a task of a job that is
+// not durable: the record of its placement has the task and the attempt number of one that
+// was withdrawn.
+func TestStartOfWithdrawnJobIsNotSentForNextOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := newRestartingWorker()
+		r := resubmit(t, client)
+		assert.Equal(t, <-r.first, caller.Refused)
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		assert.Equal(t, client.running[job.TaskKey{Job: acceptedID}], 0, "the store has not confirmed the job")
+	})
+}
