Show an owner that answers although it has learned of the next one

Callers see: answers by an old agreement (200 with a withdrawn key, 401 with one that was added), 410 or an old state for jobs, 503 for submissions although another owner serves. Sequence: the owner is replaced, as it was silent, and its store calls get no answer (the store rejects it, or it is cut off), so that its renewals do not tell it; a hello of the next owner with a higher fencing token arrives; updateOwner keeps it in Node.owner, but attempt and serveAsOwner ask Node.shard first, and hello answers Serving while the lease is valid by the owner's own clock, which makes others believe in the old owner. Cause: whether this node is the owner is inferred from Node.shard, without comparing the shard's fencing token with that of the owner known.

--- a/internal/cluster/node/stale_test.go
+++ b/internal/cluster/node/stale_test.go
@@ -215,6 +215,33 @@
 	return n
 }
 
+// own claims the shard for the node and runs it. It returns the term and a function that
+// ends it.
+func own(t *testing.T, n *Node) (*store.Term, func()) {
+	t.Helper()
+	term, release, err := store.Claim(t.Context(), n.options.Store, n.options.Shard, store.Owner{
+		Node:        n.options.Name,
+		Incarnation: n.incarnation,
+	}, n.log)
+	assert.NilError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = n.own(t.Context(), term)
+	}()
+	return term, func() {
+		release()
+		<-done
+	}
+}
+
+// awaitShard waits until the node serves as the owner.
+func awaitShard(n *Node) {
+	for n.currentShard() == nil {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // testOwner is the owner of a shard. It has no node.
 type testOwner struct {
 	shard *shard.Shard
@@ -276,6 +303,12 @@
 	return r
 }
 
+func query(key string) caller.Request {
+	r := cancellation(key)
+	r.Verb = caller.Read
+	return r
+}
+
 // TestCancellationIsAnsweredByItsOwnEffect checks a cancellation that an entry repeats at the
 // next owner, when the operators have withdrawn its key or its route. If its first try has
 // taken effect, the caller must not be told that it was rejected. If not, the key decides,
@@ -342,3 +375,47 @@
 		})
 	}
 }
+
+// TestReplacedOwnerDoesNotAnswer guards against an owner that goes on answering as such after
+// it has learned of the next one: its agreement and its jobs may be out of date, although its
+// lease may still be valid by its own clock.
+func TestReplacedOwnerDoesNotAnswer(t *testing.T) {
+	client := newSharedStore()
+	client.putAgreement(t, testAgreement(1, oldKey))
+	n := newStoreNode(t, client, "replaced")
+	term, release := own(t, n)
+	defer release()
+	awaitShard(n)
+	assert.Equal(t, n.Serve(t.Context(), submission(oldKey)).Status, caller.OK)
+	server := peer.NewServer()
+	peer.Handle(server, methodServe, func(context.Context, caller.Request) (caller.Response, error) {
+		return caller.Response{Status: caller.BadKey}, nil
+	})
+	next := helloRequest{
+		Node: "next",
+		Owner: store.Owner{
+			Node:    "next",
+			Address: servePeer(t, server),
+		},
+		Token: term.Token() + 1,
+	}
+	hello, err := n.handleHello(t.Context(), next)
+	assert.NilError(t, err)
+	for name, r := range map[string]caller.Request{
+		"submission":   submission(oldKey),
+		"query":        query(oldKey),
+		"cancellation": cancellation(oldKey),
+	} {
+		t.Run(name+" of a peer", func(t *testing.T) {
+			response, err := n.serveAsOwner(t.Context(), r)
+			assert.NilError(t, err)
+			assert.Equal(t, response.Status, caller.NotOwner)
+		})
+		t.Run(name+" of a caller", func(t *testing.T) {
+			assert.Equal(t, n.Serve(t.Context(), r).Status, caller.BadKey, "not the answer of the next owner")
+		})
+	}
+	t.Run("hello", func(t *testing.T) {
+		assert.Assert(t, !hello.Serving)
+	})
+}
