--- a/internal/cluster/node/stale_test.go
+++ b/internal/cluster/node/stale_test.go
@@ -522,6 +522,11 @@
 			journalDelay: usualDelay,
 			wait:         10 * time.Second,
 		},
+		"journal read for long": {
+			delay:        func(string) time.Duration { return usualDelay },
+			journalDelay: maxAgreementAge + time.Second,
+			wait:         maxAgreementAge + time.Second/2,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
