Show an owner that wakes and answers by its old agreement

Callers see: 200 for a copy of a submission, a query or a cancellation with a key withdrawn seconds ago, and 401 for one that was added, from an owner that was frozen or cut from the store until its lease was over. Sequence: the owner freezes, or the store rejects only it; the operators change the agreement; the owner wakes and gets a call before its renewal or its read of the agreement has an answer. Cause: reject and durableAnswer stand before LeaseValid, for outages of the store, and take silence of the store for an outage for everyone.

--- a/internal/cluster/node/stale_test.go
+++ b/internal/cluster/node/stale_test.go
@@ -558,3 +558,71 @@
 		})
 	}
 }
+
+// TestOwnerThatWakesReadsAgreement guards against an owner that was frozen, or cut off, until
+// its lease was over and that answers by the agreement of before, once it can read the present
+// one. It cannot know whether the operators have changed it. While it cannot reach the store,
+// and so nobody may have changed it, it confirms what is durable.
+func TestOwnerThatWakesReadsAgreement(t *testing.T) {
+	for name, c := range map[string]struct {
+		request caller.Request
+		outage  bool
+		wrong   caller.Status
+	}{
+		"copy with a withdrawn key": {
+			request: submission(oldKey),
+			wrong:   caller.OK,
+		},
+		"query with a withdrawn key": {
+			request: query(oldKey),
+			wrong:   caller.OK,
+		},
+		"cancellation with a withdrawn key": {
+			request: cancellation(oldKey),
+			wrong:   caller.OK,
+		},
+		"submission with an added key": {
+			request: submission(newKey),
+			wrong:   caller.BadKey,
+		},
+		"copy in an outage of the store": {
+			request: submission(oldKey),
+			outage:  true,
+			wrong:   caller.Refused,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				shared := newSharedStore()
+				shared.putAgreement(t, testAgreement(1, oldKey))
+				s, _, releaseFirst := openShard(t, shared, "first")
+				assert.Equal(t, s.Serve(t.Context(), submission(oldKey)).Status, caller.OK)
+				assert.Equal(t, s.Serve(t.Context(), cancellation(oldKey)).Status, caller.OK)
+				releaseFirst()
+				var silent atomic.Bool
+				n := newStoreNode(t, &remoteStore{
+					sharedStore: shared,
+					delay: func(operation, _ string) time.Duration {
+						if silent.Load() || operation == "renew" {
+							return noAnswer
+						}
+						return usualDelay
+					},
+				}, "owner")
+				_, release := own(t, n)
+				defer release()
+				awaitShard(n)
+				time.Sleep(4 * usualDelay)
+				silent.Store(true)
+				if !c.outage {
+					shared.putAgreement(t, testAgreement(2, newKey))
+				}
+				time.Sleep(2 * maxAgreementAge)
+				silent.Store(c.outage)
+				start := time.Now()
+				assert.Assert(t, n.Serve(t.Context(), c.request).Status != c.wrong)
+				assert.Assert(t, !c.outage || time.Since(start) < time.Second/2)
+			})
+		})
+	}
+}
