--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -275,10 +275,10 @@
 		return err
 	}
 	directory := newDirectoryReader(n.options.Directory, n.log)
-	go store.Follow(term.Context(), n.options.Store, n.options.Directory.Prefix, n.log, func(items map[string]store.Item, _ time.Duration) {
+	go store.Follow(term.Context(), n.options.Store, n.options.Directory.Prefix, n.log, func(items map[string]store.Item, _ store.Instant) {
 		s.SetWorkers(directory.read(items))
 	})
-	go store.Follow(term.Context(), n.options.Store, n.options.AgreementSource.Key, n.log, func(items map[string]store.Item, asOf time.Duration) {
+	go store.Follow(term.Context(), n.options.Store, n.options.AgreementSource.Key, n.log, func(items map[string]store.Item, asOf store.Instant) {
 		n.applyAgreement(s, items, asOf)
 	})
 	self := store.Owner{
@@ -365,7 +365,7 @@
 
 // readAgreement reads the agreement from the store once.
 func (n *Node) readAgreement(ctx context.Context) (shard.DatedAgreement, error) {
-	asOf := store.TimeSinceBoot()
+	asOf := store.Now()
 	item, err := n.options.Store.Get(ctx, n.options.AgreementSource.Key)
 	if err != nil {
 		return shard.DatedAgreement{}, fmt.Errorf("node: read agreement: %w", err)
@@ -375,7 +375,7 @@
 
 // decodeAgreement decodes the agreement that was read from the store at the given time or
 // later.
-func (n *Node) decodeAgreement(item store.Item, asOf time.Duration) (shard.DatedAgreement, error) {
+func (n *Node) decodeAgreement(item store.Item, asOf store.Instant) (shard.DatedAgreement, error) {
 	a, err := n.options.AgreementSource.Decode(item.Value)
 	if err != nil {
 		n.log.Error("agreementUnreadable", "revision", item.Revision, "error", err)
@@ -387,7 +387,7 @@
 	}, nil
 }
 
-func (n *Node) applyAgreement(s *shard.Shard, items map[string]store.Item, asOf time.Duration) {
+func (n *Node) applyAgreement(s *shard.Shard, items map[string]store.Item, asOf store.Instant) {
 	item, ok := items[n.options.AgreementSource.Key]
 	if !ok {
 		return
--- a/internal/cluster/node/stale_test.go
+++ b/internal/cluster/node/stale_test.go
@@ -210,6 +210,7 @@
 	n.options.Advisor = silentAdvisor{}
 	n.options.Directory.Prefix = "servers/"
 	n.options.JobStateRetention = time.Hour
+	n.options.MaxAgreementAge = maxAgreementAge
 	n.options.AgreementSource = AgreementSource{
 		Key:    agreementKey,
 		Decode: decodeAgreement,
@@ -279,7 +280,7 @@
 	s, err := shard.Open(t.Context(), shard.Options{
 		Store:             client,
 		Term:              term,
-		Agreement:         func() *operator.Agreement { return n.readAgreement(term.Context()) },
+		Agreement:         func() shard.DatedAgreement { return n.awaitAgreement(term.Context()) },
 		Advisors:          func() []shard.AdvisorNode { return nil },
 		JobStateRetention: n.options.JobStateRetention,
 		Log:               n.log,
--- a/internal/cluster/shard/agreement.go
+++ b/internal/cluster/shard/agreement.go
@@ -20,13 +20,8 @@
 // DatedAgreement is the operators' agreement as read from the store.
 type DatedAgreement struct {
 	*operator.Agreement
-	// AsOf is a time at which no newer version was acknowledged yet, in store.TimeSinceBoot.
-	AsOf time.Duration
-}
-
-// age returns how long ago the agreement is known to have been the newest.
-func (a DatedAgreement) age() time.Duration {
-	return store.TimeSinceBoot() - a.AsOf
+	// AsOf is a time at which no newer version was acknowledged yet.
+	AsOf store.Instant
 }
 
 // SetAgreement puts the agreement in force if it is newer than the present one, and notes
@@ -38,7 +33,9 @@
 		return
 	}
 	if a.Version == s.agreement.Version {
-		s.agreement.AsOf = max(s.agreement.AsOf, a.AsOf)
+		if a.AsOf.Age() < s.agreement.AsOf.Age() {
+			s.agreement.AsOf = a.AsOf
+		}
 		return
 	}
 	s.log.Info("agreementInForce", "version", a.Version, "before", s.agreement.Version)
@@ -53,9 +50,9 @@
 // exists then.
 func (s *Shard) refreshAgreement(ctx context.Context) {
 	s.mu.Lock()
-	age, version := s.agreement.age(), s.agreement.Version
+	age, version := s.agreement.AsOf.Age(), s.agreement.Version
 	wanted := s.options.MaxAgreementAge > 0 && age > s.options.MaxAgreementAge &&
-		store.TimeSinceBoot()-s.agreementReadFailedAt > agreementRetryInterval
+		s.agreementReadFailedAt.Age() > agreementRetryInterval
 	s.mu.Unlock()
 	if !wanted {
 		return
@@ -80,7 +77,7 @@
 		s.log.Warn("agreementReadFailed", "error", err)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.agreementReadFailedAt = store.TimeSinceBoot()
+		s.agreementReadFailedAt = store.Now()
 		return err
 	}
 	s.SetAgreement(a)
--- a/internal/cluster/shard/agreement_test.go
+++ b/internal/cluster/shard/agreement_test.go
@@ -50,10 +50,12 @@
 						<-ctx.Done()
 						return DatedAgreement{}, ctx.Err()
 					}
+					newest := c.newest
+					newest.AsOf = store.Now()
 					time.Sleep(time.Millisecond)
-					return c.newest, nil
+					return newest, nil
 				}
-				owner.agreement.AsOf = store.TimeSinceBoot() - c.age
+				time.Sleep(c.age)
 				start := time.Now()
 				var requests sync.WaitGroup
 				for call := range uint64(5) {
@@ -83,7 +85,7 @@
 			time.Sleep(agreementReadTimeout)
 			return DatedAgreement{}, store.ErrOutcomeUnknown
 		}
-		owner.agreement.AsOf = 0
+		time.Sleep(2 * time.Second)
 		start := time.Now()
 		assert.Equal(t, owner.Serve(t.Context(), submission(acceptedID, validKey, firstCall)).Status, caller.NotOwner)
 		assert.Assert(t, time.Since(start) < agreementReadTimeout)
--- a/internal/cluster/shard/call_test.go
+++ b/internal/cluster/shard/call_test.go
@@ -141,17 +141,15 @@
 	for _, key := range keys {
 		a.TeamByKey[key] = "team"
 	}
-	return DatedAgreement{
-		Agreement: a,
-		AsOf:      store.TimeSinceBoot(),
-	}
+	return DatedAgreement{Agreement: a}
 }
 
-// runOwner claims the shard and runs it with the agreement. The returned function ends the
-// term and its lease.
+// runOwner claims the shard and runs it with the agreement, which is the newest. The returned
+// function ends the term and its lease.
 func runOwner(t *testing.T, client store.Client, agreement DatedAgreement) (*Shard, func()) {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	agreement.AsOf = store.Now()
 	term, release, err := store.Claim(t.Context(), client, "fleet", store.Owner{}, log)
 	assert.NilError(t, err)
 	s, err := Open(t.Context(), Options{
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -139,14 +139,14 @@
 // holds s.mu.
 func (s *Shard) logConfirmation(r caller.Request, id, grounds string) {
 	s.log.Info("submissionConfirmed", "job", id, "call", r.Call, "grounds", grounds,
-		"agreement", s.agreement.Version, "agreementAge", s.agreement.age(), "leaseRemaining", s.term.Remaining())
+		"agreement", s.agreement.Version, "agreementAge", s.agreement.AsOf.Age(), "leaseRemaining", s.term.Remaining())
 }
 
 // reject answers a request that the agreement does not allow. The caller holds s.mu.
 func (s *Shard) reject(r caller.Request, status caller.Status, reason responseReason) caller.Response {
 	countSubmission(string(reason))
 	s.log.Info("requestTurnedAway", "host", r.Host, "path", r.Path, "verb", r.Verb, "call", r.Call, "reason", reason,
-		"agreement", s.agreement.Version, "agreementAge", s.agreement.age())
+		"agreement", s.agreement.Version, "agreementAge", s.agreement.AsOf.Age())
 	return caller.Response{
 		Status: status,
 		Reason: string(reason),
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -104,9 +104,8 @@
 	mu        sync.Mutex
 	state     *job.State
 	agreement DatedAgreement
-	// agreementReadFailedAt is when a read by readAgreement last failed, in
-	// store.TimeSinceBoot.
-	agreementReadFailedAt time.Duration
+	// agreementReadFailedAt is when a read by readAgreement last failed.
+	agreementReadFailedAt store.Instant
 	links                 map[string]*link // by the ID of the worker
 	linkCount             int64            // links created in this term
 	// earlier holds the incarnations that had placements before the term, until a link of
--- a/internal/cluster/shard/stale_test.go
+++ b/internal/cluster/shard/stale_test.go
@@ -48,7 +48,7 @@
 	term, release, err := store.Claim(t.Context(), emptyStore{}, "fleet", store.Owner{}, log)
 	assert.NilError(t, err)
 	s := newShardWithClient(term, nil, log)
-	s.agreement = teamsAgreement()
+	s.agreement = DatedAgreement{Agreement: teamsAgreement()}
 	s.journal, _, err = store.OpenJournal(t.Context(), emptyStore{}, term, s.snapshot, log)
 	assert.NilError(t, err)
 	assert.NilError(t, s.state.Apply(job.Record{
@@ -174,7 +174,7 @@
 	s, err := Open(t.Context(), Options{
 		Store:     pausable,
 		Term:      term,
-		Agreement: func() *operator.Agreement { return agreement },
+		Agreement: func() DatedAgreement { return DatedAgreement{Agreement: agreement} },
 		Advisors:  func() []AdvisorNode { return nil },
 		NewWorkerClient: func(worker.Registration) (worker.Client, func()) {
 			return client, func() {}
--- a/internal/cluster/store/election.go
+++ b/internal/cluster/store/election.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("store: encode owner: %w", err)
 	}
-	requestedAt := TimeSinceBoot()
+	requestedAt := timeSinceBoot()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	leaseID, ttl, err := client.GrantLease(callCtx, OwnershipLeaseTime)
@@ -147,7 +147,7 @@
 // Remaining returns the time for which the lease is still guaranteed to hold. It is
 // negative once that time has passed.
 func (t *Term) Remaining() time.Duration {
-	return time.Duration(t.leaseExpiry.Load()) - TimeSinceBoot()
+	return time.Duration(t.leaseExpiry.Load()) - timeSinceBoot()
 }
 
 // Release ends the term and its lease, so that a successor can claim the shard at
@@ -175,7 +175,7 @@
 }
 
 func (t *Term) renewOnce() {
-	requestedAt := TimeSinceBoot()
+	requestedAt := timeSinceBoot()
 	ctx, cancel := context.WithTimeout(t.ctx, renewTimeout)
 	defer cancel()
 	err := t.client.RenewLease(ctx, t.leaseID)
--- a/internal/cluster/store/follow.go
+++ b/internal/cluster/store/follow.go
@@ -19,11 +19,10 @@
 
 // Follow maintains a copy of all items under the prefix and calls onChange with it
 // after each read and each change, until the context ends. The copy has all changes that
-// the store had acknowledged by asOf, in TimeSinceBoot. onChange must not keep or modify
-// the map. Besides watching, Follow reads the whole prefix again when a watch
+// the store had acknowledged by asOf. onChange must not keep or modify the map. Besides watching, Follow reads the whole prefix again when a watch
 // call returns no changes or fails, and once watchWait has passed, since a watch can miss
 // changes when the store loses its history.
-func Follow(ctx context.Context, client Client, prefix string, log *slog.Logger, onChange func(items map[string]Item, asOf time.Duration)) {
+func Follow(ctx context.Context, client Client, prefix string, log *slog.Logger, onChange func(items map[string]Item, asOf Instant)) {
 	f := &follower{
 		client: client,
 		prefix: prefix,
@@ -52,7 +51,7 @@
 	items    map[string]Item
 	revision int64
 	// asOf is the start of the last call that the store has answered.
-	asOf    time.Duration
+	asOf    Instant
 	failing bool
 }
 
@@ -70,7 +69,7 @@
 func (f *follower) read(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	asOf := TimeSinceBoot()
+	asOf := Now()
 	items, revision, err := f.client.Range(callCtx, f.prefix)
 	if err != nil {
 		return err
@@ -88,11 +87,11 @@
 }
 
 // watch applies changes until a call returns none or fails, or watchWait has passed.
-func (f *follower) watch(ctx context.Context, onChange func(map[string]Item, time.Duration)) {
+func (f *follower) watch(ctx context.Context, onChange func(map[string]Item, Instant)) {
 	started := time.Now()
 	for ctx.Err() == nil && time.Since(started) < watchWait {
 		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-		asOf := TimeSinceBoot()
+		asOf := Now()
 		events, revision, err := f.client.Watch(callCtx, f.prefix, f.revision, watchWait)
 		cancel()
 		if err != nil {
