Answer a repeated cancel by whether its own call took effect

What callers would see: 401 or 404 for a cancel that had taken effect: the owner recorded it and was replaced before its answer arrived, the key or route was withdrawn, and the entry repeated the call at the next owner. Cause: nothing said which call a recorded cancel belongs to. Change: the record of a job's end keeps the identity of the call that cancelled the job, as that of an acceptance does. An owner whose agreement does not allow a cancel confirms it only if the record has its call.

The log line submissionConfirmed is now requestConfirmed, with the verb.

--- a/internal/cluster/shard/crash.go
+++ b/internal/cluster/shard/crash.go
@@ -74,7 +74,7 @@
 	countGivenUpJob(j.Queue)
 	s.log.Warn("jobGivenUp", "job", j.ID, "team", j.Team, "queue", j.Queue, "step", p.Task.Step, "index", p.Task.Index,
 		"crashes", crashes, "worker", p.Worker.ID, "suspicion", p.Suspicion)
-	return s.finishJob(records, j, job.Failed)
+	return s.finishJob(records, j, job.Failed, 0)
 }
 
 // clearSurvivor clears the task of the attempt, which ran at the Unix millisecond now, if
--- a/internal/cluster/shard/incarnation_test.go
+++ b/internal/cluster/shard/incarnation_test.go
@@ -38,7 +38,7 @@
 				placeOnFirstIncarnation(t, s)
 				s.inheritPlacements()
 				s.mu.Lock()
-				s.appendToJournal(s.finishJob(nil, s.state.Job(acceptedID), job.Cancelled), nil)
+				s.appendToJournal(s.finishJob(nil, s.state.Job(acceptedID), job.Cancelled, 0), nil)
 				s.mu.Unlock()
 				registration := firstRegistration()
 				registration.Incarnation = incarnation
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -147,7 +147,7 @@
 		}
 	}
 	if j.Complete() {
-		records = s.finishJob(records, j, job.Completed)
+		records = s.finishJob(records, j, job.Completed, 0)
 	}
 	return records
 }
@@ -184,11 +184,11 @@
 	step := j.Steps[p.Task.Step]
 	switch {
 	case j.Complete():
-		records = s.finishJob(records, j, job.Completed)
+		records = s.finishJob(records, j, job.Completed, 0)
 	case outcome == job.AttemptFailed && !step.Spec.Endless && step.Failures(p.Task.Index) >= s.maxFailures(j):
 		s.log.Info("jobFailed", "job", j.ID, "team", j.Team, "step", p.Task.Step, "index", p.Task.Index,
 			"failures", step.Failures(p.Task.Index))
-		records = s.finishJob(records, j, job.Failed)
+		records = s.finishJob(records, j, job.Failed, 0)
 	case step.Spec.Gang && outcome != job.AttemptCompleted && !step.Done():
 		s.stopGang(step)
 	}
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -66,8 +66,11 @@
 	team, known := s.agreement.TeamByKey[r.Key]
 	switch {
 	case ok && (known || route.AuthExempt):
-	case s.isAcceptedCall(r):
-		s.logConfirmation(r, path.Base(r.Path), "acceptedCall")
+	case s.isRecordedCall(r):
+		s.logConfirmation(r, path.Base(r.Path), "recordedCall")
+		if r.Verb == caller.Cancel {
+			return s.respondWhenDurable(ctx, nil, caller.Response{Status: caller.OK})
+		}
 		return s.awaitAcceptance(ctx, path.Base(r.Path), nil)
 	case !ok:
 		defer s.mu.Unlock()
@@ -87,7 +90,7 @@
 		defer s.mu.Unlock()
 		return caller.Response{Status: caller.NotOwner}
 	case r.Verb == caller.Cancel:
-		return s.cancelJob(ctx, id, team)
+		return s.cancelJob(ctx, r, team, id)
 	case id == "":
 		defer s.mu.Unlock()
 		return caller.Response{
@@ -99,16 +102,22 @@
 	return s.readJob(ctx, id, team)
 }
 
-// isAcceptedCall reports whether the request is an attempt at the call that had its job
-// accepted. Such a request must not be rejected, whatever the agreement now in force says
-// about its route and key. Any other call for the same job is judged by that agreement. The
-// caller holds s.mu.
-func (s *Shard) isAcceptedCall(r caller.Request) bool {
-	if r.Verb != caller.Submit || r.Call == 0 {
+// isRecordedCall reports whether the request is an attempt at the call that had its job
+// accepted or cancelled. Such a request must not be rejected, whatever the agreement now in
+// force says about its route and key. Any other call about the same job is judged by that
+// agreement. The caller holds s.mu.
+func (s *Shard) isRecordedCall(r caller.Request) bool {
+	j := s.state.Job(path.Base(r.Path))
+	if j == nil || r.Call == 0 {
 		return false
 	}
-	j := s.state.Job(path.Base(r.Path))
-	return j != nil && j.AcceptedBy == r.Call
+	switch r.Verb {
+	case caller.Submit:
+		return j.AcceptedBy == r.Call
+	case caller.Cancel:
+		return j.CancelledBy == r.Call
+	}
+	return false
 }
 
 // durableAnswer answers from what is durable in the journal: that a job was accepted, or
@@ -124,6 +133,7 @@
 		s.logConfirmation(r, id, "allowed")
 		return caller.Response{Status: caller.OK}, true
 	case r.Verb == caller.Cancel && j.EndRecorded:
+		s.logConfirmation(r, id, "allowed")
 		return caller.Response{Status: caller.OK}, true
 	case r.Verb == caller.Read && j.EndRecorded:
 		return caller.Response{
@@ -134,11 +144,11 @@
 	return caller.Response{}, false
 }
 
-// logConfirmation logs that a submission of a job that exists is confirmed. The grounds are
-// "allowed" if the agreement allows the submission, and otherwise "acceptedCall". The caller
+// logConfirmation logs that a request is confirmed whose effect is there already. The grounds
+// are "allowed" if the agreement allows the request, and otherwise "recordedCall". The caller
 // holds s.mu.
 func (s *Shard) logConfirmation(r caller.Request, id, grounds string) {
-	s.log.Info("submissionConfirmed", "job", id, "call", r.Call, "grounds", grounds,
+	s.log.Info("requestConfirmed", "job", id, "verb", r.Verb, "call", r.Call, "grounds", grounds,
 		"agreement", s.agreement.Version, "agreementAge", s.agreement.AsOf.Age(), "leaseRemaining", s.term.Remaining())
 }
 
@@ -395,7 +405,7 @@
 }
 
 // cancelJob cancels a job. The caller holds s.mu, which cancelJob releases.
-func (s *Shard) cancelJob(ctx context.Context, id, team string) caller.Response {
+func (s *Shard) cancelJob(ctx context.Context, r caller.Request, team, id string) caller.Response {
 	j := s.state.Job(id)
 	if j == nil || (team != "" && j.Team != team) {
 		s.mu.Unlock()
@@ -403,22 +413,24 @@
 	}
 	var records []job.Record
 	if j.Outcome == job.Open {
-		records = s.finishJob(nil, j, job.Cancelled)
+		records = s.finishJob(nil, j, job.Cancelled, r.Call)
 	}
 	return s.respondWhenDurable(ctx, records, caller.Response{Status: caller.OK})
 }
 
 // finishJob ends the job with the outcome and, unless that is job.Completed, stops the
-// job's attempts. It returns records followed by that of the end. The caller holds s.mu.
-func (s *Shard) finishJob(records []job.Record, j *job.Job, outcome job.Outcome) []job.Record {
+// job's attempts. It returns records followed by that of the end, which has the caller's call
+// that cancelled the job, or zero. The caller holds s.mu.
+func (s *Shard) finishJob(records []job.Record, j *job.Job, outcome job.Outcome, call uint64) []job.Record {
 	countJobEnd(j.Queue, outcome, time.Duration(s.now()-j.SubmittedMillis)*time.Millisecond)
-	s.log.Info("jobEnded", "job", j.ID, "team", j.Team, "queue", j.Queue, "outcome", outcome,
+	s.log.Info("jobEnded", "job", j.ID, "call", call, "team", j.Team, "queue", j.Queue, "outcome", outcome,
 		"ageMillis", s.now()-j.SubmittedMillis)
 	records = s.apply(records, job.Record{
 		Kind:       job.RecordJobEnd,
 		Job:        j.ID,
 		Outcome:    outcome,
 		TimeMillis: s.now(),
+		Call:       call,
 	})
 	if outcome == job.Completed {
 		return records
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -292,8 +292,10 @@
 	Outcome        Outcome
 	// OverRate is set if the job was submitted over its team's agreed rate.
 	OverRate bool
-	// AcceptedBy identifies the caller's call that had the job accepted; zero if unknown.
-	AcceptedBy uint64
+	// AcceptedBy and CancelledBy identify the caller's calls that had the job accepted and
+	// cancelled; zero if none is known.
+	AcceptedBy  uint64
+	CancelledBy uint64
 	// Started is set once an attempt is known to have run. The records tell this only of
 	// attempts that completed, failed or saved a checkpoint; of others, the present owner
 	// knows it from their worker's report.
--- a/internal/decide/job/snapshot.go
+++ b/internal/decide/job/snapshot.go
@@ -71,6 +71,7 @@
 			Job:        j.ID,
 			Outcome:    j.Outcome,
 			TimeMillis: j.FinishedMillis,
+			Call:       j.CancelledBy,
 		})
 	}
 	return records
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -40,7 +40,7 @@
 // Record is one change of the state; replaying all records in order rebuilds it. The
 // kind determines which fields are set. TimeMillis is the Unix millisecond of the
 // submission in a RecordAccept and of the job's end in a RecordJobEnd. Call is the caller's
-// call that had the job accepted, in a RecordAccept.
+// call that had the job accepted, in a RecordAccept, or cancelled it, in a RecordJobEnd.
 type Record struct {
 	Kind           RecordKind     `cbor:"1,keyasint"`
 	Job            string         `cbor:"2,keyasint"`
@@ -292,6 +292,7 @@
 func (s *State) finishJob(j *Job, r Record) {
 	j.Outcome = r.Outcome
 	j.FinishedMillis = r.TimeMillis
+	j.CancelledBy = r.Call
 	delete(s.open, j.ID)
 }
 
--- a/internal/decide/job/state_test.go
+++ b/internal/decide/job/state_test.go
@@ -43,7 +43,7 @@
 		if j == nil {
 			continue
 		}
-		lines = append(lines, fmt.Sprintf("%s %s %s %d %v %v %d", id, j.Team, j.Queue, j.Outcome, j.OverRate, j.Started || j.Outcome != job.Open, j.AcceptedBy))
+		lines = append(lines, fmt.Sprintf("%s %s %s %d %v %v %d %d", id, j.Team, j.Queue, j.Outcome, j.OverRate, j.Started || j.Outcome != job.Open, j.AcceptedBy, j.CancelledBy))
 		if j.Outcome != job.Open {
 			continue
 		}
@@ -169,6 +169,7 @@
 		r.Kind = job.RecordJobEnd
 		r.Outcome = job.Cancelled
 		r.TimeMillis = millis
+		r.Call = rng.Uint64()
 	case !task.Done:
 		r.Kind = job.RecordPlace
 		r.Attempt = task.Attempt + 1
