Answer nothing by an agreement that cannot be confirmed while the store answers

What callers would see: 200 with keys withdrawn ten seconds before, or 401 with keys added, from an owner whose lease is renewed while its reads of the agreement get no answer or are refused, as when the store refuses reads beyond its rate. Cause: a valid lease stood for an agreement that is in force; the two are learned by different calls. Change: an owner with a valid lease whose agreement was last confirmed more than 7 s ago, our target for a change to be in force everywhere, refuses requests with Retry-After until it has read it. In an outage its lease is over too, and what is durable is answered as before. Promises next to it: REFUSED: the accepted call is confirmed, and another call for a job that exists is answered as unconfirmed instead of refused (TestUnconfirmedAgreementDecidesNothing).

--- a/internal/cluster/shard/agreement.go
+++ b/internal/cluster/shard/agreement.go
@@ -15,6 +15,10 @@
 	// agreementRetryInterval is the time after a failed read in which requests wait for no
 	// further one, as in an outage of the store.
 	agreementRetryInterval = time.Second
+	// maxUnconfirmedAge is the age of the agreement above which an owner that reaches the
+	// store, but cannot read the agreement, answers no request by it: changes have to be in
+	// force everywhere within this time.
+	maxUnconfirmedAge = 7 * time.Second
 )
 
 // DatedAgreement is the operators' agreement as read from the store.
@@ -47,7 +51,7 @@
 // Options.MaxAgreementAge, as after a time in which this process was frozen. Requests that
 // need it at the same time share one read. If the store cannot be read, the present
 // agreement stays in force: the store may be unavailable to everyone, and no newer version
-// exists then.
+// exists then. See mayDecide for an owner whose lease is renewed all the same.
 func (s *Shard) refreshAgreement(ctx context.Context) {
 	s.mu.Lock()
 	age, version := s.agreement.AsOf.Age(), s.agreement.Version
@@ -68,6 +72,12 @@
 	}
 }
 
+// mayDecide reports whether requests may be answered by the present agreement. The caller
+// holds s.mu.
+func (s *Shard) mayDecide() bool {
+	return s.options.MaxAgreementAge == 0 || !s.LeaseValid() || s.agreement.AsOf.Age() <= maxUnconfirmedAge
+}
+
 // readAgreement reads the agreement once and puts it in force.
 func (s *Shard) readAgreement() error {
 	ctx, cancel := context.WithTimeout(s.term.Context(), agreementReadTimeout)
--- a/internal/cluster/shard/agreement_test.go
+++ b/internal/cluster/shard/agreement_test.go
@@ -73,6 +73,38 @@
 	}
 }
 
+// TestUnconfirmedAgreementDecidesNothing guards against requests that are answered by an
+// agreement of unknown age while the store answers the owner's other calls. The caller of an
+// accepted job must not be told that it was refused.
+func TestUnconfirmedAgreementDecidesNothing(t *testing.T) {
+	query := submission(acceptedID, validKey, secondCall)
+	query.Verb = caller.Read
+	for name, c := range map[string]struct {
+		request caller.Request
+		want    caller.Status
+	}{
+		"accepted call":  {request: submission(acceptedID, validKey, firstCall), want: caller.OK},
+		"copy":           {request: submission(acceptedID, validKey, secondCall), want: caller.Unknown},
+		"new submission": {request: submission(unknownID, validKey, secondCall), want: caller.Refused},
+		"unknown key":    {request: submission(unknownID, keptKey, secondCall), want: caller.Refused},
+		"query":          {request: query, want: caller.Refused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				owner, release := runOwner(t, newMemoryStore(), testAgreement(1, queueHost, validKey))
+				defer release()
+				assert.Equal(t, owner.Serve(t.Context(), submission(acceptedID, validKey, firstCall)).Status, caller.OK)
+				owner.options.MaxAgreementAge = time.Second
+				owner.options.ReadAgreement = func(context.Context) (DatedAgreement, error) {
+					return DatedAgreement{}, store.ErrNotApplied
+				}
+				time.Sleep(maxUnconfirmedAge + time.Second)
+				assert.Equal(t, owner.Serve(t.Context(), c.request).Status, c.want)
+			})
+		})
+	}
+}
+
 // TestEndedTermDoesNotWaitForAgreement guards against a call that waits for a read of the
 // agreement after the term of ownership has ended, when another owner could answer it.
 func TestEndedTermDoesNotWaitForAgreement(t *testing.T) {
--- a/internal/cluster/shard/metrics.go
+++ b/internal/cluster/shard/metrics.go
@@ -15,6 +15,7 @@
 
 const (
 	reasonStoreUnavailable responseReason = "storeAway"
+	reasonAgreementUnknown responseReason = "agreementUnknown"
 	reasonUnconfirmed      responseReason = "unconfirmed"
 	reasonInvalid          responseReason = "invalid"
 	reasonNoQueue          responseReason = "noQueue"
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -62,16 +62,20 @@
 		return caller.Response{Status: caller.NotOwner}
 	}
 	s.mu.Lock()
+	mayDecide := s.mayDecide()
 	route, id, ok := s.agreement.Resolve(r.Host, r.Path)
 	team, known := s.agreement.TeamByKey[r.Key]
 	switch {
-	case ok && (known || route.AuthExempt):
+	case mayDecide && ok && (known || route.AuthExempt):
 	case s.isRecordedCall(r):
 		s.logConfirmation(r, path.Base(r.Path), "recordedCall")
 		if r.Verb == caller.Cancel {
 			return s.respondWhenDurable(ctx, nil, caller.Response{Status: caller.OK})
 		}
 		return s.awaitAcceptance(ctx, path.Base(r.Path), nil)
+	case !mayDecide:
+		defer s.mu.Unlock()
+		return s.refuseUndecided(r)
 	case !ok:
 		defer s.mu.Unlock()
 		return s.reject(r, caller.NoQueue, reasonNoQueue)
@@ -224,7 +228,7 @@
 	return s.awaitAcceptance(ctx, id, records)
 }
 
-// refuse answers a submission that certainly has no effect and may be retried later.
+// refuse answers a request that certainly has no effect and may be retried later.
 func (s *Shard) refuse(id string, reason responseReason) caller.Response {
 	countSubmission(string(reason))
 	s.log.Info("jobRefused", "job", id, "reason", reason, "stalled", s.journal.StalledFor(), "leaseRemaining", s.term.Remaining())
@@ -235,6 +239,16 @@
 	}
 }
 
+// refuseUndecided answers a request that the agreement cannot decide. A submission of a job
+// that exists must not be refused, since the job runs. The caller holds s.mu.
+func (s *Shard) refuseUndecided(r caller.Request) caller.Response {
+	id := path.Base(r.Path)
+	if r.Verb == caller.Submit && s.state.Job(id) != nil {
+		return s.answerUnconfirmed(id)
+	}
+	return s.refuse(id, reasonAgreementUnknown)
+}
+
 // awaitAcceptance appends the records to the journal, releases s.mu and answers a
 // submission once it is durable. If the store becomes unavailable or ctx or the term ends,
 // it withdraws a submission that is still pending in the journal: after the term's end the
