Keep requests on an open queue to the jobs of that queue

What callers would see: on a route that needs no key, GET and DELETE worked on any job of the cluster whose ID was known, also on jobs of queues that need a key, and of withdrawn keys and routes. Change: a request concerns a job of the key's team, or one of the route's own queue if that needs no key. Promise next to it: jobs of the open queue can be read without a key (TestOpenQueueGivesAccessToItsJobs, new), jobs of a team with its key on any of its routes (TestCellWithoutFaults).

--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -83,7 +83,7 @@
 		defer s.mu.Unlock()
 		return s.reject(r, caller.BadKey, reasonBadKey)
 	}
-	if response, ok := s.durableAnswer(r, team, id); ok {
+	if response, ok := s.durableAnswer(r, route, team, id); ok {
 		defer s.mu.Unlock()
 		return response
 	}
@@ -94,7 +94,7 @@
 		defer s.mu.Unlock()
 		return caller.Response{Status: caller.NotOwner}
 	case r.Verb == caller.Cancel:
-		return s.cancelJob(ctx, r, team, id)
+		return s.cancelJob(ctx, r, route, team, id)
 	case id == "":
 		defer s.mu.Unlock()
 		return caller.Response{
@@ -103,7 +103,20 @@
 			Pending: s.countPending(route.Queue),
 		}
 	}
-	return s.readJob(ctx, id, team)
+	return s.readJob(ctx, route, team, id)
+}
+
+// accessibleJob returns the job with the ID if requests on the route, with a key of the team
+// or with none if team is empty, may concern it, and otherwise nil. The caller holds s.mu.
+func (s *Shard) accessibleJob(route operator.Route, team, id string) *job.Job {
+	j := s.state.Job(id)
+	switch {
+	case j == nil:
+		return nil
+	case team != "" && j.Team == team, route.AuthExempt && j.Queue == route.Queue:
+		return j
+	}
+	return nil
 }
 
 // isRecordedCall reports whether the request is an attempt at the call that had its job
@@ -127,9 +140,9 @@
 // durableAnswer answers from what is durable in the journal: that a job was accepted, or
 // how it ended. Such an answer is true even if the store is unavailable or the lease has
 // expired. It returns false if there is no such answer. The caller holds s.mu.
-func (s *Shard) durableAnswer(r caller.Request, team, id string) (caller.Response, bool) {
-	j := s.state.Job(id)
-	if j == nil || team != "" && j.Team != team {
+func (s *Shard) durableAnswer(r caller.Request, route operator.Route, team, id string) (caller.Response, bool) {
+	j := s.accessibleJob(route, team, id)
+	if j == nil {
 		return caller.Response{}, false
 	}
 	switch {
@@ -372,9 +385,9 @@
 
 // readJob answers a request for a job's state. The caller holds s.mu, which readJob
 // releases.
-func (s *Shard) readJob(ctx context.Context, id, team string) caller.Response {
-	j := s.state.Job(id)
-	if j == nil || (team != "" && j.Team != team) {
+func (s *Shard) readJob(ctx context.Context, route operator.Route, team, id string) caller.Response {
+	j := s.accessibleJob(route, team, id)
+	if j == nil {
 		s.mu.Unlock()
 		return noJobResponse()
 	}
@@ -419,9 +432,9 @@
 }
 
 // cancelJob cancels a job. The caller holds s.mu, which cancelJob releases.
-func (s *Shard) cancelJob(ctx context.Context, r caller.Request, team, id string) caller.Response {
-	j := s.state.Job(id)
-	if j == nil || (team != "" && j.Team != team) {
+func (s *Shard) cancelJob(ctx context.Context, r caller.Request, route operator.Route, team, id string) caller.Response {
+	j := s.accessibleJob(route, team, id)
+	if j == nil {
 		s.mu.Unlock()
 		return noJobResponse()
 	}
--- a/internal/cluster/shard/stale_test.go
+++ b/internal/cluster/shard/stale_test.go
@@ -115,6 +115,32 @@
 	}
 }
 
+// TestOpenQueueGivesAccessToItsJobs checks that jobs of a queue that needs no key can be read
+// without one, whether or not they were submitted with a key.
+func TestOpenQueueGivesAccessToItsJobs(t *testing.T) {
+	for name, team := range map[string]string{
+		"submitted without a key": "",
+		"submitted with a key":    "a",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, release := newAcceptedJob(t)
+			defer release()
+			assert.NilError(t, s.state.Apply(job.Record{
+				Kind:  job.RecordAccept,
+				Job:   unknownID,
+				Team:  team,
+				Queue: "open",
+			}))
+			response := s.Serve(t.Context(), caller.Request{
+				Verb: caller.Read,
+				Host: "jobs.example",
+				Path: "/open/" + unknownID,
+			})
+			assert.Equal(t, response.Status, caller.OK)
+		})
+	}
+}
+
 // pausedStore has an empty journal. While it is paused, it answers commits only one by one.
 type pausedStore struct {
 	emptyStore
