Do not confirm a submission because another team's job has its ID

What callers would see: 200 for a submission whose ID a job of another team has, as after a key moved from one team to another, or on a route that needs no key; their job is not stored and reading it gives 410. Change: such a submission is invalid (400). An attempt at a call that took effect is confirmed before the agreement is asked, so that a key that moved does not turn the accepted call away.

--- a/internal/cluster/shard/call_test.go
+++ b/internal/cluster/shard/call_test.go
@@ -184,6 +184,8 @@
 func TestCopyWithWithdrawnKeyIsNotConfirmed(t *testing.T) {
 	withdrawnKey := testAgreement(2, queueHost, keptKey)
 	withdrawnRoute := testAgreement(2, "other.example", validKey, keptKey)
+	movedKey := testAgreement(2, queueHost, validKey)
+	movedKey.TeamByKey[validKey] = "another team"
 	for name, c := range map[string]struct {
 		agreement DatedAgreement // of the next owner
 		key       string
@@ -194,6 +196,8 @@
 		"accepted call on withdrawn route": {agreement: withdrawnRoute, key: validKey, call: firstCall, want: caller.OK},
 		"copy with withdrawn key":          {agreement: withdrawnKey, key: validKey, call: secondCall, want: caller.BadKey},
 		"copy on withdrawn route":          {agreement: withdrawnRoute, key: validKey, call: secondCall, want: caller.NoQueue},
+		"accepted call with moved key":     {agreement: movedKey, key: validKey, call: firstCall, want: caller.OK},
+		"copy with moved key":              {agreement: movedKey, key: validKey, call: secondCall, want: caller.Invalid},
 		"copy with valid key":              {agreement: withdrawnKey, key: keptKey, call: secondCall, want: caller.OK},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -66,13 +66,13 @@
 	route, id, ok := s.agreement.Resolve(r.Host, r.Path)
 	team, known := s.agreement.TeamByKey[r.Key]
 	switch {
-	case mayDecide && ok && (known || route.AuthExempt):
 	case s.isRecordedCall(r):
 		s.logConfirmation(r, path.Base(r.Path), "recordedCall")
 		if r.Verb == caller.Cancel {
 			return s.respondWhenDurable(ctx, nil, caller.Response{Status: caller.OK})
 		}
 		return s.awaitAcceptance(ctx, path.Base(r.Path), nil)
+	case mayDecide && ok && (known || route.AuthExempt):
 	case !mayDecide:
 		defer s.mu.Unlock()
 		return s.refuseUndecided(r)
@@ -162,8 +162,8 @@
 }
 
 // logConfirmation logs that a request is confirmed whose effect is there already. The grounds
-// are "allowed" if the agreement allows the request, and otherwise "recordedCall". The caller
-// holds s.mu.
+// are "recordedCall" if this call had that effect, and otherwise "allowed": the agreement
+// allows the request. The caller holds s.mu.
 func (s *Shard) logConfirmation(r caller.Request, id, grounds string) {
 	s.log.Info("requestConfirmed", "job", id, "verb", r.Verb, "call", r.Call, "grounds", grounds,
 		"agreement", s.agreement.Version, "agreementAge", s.agreement.AsOf.Age(), "leaseRemaining", s.term.Remaining())
@@ -193,7 +193,7 @@
 
 // submit answers a submission. The caller holds s.mu, which submit releases.
 func (s *Shard) submit(ctx context.Context, r caller.Request, route operator.Route, team, id string) caller.Response {
-	if s.state.Job(id) != nil {
+	if s.accessibleJob(route, team, id) != nil {
 		// A repeated submission gets the same answer as the first.
 		s.logConfirmation(r, id, "allowed")
 		return s.awaitAcceptance(ctx, id, nil)
@@ -203,6 +203,9 @@
 		return s.refuse(id, reasonStoreUnavailable)
 	}
 	problem := r.InvalidReason
+	if s.state.Job(id) != nil {
+		problem = "a job of another team has this id"
+	}
 	if problem == "" && !isValidID(id) {
 		problem = "job id must have 16 hexadecimal digits"
 	}
