Confirm a submission only for the job that it waits for

What callers would see: 200 for a submission that is not stored, while the store stalls: two calls wait for one job's record, the first ends and withdraws it, a third call submits the same ID again, and the second call's wait ends with a write that was in flight before; it found a job of that ID. Cause: the ID stood for the submission. Change: a waiting call keeps the job that it waits for, and is refused with Retry-After if another one has its place or none has.

--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -266,11 +266,12 @@
 }
 
 // awaitAcceptance appends the records to the journal, releases s.mu and answers a
-// submission once it is durable. If the store becomes unavailable or ctx or the term ends,
+// submission of the job, which must exist, once its acceptance is durable. If the store becomes unavailable or ctx or the term ends,
 // it withdraws a submission that is still pending in the journal: after the term's end the
 // next owner can be asked at once. The caller holds s.mu.
 func (s *Shard) awaitAcceptance(ctx context.Context, id string, records []job.Record) caller.Response {
-	if j := s.state.Job(id); j != nil && j.Recorded {
+	j := s.state.Job(id)
+	if j.Recorded {
 		s.mu.Unlock()
 		return caller.Response{Status: caller.OK}
 	}
@@ -284,8 +285,8 @@
 		case <-durable:
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			if s.state.Job(id) == nil {
-				return s.refuse(id, reasonStoreUnavailable) // withdrawn by another try of the same submission
+			if s.state.Job(id) != j {
+				return s.refuse(id, reasonStoreUnavailable) // withdrawn by another call, and perhaps submitted again
 			}
 			countSubmission("accepted")
 			return caller.Response{Status: caller.OK}
