Send start orders only for the placements whose records are durable

Cause: a placement was identified by task and attempt number, which a withdrawn one leaves free. Change: the callback keeps the placements themselves, and ignores those that are not current. Promises next to it: durable placements are started and started once (TestCapacityShrinksBeforeStart, TestTwoRunsAfterWorkerRestart, the tests of orders_test.go).

--- a/internal/cluster/shard/crash_test.go
+++ b/internal/cluster/shard/crash_test.go
@@ -100,7 +100,7 @@
 					s.mu.Lock()
 					assert.NilError(t, s.state.Apply(placed))
 					s.mu.Unlock()
-					s.sendStarts([]job.Record{placed})
+					s.sendStarts(s.placementsOf([]job.Record{placed}))
 					time.Sleep(runTime)
 					client.away.Store(true)
 					if c.cut {
--- a/internal/cluster/shard/incarnation_test.go
+++ b/internal/cluster/shard/incarnation_test.go
@@ -104,7 +104,7 @@
 		defer release()
 		s.SetWorkers([]worker.Registration{firstRegistration()})
 		time.Sleep(pollsAnswered)
-		s.sendStarts([]job.Record{placeOnFirstIncarnation(t, s)})
+		s.sendStarts(s.placementsOf([]job.Record{placeOnFirstIncarnation(t, s)}))
 		time.Sleep(orderTimeout / 2)
 		client.mu.Lock()
 		client.hold = false // the second copy is carried out
@@ -178,7 +178,7 @@
 		client.incarnation = 1
 		client.mu.Unlock()
 		time.Sleep(pollsAnswered)
-		s.sendStarts([]job.Record{placeOnFirstIncarnation(t, s)})
+		s.sendStarts(s.placementsOf([]job.Record{placeOnFirstIncarnation(t, s)}))
 		time.Sleep(pollsAnswered)
 		s.mu.Lock()
 		assert.Assert(t, s.state.Placement(task).Settled())
@@ -253,7 +253,7 @@
 		client.mu.Lock()
 		client.clockOrigin = time.Now()
 		client.mu.Unlock()
-		s.sendStarts([]job.Record{placed})
+		s.sendStarts(s.placementsOf([]job.Record{placed}))
 		synctest.Wait()
 		client.mu.Lock()
 		leaseEnd := client.leaseEnd
@@ -396,7 +396,7 @@
 				defer release()
 				s.SetWorkers([]worker.Registration{firstRegistration()})
 				time.Sleep(pollsAnswered)
-				s.sendStarts([]job.Record{placeOnFirstIncarnation(t, s)})
+				s.sendStarts(s.placementsOf([]job.Record{placeOnFirstIncarnation(t, s)}))
 				giveUp(s, client)
 				client.restart()
 
--- a/internal/cluster/shard/orders.go
+++ b/internal/cluster/shard/orders.go
@@ -20,19 +20,32 @@
 	stopRetryInterval = 150 * time.Millisecond
 )
 
-// sendStarts sends the start orders of the placements in the records, which must be
-// durable or withdrawn. It ignores placements that have ended or were withdrawn, and
-// abandons those that are stopping or no longer fit on their worker.
-func (s *Shard) sendStarts(records []job.Record) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// placementsOf returns the placements that the records have just made. A later placement
+// of the same task may have the same attempt number, if these are withdrawn. The caller
+// holds s.mu.
+func (s *Shard) placementsOf(records []job.Record) []*job.Placement {
+	var placements []*job.Placement
 	for _, r := range records {
 		p := s.state.Placement(job.TaskKey{
 			Job:   r.Job,
 			Step:  r.Step,
 			Index: r.Index,
 		})
-		if p == nil || p.Attempt != r.Attempt {
+		if p != nil && p.Attempt == r.Attempt {
+			placements = append(placements, p)
+		}
+	}
+	return placements
+}
+
+// sendStarts sends the start orders of the placements, whose records must be durable or
+// withdrawn. It ignores placements that have ended or were withdrawn, and abandons those
+// that are stopping or no longer fit on their worker.
+func (s *Shard) sendStarts(placements []*job.Placement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range placements {
+		if !s.isCurrent(p) {
 			continue
 		}
 		l := s.links[p.Worker.ID]
--- a/internal/cluster/shard/restart_test.go
+++ b/internal/cluster/shard/restart_test.go
@@ -217,7 +217,7 @@
 				time.Sleep(pollsAnswered)
 				placed := placeOnFirstIncarnation(t, s)
 				client.restart()
-				s.sendStarts([]job.Record{placed})
+				s.sendStarts(s.placementsOf([]job.Record{placed}))
 				synctest.Wait()
 				client.mu.Lock()
 				if c.before != nil {
@@ -299,7 +299,7 @@
 		}
 		s.SetWorkers([]worker.Registration{registration})
 		time.Sleep(pollsAnswered)
-		s.sendStarts([]job.Record{placeOnFirstIncarnation(t, s)})
+		s.sendStarts(s.placementsOf([]job.Record{placeOnFirstIncarnation(t, s)}))
 		time.Sleep(time.Second)
 		registration.Incarnation = 2
 		s.SetWorkers([]worker.Registration{registration})
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -298,8 +298,9 @@
 	if s.term.Remaining() > 0 && s.journal.StalledFor() < storeStallLimit {
 		if records := planner.Plan(now); len(records) > 0 {
 			s.logPlacements(records, now)
+			placements := s.placementsOf(records)
 			s.appendToJournal(records, func() {
-				s.sendStarts(records)
+				s.sendStarts(placements)
 			})
 		}
 	}
