Give each term of ownership of a shard its own term

Callers see: more tasks of a team than its cap allows. Promise: a team's cap (DESIGN.md, "Caps are units held by shards"). Sequence: an entry owns its shard, steps down and owns it again in the same run of its process; another entry may have owned it in between. acquireTerm uses the holder (entry and run of the process) as the id of the operation, finds it among the last 32 of the document and takes the term that it reads there, its own earlier one or the other entry's, for its own. It then has no need to write its term into the units, and starts work; a late write by the earlier owner, such as a transfer of units to another shard, still meets the revision that it expects and is not of an earlier term, so that two shards use the same units. The same happens in one term of ownership, if the answer to the write is lost and another owner increments the term before the retry. Cause: the holder outlives the term of ownership that it identifies. Change: each Shard has an id of its own, which is the operation's and the document's owner. If another owner is named there, the shard is superseded.

--- a/internal/entry/upstream/shard.go
+++ b/internal/entry/upstream/shard.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/citronbay/citronbay/internal/api/operator"
 	apiplatform "github.com/citronbay/citronbay/internal/api/platform"
 	"github.com/citronbay/citronbay/internal/api/upstream"
@@ -53,9 +55,11 @@
 // Use NewShard to create one, and Run to operate it.
 type Shard struct {
 	Options
-	holder  string
-	timings settings.Timings
-	journal *platform.Journal
+	holder string
+	// ownership identifies the term of ownership. The holder may be the same in several.
+	ownership string
+	timings   settings.Timings
+	journal   *platform.Journal
 
 	// mu guards the fields below and, unless stated otherwise, those of links and
 	// jobs. Methods that use these without locking mu are called with mu held.
@@ -91,6 +95,7 @@
 	return &Shard{
 		Options:        options,
 		holder:         options.Holder,
+		ownership:      options.Holder + "/" + uuid.NewString(),
 		timings:        options.Timings,
 		journal:        platform.NewJournal(options.Store),
 		created:        time.Now(),
--- a/internal/entry/upstream/units.go
+++ b/internal/entry/upstream/units.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// Term is the stored document that numbers the successive owners of a shard. Owner
-// is the holder that last incremented Term.
+// Term is the stored document that numbers the successive terms of ownership of a shard.
+// Owner identifies the term of ownership in which Term was last incremented.
 type Term struct {
 	Owner string `json:"owner"`
 	Term  int64  `json:"term"`
@@ -168,8 +168,9 @@
 }
 
 // acquireTerm increments the shard's term in the store and reports whether this
-// owner has its term. The holder is the id of the operation, so that repeated calls
-// by one holder, also in a later term of ownership, increment the term only once.
+// owner has its term. The term of ownership is the id of the operation, so that repeated
+// calls increment the term only once. If another owner has incremented it since, this one
+// is superseded.
 func (s *Shard) acquireTerm(ctx context.Context) bool {
 	s.mu.Lock()
 	acquired := s.units.term != 0
@@ -177,10 +178,9 @@
 	if acquired {
 		return true
 	}
-	var term int64
-	entry, err := platform.Update(ctx, s.Store, termPrefix+s.Name, s.holder, func(old Term, _ bool) (Term, error) {
+	entry, err := platform.Update(ctx, s.Store, termPrefix+s.Name, s.ownership, func(old Term, _ bool) (Term, error) {
 		return Term{
-			Owner: s.holder,
+			Owner: s.ownership,
 			Term:  old.Term + 1,
 		}, nil
 	})
@@ -191,10 +191,13 @@
 	if err != nil {
 		return false
 	}
-	term = document.Body.Term
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.units.term = term
+	if document.Body.Owner != s.ownership {
+		s.markSuperseded("another owner has incremented the shard's term")
+		return false
+	}
+	s.units.term = document.Body.Term
 	return true
 }
 
