Do not take an earlier term's record for the one that is saved

Callers see: a task of a job that has completed runs again, or one that must run at most once runs twice. Promise: ends are acknowledged to the upstream only after they are saved; atMostOnce (API.md). Sequence: an entry saves a job as version 1, steps down, owns its shard again in the same run of its process and restores the job, whose versions start anew; it saves version 1 and gets no answer, and the write has no effect; readBack finds the stored version 1 by the same holder and reports success. flush then lets the upstream forget the end, and commitDispatch lets a task start whose dispatch no record has. merge skips records of the same holder, such as a late write of the earlier term with a cancellation. Cause: the writer in the record is the holder, which outlives the term of ownership in which the versions count. Change: the writer is the id of the term of ownership.

--- a/internal/entry/upstream/job.go
+++ b/internal/entry/upstream/job.go
@@ -53,7 +53,7 @@
 	Ran       bool      `json:"ran,omitempty"`
 	Submitted time.Time `json:"submitted"`
 	// Writer and Version identify the write, so that a write whose answer was
-	// lost is recognized. Writer is the holder of the leases.
+	// lost is recognized. Writer is the writer's term of ownership.
 	Writer  string `json:"writer"`
 	Version int64  `json:"version"`
 }
--- a/internal/entry/upstream/ownership_test.go
+++ b/internal/entry/upstream/ownership_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -22,6 +23,8 @@
 	revision  int64
 	// afterWrite is called after a write, and its error returned; nil means no error.
 	afterWrite func() error
+	// unavailable makes writes fail without effect.
+	unavailable bool
 }
 
 func newMemoryStore() *memoryStore {
@@ -37,7 +40,10 @@
 }
 
 func (m *memoryStore) Write(_ context.Context, request platform.WriteRequest) (int64, error) {
-	if m.keyValues[request.Key].Revision != request.IfRevision {
+	switch {
+	case m.unavailable:
+		return 0, errLost
+	case m.keyValues[request.Key].Revision != request.IfRevision:
 		return 0, platform.ErrConflict
 	}
 	m.revision++
@@ -98,3 +104,39 @@
 		assert.Assert(t, s.Superseded())
 	})
 }
+
+// TestSaveIsNotConfirmedByEarlierTerm guards against a failed save that counts as done, since
+// the stored record has the same version and was written by the same entry, in an earlier term
+// of ownership. The upstreams would then forget ends that no record has.
+func TestSaveIsNotConfirmedByEarlierTerm(t *testing.T) {
+	store := newMemoryStore()
+	record := JobRecord{
+		JobID:     "shard.1",
+		States:    string([]byte{taskWaiting, taskWaiting}),
+		Submitted: time.Now(),
+	}
+	complete := func(s *Shard, index int) *job {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if kv, ok := store.keyValues[s.recordKey(record.JobID)]; ok {
+			s.restore(kv)
+		} else {
+			s.jobs[record.JobID] = newJob(record)
+		}
+		j := s.jobs[record.JobID]
+		j.setState(index, taskCompleted)
+		return j
+	}
+	first := newOwner(store, "entry-0#1")
+	assert.NilError(t, first.save(t.Context(), complete(first, 0)))
+	second := newOwner(store, "entry-0#1")
+	j := complete(second, 1)
+	store.unavailable = true
+	assert.ErrorIs(t, second.save(t.Context(), j), errLost)
+	assert.Assert(t, j.dirty)
+	store.unavailable = false
+	assert.NilError(t, second.save(t.Context(), j))
+	_, stored, err := second.readRecord(t.Context(), record.JobID)
+	assert.NilError(t, err)
+	assert.Equal(t, stored.States, string([]byte{taskCompleted, taskCompleted}))
+}
--- a/internal/entry/upstream/save.go
+++ b/internal/entry/upstream/save.go
@@ -194,7 +194,7 @@
 	defer s.mu.Unlock()
 	record := j.record
 	record.States = string(j.states)
-	record.Writer = s.holder
+	record.Writer = s.ownership
 	record.Version = j.version
 	return record
 }
