Carry out a cancellation that an earlier owner accepted

Callers see: DELETE of a job is answered with its status, and after a change of the owner its tasks go on running, those of a service without end, or waiting tasks start. Promise: DELETE cancels the job (API.md). Sequence: cancelJob marks the job as cancelled, but as changed only if a task waits, so that the record of a job whose tasks all run does not show it; the owner is replaced before the tasks have stopped. Or the record shows it, and the next owner restores the job, attaches the tasks found at the upstreams and does not repeat the stops, or queues the tasks again that are not found. Or an owner that has been replaced accepts the cancellation, and the next one, which merges its record, takes over the mark without stopping anything. Cause: the stop orders belong to the term of the owner that sent them; the mark in the record, which outlives it, was not acted upon. Change: a cancellation changes the record, and is carried out again after a restore and a merge. A merge that ends the last task records the job's fate. A cancellation is still answered before it is saved.

--- a/internal/entry/upstream/job.go
+++ b/internal/entry/upstream/job.go
@@ -317,7 +317,8 @@
 // adoptJobs queues the waiting tasks of jobs that an earlier owner left, once
 // all tasks that such an owner may have left running are known. A dispatched task
 // that is not found at any upstream gets the state taskUnknown. If some tasks of a
-// job that must start together are found while others wait, those found are stopped.
+// job that must start together are found while others wait, those found are stopped,
+// as are those of a cancelled job.
 func (s *Shard) adoptJobs() {
 	if !s.jobsRead || !s.allReconciled() {
 		return
@@ -333,6 +334,11 @@
 				s.setTaskState(j, index, taskUnknown, "the owner was lost while the task may have been running")
 			}
 		}
+		if j.record.Cancelled {
+			// The earlier owner may not have stopped all tasks.
+			s.cancelJob(j, "cancelled")
+			continue
+		}
 		if j.record.Spec.Kind == caller.KindAllAtOnce && len(j.runs) > 0 && len(j.runs) < j.counts[taskWaiting] {
 			s.stopAllTasks(j)
 			continue
@@ -369,6 +375,8 @@
 // job has the fate FateNotRun if no task has started. The lock must be held.
 func (s *Shard) cancelJob(j *job, reason string) {
 	j.record.Cancelled = true
+	j.markChanged()
+	notify(s.flushSignal)
 	j.clearWaiting()
 	s.updateQueue(j, false)
 	if len(j.runs) == 0 && j.counts[taskWaiting] == len(j.states) && !j.record.Ran {
--- a/internal/entry/upstream/save.go
+++ b/internal/entry/upstream/save.go
@@ -254,8 +254,8 @@
 }
 
 // merge takes over what another owner has written to the stored record: the states
-// of tasks that have ended, and the cancellation. A task that the other owner has
-// dispatched and that this owner has placed too gets the state taskUnknown.
+// of tasks that have ended, and the cancellation, which it carries out. A task that the
+// other owner has dispatched and that this owner has placed too gets the state taskUnknown.
 func (s *Shard) merge(ctx context.Context, j *job, record JobRecord) error {
 	kv, stored, err := s.readRecord(ctx, record.JobID)
 	if errors.Is(err, platform.ErrNotFound) {
@@ -278,12 +278,14 @@
 			continue
 		}
 		if isTerminal(theirs) {
-			j.setState(index, theirs)
+			s.setTaskState(j, index, theirs, "")
 		} else if theirs == taskDispatched && j.runs[index] != nil && !j.runs[index].adopted {
 			s.setTaskState(j, index, taskUnknown, "another owner also dispatched the task")
 		}
 	}
-	j.record.Cancelled = j.record.Cancelled || stored.Cancelled
+	if stored.Cancelled && !j.record.Cancelled {
+		s.cancelJob(j, "cancelled")
+	}
 	j.markChanged()
 	return nil
 }
