Do not deny jobs that a new owner has not read yet

Callers see: 404 "the team has no such job" for GET and DELETE of a job that exists, after a change of the owner, for as long as the store does not list the jobs; a caller may then submit the job again. Promise: 404 means that the team has no such job (API.md). Sequence: an entry holds a lease on one upstream of the shard, and so counts as the owner, before readJobs has succeeded. Cause: the absence of a job is inferred from a state that is not complete. Change: until the jobs are read, a job that is not found is an error, 503 to the caller, as for an owner that cannot be asked.

--- a/internal/entry/shard/router.go
+++ b/internal/entry/shard/router.go
@@ -130,45 +130,61 @@
 	apipeer.Handle(server, methodQueryRequest, func(ctx context.Context, request RequestQuery) (RequestReply, error) {
 		return r.queryOwnedShard(ctx, request), nil
 	})
-	apipeer.Handle(server, methodShardStatus, ownedShardHandler(r, func(owned *upstream.Shard, _ Empty) operator.ShardStatus {
-		return owned.Status()
+	apipeer.Handle(server, methodShardStatus, ownedShardHandler(r, func(owned *upstream.Shard, _ Empty) (operator.ShardStatus, error) {
+		return owned.Status(), nil
 	}))
 }
 
-func jobStatus(owned *upstream.Shard, request JobRequest) JobReply {
+// errJobsNotRead reports that a new owner does not know yet which jobs earlier owners have
+// left.
+var errJobsNotRead = errors.New("shard: the owner has not read the shard's jobs yet")
+
+// checkFound returns errJobsNotRead if a job was not found, but may exist. Callers set
+// jobsRead to whether the jobs had been read before the search.
+func checkFound(found, jobsRead bool) error {
+	if !found && !jobsRead {
+		return errJobsNotRead
+	}
+	return nil
+}
+
+func jobStatus(owned *upstream.Shard, request JobRequest) (JobReply, error) {
+	jobsRead := owned.JobsRead()
 	status, found := owned.JobStatus(request.Team, request.JobID)
 	return JobReply{
 		Status: status,
 		Found:  found,
-	}
+	}, checkFound(found, jobsRead)
 }
 
-func cancelJob(owned *upstream.Shard, request JobRequest) JobReply {
+func cancelJob(owned *upstream.Shard, request JobRequest) (JobReply, error) {
+	jobsRead := owned.JobsRead()
 	status, found := owned.Cancel(request.Team, request.JobID)
 	return JobReply{
 		Status: status,
 		Found:  found,
-	}
+	}, checkFound(found, jobsRead)
 }
 
-func explainJob(owned *upstream.Shard, request JobRequest) ExplainReply {
+func explainJob(owned *upstream.Shard, request JobRequest) (ExplainReply, error) {
+	jobsRead := owned.JobsRead()
 	explanation, found := owned.Explain(request.JobID)
 	return ExplainReply{
 		Explanation: explanation,
 		Found:       found,
-	}
+	}, checkFound(found, jobsRead)
 }
 
 // ownedShardHandler returns a handler that calls handle with the shard owned by
 // this entry, or fails if the entry owns none.
-func ownedShardHandler[Request, Response any](r *Router, handle func(*upstream.Shard, Request) Response) func(context.Context, Request) (Response, error) {
+func ownedShardHandler[Request, Response any](r *Router, handle func(*upstream.Shard, Request) (Response, error)) func(context.Context, Request) (Response, error) {
 	return func(_ context.Context, request Request) (Response, error) {
 		owned := r.ownership.OwnedShard()
 		if owned == nil {
 			var zero Response
 			return zero, errors.New(reasonNotOwner)
 		}
-		return handle(owned, request), nil
+		return handle(owned, request)
 	}
 }
 
@@ -361,8 +377,8 @@
 }
 
 // ErrOwnerUnreachable reports that the owner of a job's shard is not known, that
-// the call to it failed, or that the entry called no longer owns the shard. After
-// a failed call, the outcome may be unknown.
+// the call to it failed, that the entry called no longer owns the shard, or that a new
+// owner has not read its jobs yet. After a failed call, the outcome may be unknown.
 var ErrOwnerUnreachable = errors.New("shard: the owner cannot be reached")
 
 // JobStatus returns the status of a job. Found is false in the reply if the owner
@@ -385,13 +401,17 @@
 
 // callJobOwner calls the owner of the job's shard, which the part of the job's id
 // before the first dot names. If that is this entry, it calls handle instead.
-func callJobOwner[Response any](ctx context.Context, r *Router, request JobRequest, method string, handle func(*upstream.Shard, JobRequest) Response) (Response, error) {
+func callJobOwner[Response any](ctx context.Context, r *Router, request JobRequest, method string, handle func(*upstream.Shard, JobRequest) (Response, error)) (Response, error) {
 	domain, _, _ := strings.Cut(request.JobID, ".")
 	owned := r.ownership.OwnedShard()
+	var zero Response
 	if domain == r.self.Domain && owned != nil {
-		return handle(owned, request), nil
+		reply, err := handle(owned, request)
+		if err != nil {
+			return zero, errors.Join(ErrOwnerUnreachable, err)
+		}
+		return reply, nil
 	}
-	var zero Response
 	owner, ok := r.membership.Owner(domain)
 	if !ok {
 		return zero, ErrOwnerUnreachable
--- a/internal/entry/upstream/job.go
+++ b/internal/entry/upstream/job.go
@@ -390,6 +390,13 @@
 	}
 }
 
+// JobsRead reports whether the shard knows the jobs that earlier owners have left.
+func (s *Shard) JobsRead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.jobsRead
+}
+
 // JobStatus returns the job's status; ok is false if the job is unknown or
 // belongs to another team.
 func (s *Shard) JobStatus(team, id string) (status caller.JobStatus, ok bool) {
