Show an owner that was replaced during its recovery and serves

Callers see: as with an owner that answers although it has learned of the next one; and this node's own calls do not reach the next owner. Promise: CONFIG, LOST. Severity: low, the window is short. Cause: setOwnerLocked is called without the comparison of tokens that updateOwner makes.

--- a/internal/cluster/node/stale_test.go
+++ b/internal/cluster/node/stale_test.go
@@ -626,3 +626,38 @@
 		})
 	}
 }
+
+// TestOwnerReplacedDuringRecoveryDoesNotServe guards against a node that opens the shard after
+// it has learned of the next owner, and then takes itself for the owner.
+func TestOwnerReplacedDuringRecoveryDoesNotServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared := newSharedStore()
+		shared.putAgreement(t, testAgreement(1, oldKey))
+		n := newStoreNode(t, &remoteStore{
+			sharedStore: shared,
+			delay: func(operation, _ string) time.Duration {
+				if operation == "renew" {
+					return noAnswer
+				}
+				return usualDelay
+			},
+			leaseTime: time.Hour,
+		}, "replaced")
+		term, release := own(t, n)
+		defer release()
+		time.Sleep(usualDelay / 2)
+		next := helloRequest{
+			Node:  "next",
+			Owner: store.Owner{Node: "next"},
+			Token: term.Token() + 1,
+		}
+		_, err := n.handleHello(t.Context(), next)
+		assert.NilError(t, err)
+		time.Sleep(4 * usualDelay)
+		owner, _ := n.currentOwner()
+		assert.Equal(t, owner.Node, "next")
+		response, err := n.serveAsOwner(t.Context(), submission(oldKey))
+		assert.NilError(t, err)
+		assert.Equal(t, response.Status, caller.NotOwner)
+	})
+}
