Show an earlier owner that stands for the present one

Callers see: no owner for up to 1.2 s longer than needed (the time of the earlier owner's lease, by its own clock), 503 meanwhile. Promise: none broken by itself; takeover time. Cause: the answer's token is not compared with that of the known owner.

--- a/internal/cluster/node/stale_test.go
+++ b/internal/cluster/node/stale_test.go
@@ -661,3 +661,34 @@
 		assert.Equal(t, response.Status, caller.NotOwner)
 	})
 }
+
+// TestEarlierOwnerDoesNotStandForPresentOne guards against a dead owner that counts as live,
+// so that no node replaces it, because an earlier owner still believes that it serves.
+func TestEarlierOwnerDoesNotStandForPresentOne(t *testing.T) {
+	const earlierToken, token = 7, 9
+	for name, c := range map[string]struct {
+		answerToken int64
+		live        bool
+	}{
+		"present owner": {answerToken: token, live: true},
+		"earlier owner": {answerToken: earlierToken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := peer.NewServer()
+			peer.Handle(server, methodHello, func(context.Context, helloRequest) (helloResponse, error) {
+				return helloResponse{
+					Owner:   store.Owner{Node: "answering"},
+					Token:   c.answerToken,
+					Serving: true,
+				}, nil
+			})
+			n := newTestNode(t, "node", "127.0.0.1:1")
+			n.updateOwner(store.Owner{
+				Node:  "present",
+				Token: token,
+			})
+			n.sendHello(t.Context(), servePeer(t, server), false)
+			assert.Equal(t, n.ownerIsLive(), c.live)
+		})
+	}
+}
