Stop serving as an owner once another one has taken over

Callers see: the state of a job as a replaced owner knew it, 404 for a job of the next owner, or a DELETE that is answered and not carried out. Promise: API.md, jobs. Sequence: one upstream was leased to another holder, or a newer term is in the units; the shard is marked as superseded, but holds leases on others, so that OwnedShard and the heartbeats go on naming this entry as the owner until the next reconcile, 150 ms later at most. A cancellation in that time reaches the next owner only with its next save of the job. Cause: whether an entry serves is inferred from its leases, also when it knows more. Change: a superseded shard counts as holding none. Evidence: TestSupersededOwnerDoesNotServe fails 3 of 3 times without the change.

--- a/internal/entry/upstream/lease.go
+++ b/internal/entry/upstream/lease.go
@@ -85,11 +85,14 @@
 	return s.superseded
 }
 
-// HeldLeases returns the number of valid leases. An owner without any does not
-// serve the shard yet.
+// HeldLeases returns the number of valid leases, and zero if the shard is superseded. An
+// owner without any does not serve the shard yet, or no longer.
 func (s *Shard) HeldLeases() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.superseded {
+		return 0
+	}
 	held := 0
 	now := time.Now()
 	for _, l := range s.links {
--- a/internal/entry/upstream/ownership_test.go
+++ b/internal/entry/upstream/ownership_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net/http"
 	"testing"
 	"time"
 
@@ -140,3 +141,14 @@
 	assert.NilError(t, err)
 	assert.Equal(t, stored.States, string([]byte{taskCompleted, taskCompleted}))
 }
+
+// TestSupersededOwnerDoesNotServe guards against an owner that answers callers, and accepts
+// their cancellations, after it has learned that another one has taken over.
+func TestSupersededOwnerDoesNotServe(t *testing.T) {
+	s, l := newTestLink(t, func(http.ResponseWriter, *http.Request) {})
+	l.epoch, l.claimed, l.leaseUntil = 1, true, 3000
+	l.clock.observe(time.Now(), time.Now(), 1000)
+	assert.Equal(t, s.HeldLeases(), 1)
+	assert.Assert(t, s.markSupersededIfClaimed(l))
+	assert.Equal(t, s.HeldLeases(), 0)
+}
