--- a/internal/cluster/node/stale_test.go
+++ b/internal/cluster/node/stale_test.go
@@ -627,3 +627,69 @@
 		})
 	}
 }
+
+// TestOwnerReplacedDuringRecoveryDoesNotServe guards against a node that opens the shard after
+// it has learned of the next owner, and then takes itself for the owner.
+func TestOwnerReplacedDuringRecoveryDoesNotServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared := newSharedStore()
+		shared.putAgreement(t, testAgreement(1, oldKey))
+		n := newStoreNode(t, &remoteStore{
+			sharedStore: shared,
+			delay: func(operation, _ string) time.Duration {
+				if operation == "renew" {
+					return noAnswer
+				}
+				return usualDelay
+			},
+			leaseTime: time.Hour,
+		}, "replaced")
+		term, release := own(t, n)
+		defer release()
+		time.Sleep(usualDelay / 2)
+		next := helloRequest{
+			Node:  "next",
+			Owner: store.Owner{Node: "next"},
+			Token: term.Token() + 1,
+		}
+		_, err := n.handleHello(t.Context(), next)
+		assert.NilError(t, err)
+		time.Sleep(4 * usualDelay)
+		owner, _ := n.currentOwner()
+		assert.Equal(t, owner.Node, "next")
+		response, err := n.serveAsOwner(t.Context(), submission(oldKey))
+		assert.NilError(t, err)
+		assert.Equal(t, response.Status, caller.NotOwner)
+	})
+}
+
+// TestEarlierOwnerDoesNotStandForPresentOne guards against a dead owner that counts as live,
+// so that no node replaces it, because an earlier owner still believes that it serves.
+func TestEarlierOwnerDoesNotStandForPresentOne(t *testing.T) {
+	const earlierToken, token = 7, 9
+	for name, c := range map[string]struct {
+		answerToken int64
+		live        bool
+	}{
+		"present owner": {answerToken: token, live: true},
+		"earlier owner": {answerToken: earlierToken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := peer.NewServer()
+			peer.Handle(server, methodHello, func(context.Context, helloRequest) (helloResponse, error) {
+				return helloResponse{
+					Owner:   store.Owner{Node: "answering"},
+					Token:   c.answerToken,
+					Serving: true,
+				}, nil
+			})
+			n := newTestNode(t, "node", "127.0.0.1:1")
+			n.updateOwner(store.Owner{
+				Node:  "present",
+				Token: token,
+			})
+			n.sendHello(t.Context(), servePeer(t, server), false)
+			assert.Equal(t, n.ownerIsLive(), c.live)
+		})
+	}
+}
--- a/internal/entry/upstream/job.go
+++ b/internal/entry/upstream/job.go
@@ -53,7 +53,7 @@
 	Ran       bool      `json:"ran,omitempty"`
 	Submitted time.Time `json:"submitted"`
 	// Writer and Version identify the write, so that a write whose answer was
-	// lost is recognized. Writer is the holder of the leases.
+	// lost is recognized. Writer is the writer's term of ownership.
 	Writer  string `json:"writer"`
 	Version int64  `json:"version"`
 }
@@ -317,7 +317,8 @@
 // adoptJobs queues the waiting tasks of jobs that an earlier owner left, once
 // all tasks that such an owner may have left running are known. A dispatched task
 // that is not found at any upstream gets the state taskUnknown. If some tasks of a
-// job that must start together are found while others wait, those found are stopped.
+// job that must start together are found while others wait, those found are stopped,
+// as are those of a cancelled job.
 func (s *Shard) adoptJobs() {
 	if !s.jobsRead || !s.allReconciled() {
 		return
@@ -333,6 +334,11 @@
 				s.setTaskState(j, index, taskUnknown, "the owner was lost while the task may have been running")
 			}
 		}
+		if j.record.Cancelled {
+			// The earlier owner may not have stopped all tasks.
+			s.cancelJob(j, "cancelled")
+			continue
+		}
 		if j.record.Spec.Kind == caller.KindAllAtOnce && len(j.runs) > 0 && len(j.runs) < j.counts[taskWaiting] {
 			s.stopAllTasks(j)
 			continue
@@ -369,6 +375,8 @@
 // job has the fate FateNotRun if no task has started. The lock must be held.
 func (s *Shard) cancelJob(j *job, reason string) {
 	j.record.Cancelled = true
+	j.markChanged()
+	notify(s.flushSignal)
 	j.clearWaiting()
 	s.updateQueue(j, false)
 	if len(j.runs) == 0 && j.counts[taskWaiting] == len(j.states) && !j.record.Ran {
@@ -382,6 +390,13 @@
 	}
 }
 
+// JobsRead reports whether the shard knows the jobs that earlier owners have left.
+func (s *Shard) JobsRead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.jobsRead
+}
+
 // JobStatus returns the job's status; ok is false if the job is unknown or
 // belongs to another team.
 func (s *Shard) JobStatus(team, id string) (status caller.JobStatus, ok bool) {
