Do not let an earlier owner stand for the present one

What callers would see: no owner for up to 1.2 s longer than needed, 503 meanwhile: the present owner dies, and an earlier one that believes in its lease answers a hello that it serves, which the sender took for the known owner's confirmation. Change: such an answer counts only with the token of the known owner. Promise next to it: the present owner's answer counts (case present_owner; TestBusyOwnerIsNotReplaced).

--- a/internal/cluster/node/hello.go
+++ b/internal/cluster/node/hello.go
@@ -145,7 +145,7 @@
 }
 
 // sendHello sends a hello to the address and applies the response. It returns whether a
-// node answered, and whether that node is the owner and serves. Callers set toOwner if
+// node answered, and whether that node is the known owner and serves. Callers set toOwner if
 // the address is that of the known owner.
 func (n *Node) sendHello(ctx context.Context, address string, toOwner bool) (answered, serving bool) {
 	callCtx, cancel := context.WithTimeout(ctx, helloTimeout)
@@ -169,17 +169,25 @@
 		n.ownerAnsweredAt = time.Now()
 		n.mu.Unlock()
 	}
-	if response.Serving {
-		n.mu.Lock()
-		n.markOwnerServing()
-		for _, a := range response.MemberAddresses {
-			if n.members[a].address == "" {
-				n.members[a] = member{address: a}
-			}
+	return true, n.noteServing(response)
+}
+
+// noteServing reports whether the response is that of the known owner, which serves, and if
+// so notes that and the members that it lists. An earlier owner may still believe that it
+// serves.
+func (n *Node) noteServing(response helloResponse) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !response.Serving || response.Token != n.owner.Token {
+		return false
+	}
+	n.markOwnerServing()
+	for _, a := range response.MemberAddresses {
+		if n.members[a].address == "" {
+			n.members[a] = member{address: a}
 		}
-		n.mu.Unlock()
 	}
-	return true, response.Serving
+	return true
 }
 
 // probe is both the request and the response of methodProbe, which asks a node whether
