Announce only the release of the own term

Found by the review of the repair. Change: the announcement has the token of the term that is released, and the check stops with the term. Promises next to it: an owner that the store rejects still hands over (TestBusyOwnerKeepsOwnership, not busy; TestReturnOfTheStoreIsNoReasonToHandOver; TestStoreRejectsOwner), a silent one is still replaced (TestBusyOwnerIsNotReplaced, answers nothing).

--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -135,13 +135,16 @@
 			continue
 		}
 		successor := n.findNodeReachingStore(term.Context())
+		if term.Context().Err() != nil {
+			return // the read may have ended with the term
+		}
 		if successor == "" || isRenewed(term) || lag.longest() > maxTimerLag {
 			continue
 		}
 		n.log.Warn("turnedAway", "token", term.Token(), "remaining", term.Remaining(), "successor", successor,
 			"candidate", n.candidateAddresses()[successor], "lag", lag.longest())
 		term.Revoke(errors.New("the store does not answer this node"))
-		n.announceRelease(successor)
+		n.announceRelease(term.Token(), successor)
 		return
 	}
 }
@@ -318,7 +321,7 @@
 // with the announcement; the successor can claim after either of them.
 func (n *Node) handOver(term *store.Term, successor string) {
 	go term.Release()
-	n.announceRelease(successor)
+	n.announceRelease(term.Token(), successor)
 }
 
 // setShard sets the shard that this node runs in the term, and makes owner, which is this
--- a/internal/cluster/node/hello.go
+++ b/internal/cluster/node/hello.go
@@ -123,7 +123,7 @@
 func (n *Node) replaceOwner(owner store.Owner) {
 	better := n.betterOwner(owner.Address)
 	if n.nameSuccessor(owner, cmp.Or(better, n.options.Address)) && better != "" {
-		n.announceRelease(better)
+		n.announceRelease(owner.Token, better)
 	}
 }
 
@@ -281,13 +281,12 @@
 	}
 }
 
-// announceRelease notifies the other nodes that this one has released its ownership, so
-// that the successor need not wait until it detects the owner's silence.
-func (n *Node) announceRelease(successor string) {
-	owner, _ := n.currentOwner()
+// announceRelease notifies the other nodes that the term of ownership with the token was
+// released, so that the successor need not wait until it detects the owner's silence.
+func (n *Node) announceRelease(token int64, successor string) {
 	message := n.newHello()
-	message.ReleasedToken = owner.Token
+	message.ReleasedToken = token
 	message.Successor = successor
-	n.log.Info("ownershipReleased", "token", owner.Token, "successor", message.Successor)
+	n.log.Info("ownershipReleased", "token", token, "successor", message.Successor)
 	n.broadcast(message, "releaseNotTold")
 }
