Let an owner without a lease ask the other nodes who the owner is

What callers would see, at the node of such an owner: 200 with keys withdrawn and 401 with keys added seconds ago, and 503 although another node serves. Change: while its lease is over, an owner sends the other nodes hellos as an entry without an owner does; the first answer with a higher token ends its term. Promises next to it: an owner with a valid lease sends none (the owner's cost, TestHelloRateHardlyGrowsWithClusterSize); in an outage the owner goes on (TestStoreUnavailable).

--- a/internal/cluster/node/hello.go
+++ b/internal/cluster/node/hello.go
@@ -21,14 +21,18 @@
 )
 
 // sendHellos sends hellos to the owner at regular intervals, and to all other nodes to
-// learn of a new owner when the known one does not serve. It replaces an owner that is
-// silent.
+// learn of a new owner when the known one, which may be this node, does not serve. It
+// replaces an owner that is silent.
 func (n *Node) sendHellos(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
 		owner, _ := n.currentOwner()
 		if n.currentShard() != nil {
 			failures = 0
+			if !n.holdsLease() {
+				// Another node may have become the owner and its announcement been lost.
+				n.sendHelloToOthers(ctx, n.options.Address)
+			}
 			sleep(ctx, fastHelloInterval)
 			continue
 		}
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -213,6 +213,13 @@
 	return n.shard
 }
 
+// holdsLease reports whether this node is certainly still the owner.
+func (n *Node) holdsLease() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.term != nil && n.term.Remaining() > 0
+}
+
 func (n *Node) currentOwner() (store.Owner, <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
