Take both limits of the agreement's age from the time in which a change must be in force

What callers would see: 200 with a key withdrawn 2.5 s to 7 s before, from an owner with a valid lease of which one read of the agreement was late; or, where a change may take longer than 8.75 s, 503 for every request while the store answers. Found by the review: the limit above which an owner answers nothing was a constant of 7 s, which holds only while the store is disturbed, and did not fit the other limit, which came from the setting. Change: an agreement is read again from 0.8 of the setting on and not used above the setting while the lease is valid; then requests wait for the read as long as other calls to the store may take, 1 s. A call that ends meanwhile is not decided by the old agreement.

TestWithdrawnKeyIsNotConfirmedWhileLeaseIsValid, TestEndedCallIsNotDecidedByOutdatedAgreement and the first case of TestAgreementIsReadBeforeRequestsAreRefused failed before.

--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -266,7 +266,7 @@
 		Term:              term,
 		Agreement:         func() shard.DatedAgreement { return <-agreement },
 		ReadAgreement:     n.readAgreement,
-		MaxAgreementAge:   n.options.MaxAgreementAge,
+		ChangeInForce:     n.options.ChangeInForce,
 		NewWorkerClient:   n.options.NewWorkerClient,
 		Advisors:          n.advisors,
 		JobStateRetention: n.options.JobStateRetention,
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -43,9 +43,9 @@
 	Store           store.Client
 	Directory       Directory
 	AgreementSource AgreementSource
-	// MaxAgreementAge is the age of the agreement above which the owner reads it again
-	// before it answers a request; zero means no limit.
-	MaxAgreementAge time.Duration
+	// ChangeInForce is the time after its acknowledgement within which a change of the
+	// agreement has to be in force; zero means no limit.
+	ChangeInForce time.Duration
 	// NewWorkerClient returns a client of the worker and the function that closes it.
 	NewWorkerClient func(worker.Registration) (worker.Client, func())
 	// Advisor calls the policy service.
--- a/internal/cluster/settings/settings.go
+++ b/internal/cluster/settings/settings.go
@@ -50,7 +50,7 @@
 	// milliseconds; zero means 10,000.
 	MaxWorkerLeaseMillis int64 `yaml:"maxHoldMillis"`
 	// ChangeInForceMillis is the time after its acknowledgement within which a change of the
-	// agreement must be in force, in milliseconds; zero means 2,500.
+	// agreement has to be in force, in milliseconds; zero means 2,500.
 	ChangeInForceMillis int64 `yaml:"changeInForceMillis"`
 	// GraceSeconds is the time from the request to stop the process until it is
 	// killed; zero means 6.
@@ -154,19 +154,14 @@
 	return time.Duration(s.MaxWorkerLeaseMillis) * time.Millisecond
 }
 
-// maxAgreementAgeFraction leaves a part of the time within which a change must be in force
-// for reading the agreement again.
-const maxAgreementAgeFraction = 0.8
-
-// MaxAgreementAge returns the age of the agreement above which it must be read again before
-// a request is answered by it.
-func (s Settings) MaxAgreementAge() time.Duration {
+// ChangeInForce returns the time after its acknowledgement within which a change of the
+// agreement has to be in force.
+func (s Settings) ChangeInForce() time.Duration {
 	const defaultChangeInForce = 2500 * time.Millisecond
-	inForce := time.Duration(s.ChangeInForceMillis) * time.Millisecond
-	if inForce <= 0 {
-		inForce = defaultChangeInForce
+	if s.ChangeInForceMillis <= 0 {
+		return defaultChangeInForce
 	}
-	return time.Duration(maxAgreementAgeFraction * float64(inForce))
+	return time.Duration(s.ChangeInForceMillis) * time.Millisecond
 }
 
 // JobStateRetention returns how long the state of an ended job is kept.
--- a/internal/cluster/shard/agreement.go
+++ b/internal/cluster/shard/agreement.go
@@ -9,16 +9,18 @@
 )
 
 const (
-	// agreementReadTimeout bounds a read of the agreement for which requests wait. A store
-	// fifty times slower than its normal 4 ms answers within it.
-	agreementReadTimeout = 300 * time.Millisecond
+	// refreshFraction is the age of the agreement, as a fraction of Options.ChangeInForce,
+	// above which it is read again before requests are answered by it.
+	refreshFraction = 0.8
+	// A read of the agreement for which requests wait takes at most agreementReadTimeout,
+	// like other calls to the store, and at most maxAgreementWait while the present
+	// agreement may be used. A store fifty times slower than its normal 4 ms answers within
+	// the latter.
+	agreementReadTimeout = time.Second
+	maxAgreementWait     = 300 * time.Millisecond
 	// agreementRetryInterval is the time after a failed read in which requests wait for no
 	// further one, as in an outage of the store.
 	agreementRetryInterval = time.Second
-	// maxUnconfirmedAge is the age of the agreement above which an owner that reaches the
-	// store, but cannot read the agreement, answers no request by it: changes have to be in
-	// force everywhere within this time.
-	maxUnconfirmedAge = 7 * time.Second
 )
 
 // DatedAgreement is the operators' agreement as read from the store.
@@ -47,23 +49,26 @@
 	s.requestPass()
 }
 
-// refreshAgreement reads the agreement from the store if the present one is older than
-// Options.MaxAgreementAge, as after a time in which this process was frozen. Requests that
-// need it at the same time share one read. If the store cannot be read, the present
-// agreement stays in force: the store may be unavailable to everyone, and no newer version
-// exists then. See mayDecide for an owner whose lease is renewed all the same.
+// refreshAgreement reads the agreement from the store if the present one may soon lack a
+// change that has to be in force, as after a time in which this process was frozen. Requests
+// that need it at the same time share one read. If the store cannot be read, the present
+// agreement stays in force as long as mayDecide allows it.
 func (s *Shard) refreshAgreement(ctx context.Context) {
 	s.mu.Lock()
-	age, version := s.agreement.AsOf.Age(), s.agreement.Version
-	wanted := s.options.MaxAgreementAge > 0 && age > s.options.MaxAgreementAge &&
+	age, version, usable := s.agreement.AsOf.Age(), s.agreement.Version, s.mayDecide()
+	wanted := float64(age) > refreshFraction*float64(s.options.ChangeInForce) && s.options.ChangeInForce > 0 &&
 		s.agreementReadFailedAt.Age() > agreementRetryInterval
 	s.mu.Unlock()
 	if !wanted {
 		return
 	}
+	timeout := agreementReadTimeout
+	if usable {
+		timeout = maxAgreementWait
+	}
 	read := s.agreementReads.DoChan("", func() (any, error) {
 		s.log.Info("agreementOutdated", "version", version, "age", age, "leaseRemaining", s.term.Remaining())
-		return nil, s.readAgreement()
+		return nil, s.readAgreement(timeout)
 	})
 	select {
 	case <-read:
@@ -72,15 +77,17 @@
 	}
 }
 
-// mayDecide reports whether requests may be answered by the present agreement. The caller
-// holds s.mu.
+// mayDecide reports whether requests may be answered by the present agreement. An owner
+// whose lease is valid reaches the store, so that the operators may have changed an agreement
+// of unknown age. Without a lease, the store may be unavailable to everyone. The caller holds
+// s.mu.
 func (s *Shard) mayDecide() bool {
-	return s.options.MaxAgreementAge == 0 || !s.LeaseValid() || s.agreement.AsOf.Age() <= maxUnconfirmedAge
+	return s.options.ChangeInForce == 0 || !s.LeaseValid() || s.agreement.AsOf.Age() <= s.options.ChangeInForce
 }
 
 // readAgreement reads the agreement once and puts it in force.
-func (s *Shard) readAgreement() error {
-	ctx, cancel := context.WithTimeout(s.term.Context(), agreementReadTimeout)
+func (s *Shard) readAgreement(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(s.term.Context(), timeout)
 	defer cancel()
 	a, err := s.options.ReadAgreement(ctx)
 	if err != nil {
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -59,9 +59,9 @@
 	Agreement func() DatedAgreement
 	// ReadAgreement reads the agreement in force from the store.
 	ReadAgreement func(ctx context.Context) (DatedAgreement, error)
-	// MaxAgreementAge is the age of the agreement above which requests are not answered by
-	// it before it has been read again; zero means no limit.
-	MaxAgreementAge time.Duration
+	// ChangeInForce is the time after its acknowledgement within which a change of the
+	// agreement has to be in force; zero means no limit.
+	ChangeInForce time.Duration
 	// NewWorkerClient returns a client of the worker and the function that closes it.
 	NewWorkerClient func(worker.Registration) (worker.Client, func())
 	// Advisors returns the nodes that can ask the policy service now.
