Read the agreement again soon while requests are refused for its age

What callers would see: 503 for up to 1 s after an outage of the store in which leases paused: the lease is renewed, the agreement is too old, and the read that failed in the outage kept others away for 1 s. Change: that interval is 50 ms while the agreement may not be used. Promise next to it: in an outage requests do not wait for the store each time (copy in an outage).

--- a/internal/cluster/shard/agreement.go
+++ b/internal/cluster/shard/agreement.go
@@ -19,8 +19,10 @@
 	agreementReadTimeout = time.Second
 	maxAgreementWait     = 300 * time.Millisecond
 	// agreementRetryInterval is the time after a failed read in which requests wait for no
-	// further one, as in an outage of the store.
-	agreementRetryInterval = time.Second
+	// further one, as in an outage of the store; minAgreementRetryInterval is that while
+	// they are refused otherwise.
+	agreementRetryInterval    = time.Second
+	minAgreementRetryInterval = 50 * time.Millisecond
 )
 
 // DatedAgreement is the operators' agreement as read from the store.
@@ -56,15 +58,14 @@
 func (s *Shard) refreshAgreement(ctx context.Context) {
 	s.mu.Lock()
 	age, version, usable := s.agreement.AsOf.Age(), s.agreement.Version, s.mayDecide()
-	wanted := float64(age) > refreshFraction*float64(s.options.ChangeInForce) && s.options.ChangeInForce > 0 &&
-		s.agreementReadFailedAt.Age() > agreementRetryInterval
+	sinceFailure := s.agreementReadFailedAt.Age()
 	s.mu.Unlock()
-	if !wanted {
-		return
-	}
-	timeout := agreementReadTimeout
+	timeout, retryInterval := agreementReadTimeout, minAgreementRetryInterval
 	if usable {
-		timeout = maxAgreementWait
+		timeout, retryInterval = maxAgreementWait, agreementRetryInterval
+	}
+	if s.options.ChangeInForce == 0 || float64(age) <= refreshFraction*float64(s.options.ChangeInForce) || sinceFailure <= retryInterval {
+		return
 	}
 	read := s.agreementReads.DoChan("", func() (any, error) {
 		s.log.Info("agreementOutdated", "version", version, "age", age, "leaseRemaining", s.term.Remaining())
