Do not accept a submission whose attempt the entry has given up

What callers would see: 503 for a job that runs (REFUSED), if an owner with late timers handles an attempt after a later attempt at the same call got its definite answer. Found by the review, which shows the acceptance of ended attempts; the whole sequence was not produced. Cause: an attempt was taken for the call, whoever still waits for it. Change: a request whose context has ended when it gets the lock is not decided: it is refused, or unconfirmed if its job exists. A call that is recorded is confirmed as before. Promises next to it: the accepted call gets its confirmation (TestCopyWithWithdrawnKeyIsNotConfirmed), a submission is not called refused while its job runs (copy in TestUnconfirmedAgreementDecidesNothing).

--- a/internal/cluster/shard/metrics.go
+++ b/internal/cluster/shard/metrics.go
@@ -16,6 +16,7 @@
 const (
 	reasonStoreUnavailable responseReason = "storeAway"
 	reasonAgreementUnknown responseReason = "agreementUnknown"
+	reasonGivenUp          responseReason = "givenUp"
 	reasonUnconfirmed      responseReason = "unconfirmed"
 	reasonInvalid          responseReason = "invalid"
 	reasonNoQueue          responseReason = "noQueue"
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -62,7 +62,7 @@
 		return caller.Response{Status: caller.NotOwner}
 	}
 	s.mu.Lock()
-	mayDecide := s.mayDecide()
+	undecided := s.undecided(ctx)
 	route, id, ok := s.agreement.Resolve(r.Host, r.Path)
 	team, known := s.agreement.TeamByKey[r.Key]
 	switch {
@@ -72,10 +72,10 @@
 			return s.respondWhenDurable(ctx, nil, caller.Response{Status: caller.OK})
 		}
 		return s.awaitAcceptance(ctx, path.Base(r.Path), nil)
-	case mayDecide && ok && (known || route.AuthExempt):
-	case !mayDecide:
+	case undecided != "":
 		defer s.mu.Unlock()
-		return s.refuseUndecided(r)
+		return s.refuseUndecided(r, undecided)
+	case ok && (known || route.AuthExempt):
 	case !ok:
 		defer s.mu.Unlock()
 		return s.reject(r, caller.NoQueue, reasonNoQueue)
@@ -255,14 +255,27 @@
 	}
 }
 
-// refuseUndecided answers a request that the agreement cannot decide. A submission of a job
-// that exists must not be refused, since the job runs. The caller holds s.mu.
-func (s *Shard) refuseUndecided(r caller.Request) caller.Response {
+// undecided returns why a request is not decided now, or an empty reason. The caller holds
+// s.mu.
+func (s *Shard) undecided(ctx context.Context) responseReason {
+	switch {
+	case ctx.Err() != nil:
+		// The entry may have the answer to a later attempt at the call already.
+		return reasonGivenUp
+	case !s.mayDecide():
+		return reasonAgreementUnknown
+	}
+	return ""
+}
+
+// refuseUndecided answers a request that is not decided now. A submission of a job that
+// exists must not be refused, since the job runs. The caller holds s.mu.
+func (s *Shard) refuseUndecided(r caller.Request, reason responseReason) caller.Response {
 	id := path.Base(r.Path)
 	if r.Verb == caller.Submit && s.state.Job(id) != nil {
 		return s.answerUnconfirmed(id)
 	}
-	return s.refuse(id, reasonAgreementUnknown)
+	return s.refuse(id, reason)
 }
 
 // awaitAcceptance appends the records to the journal, releases s.mu and answers a
