Find the job of a recorded call by the ID at the end of its path

What callers would see: 401 or 404 for the accepted call, or 503 for a copy, on a route whose prefix does not end with a slash, once its key or route is withdrawn (REFUSED). Change: the ID is the end of the path with the length of an ID, not its last segment. The identity of the call makes a false match harmless.

--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"path"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/cluster/caller"
@@ -67,11 +66,11 @@
 	team, known := s.agreement.TeamByKey[r.Key]
 	switch {
 	case s.isRecordedCall(r):
-		s.logConfirmation(r, path.Base(r.Path), "recordedCall")
+		s.logConfirmation(r, pathID(r.Path), "recordedCall")
 		if r.Verb == caller.Cancel {
 			return s.respondWhenDurable(ctx, nil, caller.Response{Status: caller.OK})
 		}
-		return s.awaitAcceptance(ctx, path.Base(r.Path), nil)
+		return s.awaitAcceptance(ctx, pathID(r.Path), nil)
 	case undecided != "":
 		defer s.mu.Unlock()
 		return s.refuseUndecided(r, undecided)
@@ -124,7 +123,7 @@
 // force says about its route and key. Any other call about the same job is judged by that
 // agreement. The caller holds s.mu.
 func (s *Shard) isRecordedCall(r caller.Request) bool {
-	j := s.state.Job(path.Base(r.Path))
+	j := s.state.Job(pathID(r.Path))
 	if j == nil || r.Call == 0 {
 		return false
 	}
@@ -271,7 +270,7 @@
 // refuseUndecided answers a request that is not decided now. A submission of a job that
 // exists must not be refused, since the job runs. The caller holds s.mu.
 func (s *Shard) refuseUndecided(r caller.Request, reason responseReason) caller.Response {
-	id := path.Base(r.Path)
+	id := pathID(r.Path)
 	if r.Verb == caller.Submit && s.state.Job(id) != nil {
 		return s.answerUnconfirmed(id)
 	}
@@ -504,9 +503,17 @@
 	return caller.Queued
 }
 
+// idLength is the length of a job's ID in bytes.
+const idLength = 16
+
+// pathID returns the ID at the end of a path to a job, for requests whose route, which says
+// where the ID begins, may have been withdrawn.
+func pathID(p string) string {
+	return p[max(0, len(p)-idLength):]
+}
+
 // isValidID reports whether the id has the form of a job's id: 16 hexadecimal digits.
 func isValidID(id string) bool {
-	const idLength = 16
 	if len(id) != idLength {
 		return false
 	}
