Place no task by an agreement that cannot be confirmed

What could happen: a start beyond a cap that the operators have lowered since (QUOTA), by an owner whose lease is renewed while its reads of the agreement fail. Cause: the agreement's age guarded the answers alone. Change: the planner places nothing while the agreement may not be used, and a pass starts a read of an agreement that is getting too old, as requests do. Running tasks are not touched. A request waits at most 0.3 s from the start of a read that others have started, so the library's single flight is replaced by a read with a start time. Promises next to it: a slow store does not stop placements (the read starts at 0.8 of the limit), running tasks go on, an owner that wakes reads the agreement (TestOwnerThatWakesReadsAgreement; it failed while passes read without a lease, as the failed read kept requests from reading for 1 s).

The tests of the agreement's age set the age of an owner that wakes instead of changing the options of one that runs, which the planner reads now.

--- a/internal/cluster/shard/agreement.go
+++ b/internal/cluster/shard/agreement.go
@@ -12,12 +12,12 @@
 	// refreshFraction is the age of the agreement, as a fraction of Options.ChangeInForce,
 	// above which it is read again before requests are answered by it.
 	refreshFraction = 0.8
-	// A read of the agreement for which requests wait takes at most agreementReadTimeout,
-	// like other calls to the store, and at most maxAgreementWait while the present
-	// agreement may be used. A store fifty times slower than its normal 4 ms answers within
-	// the latter.
+	// agreementReadTimeout bounds a read of the agreement, like other calls to the store.
 	agreementReadTimeout = time.Second
-	maxAgreementWait     = 300 * time.Millisecond
+	// maxAgreementWait is how long after its start requests wait for a read while the
+	// present agreement may be used. A store fifty times slower than its normal 4 ms answers
+	// within it.
+	maxAgreementWait = 300 * time.Millisecond
 	// agreementRetryInterval is the time after a failed read in which requests wait for no
 	// further one, as in an outage of the store; minAgreementRetryInterval is that while
 	// they are refused otherwise.
@@ -51,53 +51,85 @@
 	s.requestPass()
 }
 
-// refreshAgreement reads the agreement from the store if the present one may soon lack a
-// change that has to be in force, as after a time in which this process was frozen. Requests
-// that need it at the same time share one read. If the store cannot be read, the present
-// agreement stays in force as long as mayDecide allows it.
+// agreementRead is a read of the agreement in progress.
+type agreementRead struct {
+	started time.Time
+	done    chan struct{} // closed when the read has ended
+}
+
+// refreshAgreement waits for a read of the agreement from the store if the present one may
+// soon lack a change that has to be in force, as after a time in which this process was
+// frozen. If the store cannot be read, the present agreement stays in force as long as
+// mayDecide allows it.
 func (s *Shard) refreshAgreement(ctx context.Context) {
 	s.mu.Lock()
-	age, version, usable := s.agreement.AsOf.Age(), s.agreement.Version, s.mayDecide()
-	sinceFailure := s.agreementReadFailedAt.Age()
+	read, usable := s.startAgreementRead(), s.mayDecide()
 	s.mu.Unlock()
-	timeout, retryInterval := agreementReadTimeout, minAgreementRetryInterval
-	if usable {
-		timeout, retryInterval = maxAgreementWait, agreementRetryInterval
-	}
-	if s.options.ChangeInForce == 0 || float64(age) <= refreshFraction*float64(s.options.ChangeInForce) || sinceFailure <= retryInterval {
+	if read == nil {
 		return
 	}
-	read := s.agreementReads.DoChan("", func() (any, error) {
-		s.log.Info("agreementOutdated", "version", version, "age", age, "leaseRemaining", s.term.Remaining())
-		return nil, s.readAgreement(timeout)
-	})
+	timeout := agreementReadTimeout
+	if usable {
+		timeout = maxAgreementWait
+	}
 	select {
-	case <-read:
+	case <-read.done:
+	case <-time.After(time.Until(read.started.Add(timeout))):
 	case <-ctx.Done():
 	case <-s.term.Context().Done():
 	}
 }
 
-// mayDecide reports whether requests may be answered by the present agreement. An owner
-// whose lease is valid reaches the store, so that the operators may have changed an agreement
-// of unknown age. Without a lease, the store may be unavailable to everyone. The caller holds
-// s.mu.
-func (s *Shard) mayDecide() bool {
-	return s.options.ChangeInForce == 0 || !s.LeaseValid() || s.agreement.AsOf.Age() <= s.options.ChangeInForce
+// startAgreementRead returns the read of the agreement in progress. It starts one if the
+// agreement should be read again, and returns nil otherwise. The caller holds s.mu.
+func (s *Shard) startAgreementRead() *agreementRead {
+	age := s.agreement.AsOf.Age()
+	if s.options.ChangeInForce == 0 || float64(age) <= refreshFraction*float64(s.options.ChangeInForce) {
+		return nil
+	}
+	if s.agreementRead != nil {
+		return s.agreementRead
+	}
+	retryInterval := minAgreementRetryInterval
+	if s.mayDecide() {
+		retryInterval = agreementRetryInterval
+	}
+	if s.agreementReadFailedAt.Age() <= retryInterval {
+		return nil
+	}
+	s.log.Info("agreementOutdated", "version", s.agreement.Version, "age", age, "leaseRemaining", s.term.Remaining())
+	s.agreementRead = &agreementRead{
+		started: time.Now(),
+		done:    make(chan struct{}),
+	}
+	go s.readAgreement(s.agreementRead)
+	return s.agreementRead
 }
 
 // readAgreement reads the agreement once and puts it in force.
-func (s *Shard) readAgreement(timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(s.term.Context(), timeout)
+func (s *Shard) readAgreement(read *agreementRead) {
+	ctx, cancel := context.WithTimeout(s.term.Context(), agreementReadTimeout)
 	defer cancel()
 	a, err := s.options.ReadAgreement(ctx)
-	if err != nil {
+	if err == nil {
+		s.SetAgreement(a)
+	} else {
 		s.log.Warn("agreementReadFailed", "error", err)
-		s.mu.Lock()
-		defer s.mu.Unlock()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
 		s.agreementReadFailedAt = store.Now()
-		return err
 	}
-	s.SetAgreement(a)
-	return nil
+	s.agreementRead = nil
+	close(read.done)
+}
+
+// mayDecide reports whether requests may be answered, and tasks placed, by the present
+// agreement. An owner
+// whose lease is valid reaches the store, so that the operators may have changed an agreement
+// of unknown age. Without a lease, the store may be unavailable to everyone. The caller holds
+// s.mu.
+func (s *Shard) mayDecide() bool {
+	return s.options.ChangeInForce == 0 || !s.LeaseValid() || s.agreement.AsOf.Age() <= s.options.ChangeInForce
 }
--- a/internal/cluster/shard/agreement_test.go
+++ b/internal/cluster/shard/agreement_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,55 +14,100 @@
 	"github.com/citronbay/citronbay/internal/cluster/store"
 )
 
+// agreementReader is how reads of the agreement are answered.
+type agreementReader func(ctx context.Context) (DatedAgreement, error)
+
+// newest answers with the agreement after the delay.
+func newest(agreement DatedAgreement, delay time.Duration) agreementReader {
+	return func(ctx context.Context) (DatedAgreement, error) {
+		agreement := agreement
+		agreement.AsOf = store.Now()
+		select {
+		case <-time.After(delay):
+			return agreement, nil
+		case <-ctx.Done():
+			return DatedAgreement{}, store.ErrOutcomeUnknown
+		}
+	}
+}
+
+// silent leaves a read without an answer.
+func silent(ctx context.Context) (DatedAgreement, error) {
+	<-ctx.Done()
+	return DatedAgreement{}, store.ErrOutcomeUnknown
+}
+
+// frozenOwner is an owner with a durable job, which was submitted with validKey by firstCall.
+type frozenOwner struct {
+	*Shard
+	mu    sync.Mutex
+	read  agreementReader
+	reads int // since the owner woke
+}
+
+// newFrozenOwner returns an owner that was frozen for the given time and wakes up now. Its
+// agreement of before has validKey; reads are answered as the reader says. If leaseOver is
+// set, its lease cannot be renewed. The returned function ends its term.
+func newFrozenOwner(t *testing.T, changeInForce, frozen time.Duration, read agreementReader, leaseOver bool) (*frozenOwner, func()) {
+	t.Helper()
+	client := newMemoryStore()
+	before := testAgreement(1, queueHost, validKey)
+	previous, release := runOwner(t, client, before)
+	assert.Equal(t, previous.Serve(t.Context(), submission(acceptedID, validKey, firstCall)).Status, caller.OK)
+	release()
+	client.expired.Store(leaseOver)
+	owner := &frozenOwner{read: newest(before, time.Millisecond)}
+	owner.Shard, release = runOwner(t, client, before, func(o *Options) {
+		o.ChangeInForce = changeInForce
+		o.ReadAgreement = owner.readAgreement
+	})
+	assert.Equal(t, owner.LeaseValid(), !leaseOver)
+	readAt := store.Now()
+	time.Sleep(frozen)
+	owner.mu.Lock()
+	owner.read, owner.reads = read, 0
+	owner.mu.Unlock()
+	owner.Shard.mu.Lock()
+	defer owner.Shard.mu.Unlock()
+	owner.agreement.AsOf = readAt
+	return owner, release
+}
+
+func (o *frozenOwner) readAgreement(ctx context.Context) (DatedAgreement, error) {
+	o.mu.Lock()
+	o.reads++
+	read := o.read
+	o.mu.Unlock()
+	return read(ctx)
+}
+
 // TestOutdatedAgreementIsReadAgain guards against answers by an outdated agreement, as those
 // of an owner that was frozen: it would confirm copies of accepted submissions with keys that
 // were withdrawn meanwhile, and reject keys and routes that were added. In an outage of the
 // store, what is durable must still be answered, without waiting for the store each time.
 func TestOutdatedAgreementIsReadAgain(t *testing.T) {
 	const changeInForce = 2 * time.Second
-	before := testAgreement(1, queueHost, validKey)
-	withdrawn := testAgreement(2, queueHost, keptKey)
-	added := testAgreement(2, queueHost, validKey, keptKey)
+	withdrawn := newest(testAgreement(2, queueHost, keptKey), time.Millisecond)
+	added := newest(testAgreement(2, queueHost, validKey, keptKey), time.Millisecond)
 	for name, c := range map[string]struct {
 		age       time.Duration
-		newest    DatedAgreement
+		read      agreementReader
 		leaseOver bool
-		outage    bool // for this owner or for everyone; its lease is over
 		key       string
 		want      caller.Status
-		wantReads int32
+		wantReads int
 	}{
-		"copy with withdrawn key":           {age: 2 * changeInForce, newest: withdrawn, key: validKey, want: caller.BadKey, wantReads: 1},
-		"copy with added key":               {age: 2 * changeInForce, newest: added, key: keptKey, want: caller.OK, wantReads: 1},
-		"withdrawn key after end of lease":  {age: 2 * changeInForce, newest: withdrawn, leaseOver: true, key: validKey, want: caller.BadKey, wantReads: 1},
-		"copy in an outage":                 {age: 2 * changeInForce, outage: true, leaseOver: true, key: validKey, want: caller.OK, wantReads: 1},
-		"current agreement":                 {age: changeInForce / 2, newest: withdrawn, key: validKey, want: caller.OK},
-		"almost outdated, store unreadable": {age: changeInForce * 83 / 100, outage: true, key: validKey, want: caller.OK, wantReads: 1},
+		"copy with withdrawn key":           {age: 2 * changeInForce, read: withdrawn, key: validKey, want: caller.BadKey, wantReads: 1},
+		"copy with added key":               {age: 2 * changeInForce, read: added, key: keptKey, want: caller.OK, wantReads: 1},
+		"withdrawn key after end of lease":  {age: 2 * changeInForce, read: withdrawn, leaseOver: true, key: validKey, want: caller.BadKey, wantReads: 1},
+		"copy in an outage":                 {age: 2 * changeInForce, read: silent, leaseOver: true, key: validKey, want: caller.OK, wantReads: 1},
+		"current agreement":                 {age: changeInForce / 2, read: withdrawn, key: validKey, want: caller.OK},
+		"almost outdated, store unreadable": {age: changeInForce * 83 / 100, read: silent, key: validKey, want: caller.OK, wantReads: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				client := newMemoryStore()
-				owner, release := runOwner(t, client, before)
-				assert.Equal(t, owner.Serve(t.Context(), submission(acceptedID, validKey, firstCall)).Status, caller.OK)
-				release()
-				client.expired.Store(c.leaseOver)
-				owner, release = runOwner(t, client, before)
+				owner, release := newFrozenOwner(t, changeInForce, c.age, c.read, c.leaseOver)
 				defer release()
-				assert.Equal(t, owner.LeaseValid(), !c.leaseOver)
-				var reads atomic.Int32
-				owner.options.ChangeInForce = changeInForce
-				owner.options.ReadAgreement = func(ctx context.Context) (DatedAgreement, error) {
-					reads.Add(1)
-					if c.outage {
-						<-ctx.Done()
-						return DatedAgreement{}, ctx.Err()
-					}
-					newest := c.newest
-					newest.AsOf = store.Now()
-					time.Sleep(time.Millisecond)
-					return newest, nil
-				}
-				time.Sleep(c.age)
 				start := time.Now()
 				var requests sync.WaitGroup
 				for call := range uint64(5) {
@@ -75,7 +119,9 @@
 				requests.Wait()
 				assert.Equal(t, owner.Serve(t.Context(), submission(acceptedID, c.key, secondCall)).Status, c.want)
 				assert.Assert(t, time.Since(start) <= maxAgreementWait, "%s", time.Since(start))
-				assert.Equal(t, reads.Load(), c.wantReads)
+				owner.mu.Lock()
+				defer owner.mu.Unlock()
+				assert.Equal(t, owner.reads, c.wantReads)
 			})
 		})
 	}
@@ -99,14 +145,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				owner, release := runOwner(t, newMemoryStore(), testAgreement(1, queueHost, validKey))
+				owner, release := newFrozenOwner(t, time.Second, 2*time.Second, silent, false)
 				defer release()
-				assert.Equal(t, owner.Serve(t.Context(), submission(acceptedID, validKey, firstCall)).Status, caller.OK)
-				owner.options.ChangeInForce = time.Second
-				owner.options.ReadAgreement = func(context.Context) (DatedAgreement, error) {
-					return DatedAgreement{}, store.ErrNotApplied
-				}
-				time.Sleep(2 * time.Second)
 				assert.Equal(t, owner.Serve(t.Context(), c.request).Status, c.want)
 			})
 		})
@@ -117,18 +157,11 @@
 // agreement after the term of ownership has ended, when another owner could answer it.
 func TestEndedTermDoesNotWaitForAgreement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		owner, release := runOwner(t, newMemoryStore(), testAgreement(1, queueHost, validKey))
+		owner, release := newFrozenOwner(t, time.Second, 2*time.Second, silent, false)
 		defer release()
-		owner.options.ChangeInForce = time.Second
-		owner.options.ReadAgreement = func(context.Context) (DatedAgreement, error) {
-			owner.term.Revoke(errors.New("test"))
-			time.Sleep(agreementReadTimeout)
-			return DatedAgreement{}, store.ErrOutcomeUnknown
-		}
-		time.Sleep(2 * time.Second)
+		time.AfterFunc(time.Millisecond, func() { owner.term.Revoke(errors.New("test")) })
 		start := time.Now()
 		assert.Equal(t, owner.Serve(t.Context(), submission(acceptedID, validKey, firstCall)).Status, caller.NotOwner)
-		assert.Assert(t, time.Since(start) < agreementReadTimeout)
-		time.Sleep(agreementReadTimeout) // until the read has ended
+		assert.Assert(t, time.Since(start) < maxAgreementWait)
 	})
 }
--- a/internal/cluster/shard/call_test.go
+++ b/internal/cluster/shard/call_test.go
@@ -153,15 +153,15 @@
 	return DatedAgreement{Agreement: a}
 }
 
-// runOwner claims the shard and runs it with the agreement, which is the newest. The returned
-// function ends the term and its lease.
-func runOwner(t *testing.T, client store.Client, agreement DatedAgreement) (*Shard, func()) {
+// runOwner claims the shard and runs it with the agreement, which is the newest, and with
+// options that the functions change. The returned function ends the term and its lease.
+func runOwner(t *testing.T, client store.Client, agreement DatedAgreement, changes ...func(*Options)) (*Shard, func()) {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	agreement.AsOf = store.Now()
 	term, release, err := store.Claim(t.Context(), client, "fleet", store.Owner{}, log)
 	assert.NilError(t, err)
-	s, err := Open(t.Context(), Options{
+	options := Options{
 		Store:             client,
 		Term:              term,
 		Agreement:         func() DatedAgreement { return agreement },
@@ -169,7 +169,11 @@
 		Advisors:          func() []AdvisorNode { return nil },
 		JobStateRetention: time.Minute,
 		Log:               log,
-	})
+	}
+	for _, change := range changes {
+		change(&options)
+	}
+	s, err := Open(t.Context(), options)
 	assert.NilError(t, err)
 	go func() { _ = s.Run() }()
 	return s, release
--- a/internal/cluster/shard/review_test.go
+++ b/internal/cluster/shard/review_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log/slog"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,35 +15,13 @@
 	"github.com/citronbay/citronbay/internal/cluster/caller"
 	"github.com/citronbay/citronbay/internal/cluster/operator"
 	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
 // inForceWithin is the platform's bound for a change of the agreement.
 const inForceWithin = 2500 * time.Millisecond
 
-// runOwnerWithJob runs an owner that has a durable job, submitted with validKey, and reads the
-// agreement with the function.
-func runOwnerWithJob(t *testing.T, changeInForce time.Duration, read func(ctx context.Context) (DatedAgreement, error)) (*Shard, func()) {
-	t.Helper()
-	owner, release := runOwner(t, newMemoryStore(), testAgreement(1, queueHost, validKey))
-	assert.Equal(t, owner.Serve(t.Context(), submission(acceptedID, validKey, firstCall)).Status, caller.OK)
-	owner.options.ChangeInForce = changeInForce
-	owner.options.ReadAgreement = read
-	return owner, release
-}
-
-// newest returns a read of the agreement that takes the given time.
-func newest(agreement DatedAgreement, delay time.Duration) func(ctx context.Context) (DatedAgreement, error) {
-	return func(ctx context.Context) (DatedAgreement, error) {
-		agreement.AsOf = store.Now()
-		select {
-		case <-time.After(delay):
-			return agreement, nil
-		case <-ctx.Done():
-			return DatedAgreement{}, store.ErrOutcomeUnknown
-		}
-	}
-}
-
 // TestWithdrawnKeyIsNotConfirmedWhileLeaseIsValid guards against an owner that confirms a copy
 // with a key that was withdrawn longer ago than a change may take, although its lease is
 // valid, so that the store answers it: one read of the agreement was late, as on a node that
@@ -49,10 +29,8 @@
 func TestWithdrawnKeyIsNotConfirmedWhileLeaseIsValid(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		withdrawn := testAgreement(2, queueHost, keptKey)
-		owner, release := runOwnerWithJob(t, inForceWithin, newest(withdrawn, maxAgreementWait+10*time.Millisecond))
+		owner, release := newFrozenOwner(t, inForceWithin, inForceWithin+time.Second, newest(withdrawn, maxAgreementWait+10*time.Millisecond), false)
 		defer release()
-		time.Sleep(inForceWithin + time.Second)
-		assert.Assert(t, owner.LeaseValid())
 		response := owner.Serve(t.Context(), submission(acceptedID, validKey, secondCall))
 		assert.Assert(t, response.Status != caller.OK)
 	})
@@ -64,9 +42,8 @@
 func TestEndedCallIsNotDecidedByOutdatedAgreement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		withdrawn := testAgreement(2, queueHost, keptKey)
-		owner, release := runOwnerWithJob(t, inForceWithin, newest(withdrawn, 20*time.Millisecond))
+		owner, release := newFrozenOwner(t, inForceWithin, inForceWithin+time.Second, newest(withdrawn, 20*time.Millisecond), false)
 		defer release()
-		time.Sleep(inForceWithin + time.Second)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 		defer cancel()
 		response := owner.Serve(ctx, submission(acceptedID, validKey, secondCall))
@@ -90,15 +67,14 @@
 			synctest.Test(t, func(t *testing.T) {
 				read := newest(testAgreement(1, queueHost, validKey), time.Millisecond)
 				failures := c.failedReads
-				owner, release := runOwnerWithJob(t, c.changeInForce, func(ctx context.Context) (DatedAgreement, error) {
+				owner, release := newFrozenOwner(t, c.changeInForce, c.age, func(ctx context.Context) (DatedAgreement, error) {
 					if failures > 0 {
 						failures--
 						return DatedAgreement{}, store.ErrNotApplied
 					}
 					return read(ctx)
-				})
+				}, false)
 				defer release()
-				time.Sleep(c.age)
 				query := submission(acceptedID, validKey, secondCall)
 				query.Verb = caller.Read
 				for range c.failedReads {
@@ -155,3 +131,54 @@
 	defer owner.mu.Unlock()
 	assert.Equal(t, len(owner.state.OpenJobs()), 0, "accepted, of %d", calls)
 }
+
+// TestNothingStartsByUnconfirmedAgreement guards against an owner that starts tasks by the caps
+// and queues of an agreement by which it may answer no request any more.
+func TestNothingStartsByUnconfirmedAgreement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := slog.New(slog.NewTextHandler(io.Discard, nil))
+		client := newMemoryStore()
+		agreement := testAgreement(1, queueHost, validKey)
+		agreement.AsOf = store.Now()
+		agreement.Rules.Queues = map[string]job.Queue{
+			"queue": {
+				Name:    "queue",
+				Service: "service",
+			},
+		}
+		term, release, err := store.Claim(t.Context(), client, "fleet", store.Owner{}, log)
+		assert.NilError(t, err)
+		defer release()
+		workerClient := newRestartingWorker()
+		owner, err := Open(t.Context(), Options{
+			Store:     client,
+			Term:      term,
+			Agreement: func() DatedAgreement { return agreement },
+			ReadAgreement: func(context.Context) (DatedAgreement, error) {
+				return DatedAgreement{}, store.ErrNotApplied
+			},
+			ChangeInForce: inForceWithin,
+			Advisors:      func() []AdvisorNode { return nil },
+			NewWorkerClient: func(worker.Registration) (worker.Client, func()) {
+				return workerClient, func() {}
+			},
+			JobStateRetention: time.Minute,
+			WorkerLease:       6500 * time.Millisecond,
+			MaxWorkerLease:    maxTestLease,
+			Log:               log,
+		})
+		assert.NilError(t, err)
+		go func() { _ = owner.Run() }()
+		assert.Equal(t, owner.Serve(t.Context(), submission(acceptedID, validKey, firstCall)).Status, caller.OK)
+		time.Sleep(inForceWithin + time.Second)
+		assert.Equal(t, owner.Serve(t.Context(), submission(unknownID, validKey, secondCall)).Status, caller.Refused)
+		registration := firstRegistration()
+		registration.Service = "service"
+		registration.Capacity = job.Resources{MilliCores: 1000}
+		owner.SetWorkers([]worker.Registration{registration})
+		time.Sleep(2 * pollsAnswered)
+		workerClient.mu.Lock()
+		defer workerClient.mu.Unlock()
+		assert.Equal(t, workerClient.running[job.TaskKey{Job: acceptedID}], 0, "attempt")
+	})
+}
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/singleflight"
-
 	"github.com/citronbay/citronbay/internal/cluster/store"
 	"github.com/citronbay/citronbay/internal/cluster/worker"
 	"github.com/citronbay/citronbay/internal/decide/job"
@@ -94,9 +92,6 @@
 	// lastPassDuration is how long the last pass took; only Run uses it.
 	lastPassDuration time.Duration
 
-	// agreementReads has the read of the agreement for which requests wait, if any.
-	agreementReads singleflight.Group
-
 	// passLoad sums up the planning passes for the log; only Run uses it.
 	passLoad passLoad
 
@@ -104,7 +99,9 @@
 	mu        sync.Mutex
 	state     *job.State
 	agreement DatedAgreement
-	// agreementReadFailedAt is when a read by readAgreement last failed.
+	// agreementRead is the read for which requests wait, or nil.
+	agreementRead *agreementRead
+	// agreementReadFailedAt is when such a read last failed.
 	agreementReadFailedAt store.Instant
 	links                 map[string]*link // by the ID of the worker
 	linkCount             int64            // links created in this term
@@ -293,9 +290,7 @@
 		s.setGauges(workers)
 	}
 	planner := job.NewPlanner(s.state, s.agreement.Rules, workers, now).WithCommitMillis(s.journal.CommitLatency().Milliseconds())
-	// A placement made while the store is unavailable would hold resources without
-	// being started, and its tickets could expire.
-	if s.term.Remaining() > 0 && s.journal.StalledFor() < storeStallLimit {
+	if s.mayPlace() {
 		if records := planner.Plan(now); len(records) > 0 {
 			s.logPlacements(records, now)
 			placements := s.placementsOf(records)
@@ -307,6 +302,18 @@
 	s.askPolicy(planner, now)
 }
 
+// mayPlace reports whether tasks may be placed now. A placement made while the store is
+// unavailable would hold resources without being started, and its tickets could expire. By an
+// outdated agreement it could exceed a cap that was lowered; mayPlace starts a read of a newer
+// one. The caller holds s.mu.
+func (s *Shard) mayPlace() bool {
+	if s.term.Remaining() <= 0 || s.journal.StalledFor() >= storeStallLimit {
+		return false
+	}
+	s.startAgreementRead()
+	return s.mayDecide()
+}
+
 // plannerWorkers returns the workers as the planner sees them; the caller holds s.mu.
 func (s *Shard) plannerWorkers() []*job.Worker {
 	now := time.Now()
