--- a/internal/cluster/node/forward_test.go
+++ b/internal/cluster/node/forward_test.go
@@ -104,6 +104,8 @@
 	for range 2 {
 		assert.Equal(t, n.Serve(t.Context(), caller.Request{Verb: caller.Submit}).Status, caller.OK)
 	}
+	mu.Lock()
+	defer mu.Unlock()
 	assert.Equal(t, len(calls), 4)
 	assert.Equal(t, calls[0], calls[1])
 	assert.Equal(t, calls[2], calls[3])
