--- a/internal/cluster/shard/agreement.go
+++ b/internal/cluster/shard/agreement.go
@@ -63,15 +63,15 @@
 // mayDecide allows it.
 func (s *Shard) refreshAgreement(ctx context.Context) {
 	s.mu.Lock()
-	read, usable := s.startAgreementRead(), s.mayDecide()
+	read := s.startAgreementRead()
+	timeout := agreementReadTimeout
+	if read != nil && s.mayDecide() {
+		timeout = maxAgreementWait
+	}
 	s.mu.Unlock()
 	if read == nil {
 		return
 	}
-	timeout := agreementReadTimeout
-	if usable {
-		timeout = maxAgreementWait
-	}
 	select {
 	case <-read.done:
 	case <-time.After(time.Until(read.started.Add(timeout))):
@@ -126,10 +126,9 @@
 }
 
 // mayDecide reports whether requests may be answered, and tasks placed, by the present
-// agreement. An owner
-// whose lease is valid reaches the store, so that the operators may have changed an agreement
-// of unknown age. Without a lease, the store may be unavailable to everyone. The caller holds
-// s.mu.
+// agreement. An owner whose lease is valid reaches the store, so that the operators may have
+// changed an agreement of unknown age. Without a lease, the store may be unavailable to
+// everyone. The caller holds s.mu.
 func (s *Shard) mayDecide() bool {
-	return s.options.ChangeInForce == 0 || !s.LeaseValid() || s.agreement.AsOf.Age() <= s.options.ChangeInForce
+	return s.options.ChangeInForce == 0 || s.agreement.AsOf.Age() <= s.options.ChangeInForce || !s.LeaseValid()
 }
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -61,58 +61,76 @@
 		return caller.Response{Status: caller.NotOwner}
 	}
 	s.mu.Lock()
-	undecided := s.undecided(ctx)
-	route, id, ok := s.agreement.Resolve(r.Host, r.Path)
-	team, known := s.agreement.TeamByKey[r.Key]
-	switch {
-	case s.isRecordedCall(r):
-		s.logConfirmation(r, pathID(r.Path), "recordedCall")
-		if r.Verb == caller.Cancel {
-			return s.respondWhenDurable(ctx, nil, caller.Response{Status: caller.OK})
-		}
-		return s.awaitAcceptance(ctx, pathID(r.Path), nil)
-	case undecided != "":
-		defer s.mu.Unlock()
-		return s.refuseUndecided(r, undecided)
-	case ok && (known || route.AuthExempt):
-	case !ok:
-		defer s.mu.Unlock()
-		return s.reject(r, caller.NoQueue, reasonNoQueue)
-	default:
+	if s.isRecordedCall(r) {
+		return s.confirmRecordedCall(ctx, r)
+	}
+	a, rejection, allowed := s.authorize(ctx, r)
+	if !allowed {
 		defer s.mu.Unlock()
-		return s.reject(r, caller.BadKey, reasonBadKey)
+		return rejection
 	}
-	if response, ok := s.durableAnswer(r, route, team, id); ok {
+	if response, ok := s.durableAnswer(r, a); ok {
 		defer s.mu.Unlock()
 		return response
 	}
 	switch {
 	case r.Verb == caller.Submit:
-		return s.submit(ctx, r, route, team, id)
+		return s.submit(ctx, r, a)
 	case !s.LeaseValid():
 		defer s.mu.Unlock()
 		return caller.Response{Status: caller.NotOwner}
 	case r.Verb == caller.Cancel:
-		return s.cancelJob(ctx, r, route, team, id)
-	case id == "":
+		return s.cancelJob(ctx, r, a)
+	case a.id == "":
 		defer s.mu.Unlock()
 		return caller.Response{
 			Status:  caller.OK,
 			IsQueue: true,
-			Pending: s.countPending(route.Queue),
+			Pending: s.countPending(a.route.Queue),
 		}
 	}
-	return s.readJob(ctx, route, team, id)
+	return s.readJob(ctx, a)
 }
 
-// accessibleJob returns the job with the ID if requests on the route, with a key of the team
-// or with none if team is empty, may concern it, and otherwise nil. The caller holds s.mu.
-func (s *Shard) accessibleJob(route operator.Route, team, id string) *job.Job {
-	j := s.state.Job(id)
+// access is what the agreement makes of a request: its route, the team of its key, which is
+// empty for a request without one, and the ID of the job that it concerns.
+type access struct {
+	route operator.Route
+	team  string
+	id    string
+}
+
+// authorize returns what the agreement makes of the request. If it does not allow the
+// request, or cannot decide it now, authorize returns the response and false. The caller
+// holds s.mu.
+func (s *Shard) authorize(ctx context.Context, r caller.Request) (access, caller.Response, bool) {
+	if reason := s.undecided(ctx); reason != "" {
+		return access{}, s.refuseUndecided(r, reason), false
+	}
+	route, id, ok := s.agreement.Resolve(r.Host, r.Path)
+	if !ok {
+		return access{}, s.reject(r, caller.NoQueue, reasonNoQueue), false
+	}
+	team, known := s.agreement.TeamByKey[r.Key]
+	if !known && !route.AuthExempt {
+		return access{}, s.reject(r, caller.BadKey, reasonBadKey), false
+	}
+	return access{
+		route: route,
+		team:  team,
+		id:    id,
+	}, caller.Response{}, true
+}
+
+// accessibleJob returns the job that the request concerns, if there is one and it is the
+// team's or of the route's own queue where that needs no key, and otherwise nil. The caller
+// holds s.mu.
+func (s *Shard) accessibleJob(a access) *job.Job {
+	j := s.state.Job(a.id)
 	switch {
 	case j == nil:
 		return nil
-	case team != "" && j.Team == team, route.AuthExempt && j.Queue == route.Queue:
+	case a.team != "" && j.Team == a.team, a.route.AuthExempt && j.Queue == a.route.Queue:
 		return j
 	}
 	return nil
@@ -136,20 +154,28 @@
 	return false
 }
 
+// confirmRecordedCall answers an attempt at a call that had its effect, once that is durable.
+// The caller holds s.mu, which confirmRecordedCall releases.
+func (s *Shard) confirmRecordedCall(ctx context.Context, r caller.Request) caller.Response {
+	id := pathID(r.Path)
+	s.logConfirmation(r, id, "recordedCall")
+	if r.Verb == caller.Cancel {
+		return s.respondWhenDurable(ctx, nil, caller.Response{Status: caller.OK})
+	}
+	return s.awaitAcceptance(ctx, id, nil)
+}
+
 // durableAnswer answers from what is durable in the journal: that a job was accepted, or
 // how it ended. Such an answer is true even if the store is unavailable or the lease has
 // expired. It returns false if there is no such answer. The caller holds s.mu.
-func (s *Shard) durableAnswer(r caller.Request, route operator.Route, team, id string) (caller.Response, bool) {
-	j := s.accessibleJob(route, team, id)
+func (s *Shard) durableAnswer(r caller.Request, a access) (caller.Response, bool) {
+	j := s.accessibleJob(a)
 	if j == nil {
 		return caller.Response{}, false
 	}
 	switch {
-	case r.Verb == caller.Submit && j.Recorded:
-		s.logConfirmation(r, id, "allowed")
-		return caller.Response{Status: caller.OK}, true
-	case r.Verb == caller.Cancel && j.EndRecorded:
-		s.logConfirmation(r, id, "allowed")
+	case r.Verb == caller.Submit && j.Recorded, r.Verb == caller.Cancel && j.EndRecorded:
+		s.logConfirmation(r, a.id, "allowed")
 		return caller.Response{Status: caller.OK}, true
 	case r.Verb == caller.Read && j.EndRecorded:
 		return caller.Response{
@@ -191,8 +217,9 @@
 }
 
 // submit answers a submission. The caller holds s.mu, which submit releases.
-func (s *Shard) submit(ctx context.Context, r caller.Request, route operator.Route, team, id string) caller.Response {
-	if s.accessibleJob(route, team, id) != nil {
+func (s *Shard) submit(ctx context.Context, r caller.Request, a access) caller.Response {
+	id := a.id
+	if s.accessibleJob(a) != nil {
 		// A repeated submission gets the same answer as the first.
 		s.logConfirmation(r, id, "allowed")
 		return s.awaitAcceptance(ctx, id, nil)
@@ -226,14 +253,14 @@
 		}
 	}
 	now := s.now()
-	overRate := s.exceedsRate(team, now)
-	s.log.Info("jobAccepted", "job", id, "call", r.Call, "team", team, "queue", route.Queue, "excess", overRate,
+	overRate := s.exceedsRate(a.team, now)
+	s.log.Info("jobAccepted", "job", id, "call", r.Call, "team", a.team, "queue", a.route.Queue, "excess", overRate,
 		"steps", len(r.Submission.Steps), "agreement", s.agreement.Version, "open", len(s.state.OpenJobs()))
 	records := s.apply(nil, job.Record{
 		Kind:       job.RecordAccept,
 		Job:        id,
-		Team:       team,
-		Queue:      route.Queue,
+		Team:       a.team,
+		Queue:      a.route.Queue,
 		TimeMillis: now,
 		Submission: r.Submission,
 		OverRate:   overRate,
@@ -401,8 +428,8 @@
 
 // readJob answers a request for a job's state. The caller holds s.mu, which readJob
 // releases.
-func (s *Shard) readJob(ctx context.Context, route operator.Route, team, id string) caller.Response {
-	j := s.accessibleJob(route, team, id)
+func (s *Shard) readJob(ctx context.Context, a access) caller.Response {
+	j := s.accessibleJob(a)
 	if j == nil {
 		s.mu.Unlock()
 		return noJobResponse()
@@ -448,8 +475,8 @@
 }
 
 // cancelJob cancels a job. The caller holds s.mu, which cancelJob releases.
-func (s *Shard) cancelJob(ctx context.Context, r caller.Request, route operator.Route, team, id string) caller.Response {
-	j := s.accessibleJob(route, team, id)
+func (s *Shard) cancelJob(ctx context.Context, r caller.Request, a access) caller.Response {
+	j := s.accessibleJob(a)
 	if j == nil {
 		s.mu.Unlock()
 		return noJobResponse()
