Show a replaced owner that announces the release of the next owner's term

Callers see: a change of owner that nothing required (0.2 to 0.5 s without an answer), again and again while the store is slow; then the answers 504 and 503 of a takeover. Sequence: the owner's renewals are late (store slow, or it rejects this node); its check of the store has found a node that reaches it and reads the store itself; the next owner's announcement arrives; updateOwnerLocked revokes the term, which cancels the read; reachesStore takes the cancelled read for a store that does not answer; announceRelease takes the token to release from Node.owner, which is the next owner by now. Receivers that know that owner name the successor; it ends the next owner's lease and claims ownership. Cause: the term that is released is inferred from the owner known at that moment, and the end of the own term is taken for the store's silence. Fix that I would make: announceRelease and handOver get the term and send its token; the check returns when term.Context() has ended, before and after findNodeReachingStore; handOverToBetterOwner and handOverWhenLeaving likewise.

--- /dev/null
+++ b/internal/cluster/node/review_test.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/api/peer"
+	"github.com/citronbay/citronbay/internal/cluster/shard"
+	"github.com/citronbay/citronbay/internal/cluster/store"
+)
+
+// slowStore grants leases that are never renewed, and answers a read after a delay.
+type slowStore struct {
+	leasingStore
+	delay   time.Duration
+	reading chan struct{} // closed when a read has begun
+}
+
+func (s slowStore) Get(ctx context.Context, _ string) (store.Item, error) {
+	close(s.reading)
+	select {
+	case <-time.After(s.delay):
+		return store.Item{}, store.ErrNotFound
+	case <-ctx.Done():
+		return store.Item{}, ctx.Err()
+	}
+}
+
+// TestReplacedOwnerDoesNotReleaseNextTerm guards against an owner that learns of the next one
+// while it checks whether it reaches the store: it must not announce that the next owner's
+// term was released, after which a named successor ends that owner's lease.
+func TestReplacedOwnerDoesNotReleaseNextTerm(t *testing.T) {
+	released := make(chan int64, 10)
+	server := peer.NewServer()
+	peer.Handle(server, methodProbe, func(context.Context, probe) (probe, error) {
+		return probe{Reached: true}, nil
+	})
+	peer.Handle(server, methodHello, func(_ context.Context, r helloRequest) (helloResponse, error) {
+		released <- r.ReleasedToken
+		return helloResponse{}, nil
+	})
+	client := slowStore{
+		delay:   50 * time.Millisecond,
+		reading: make(chan struct{}),
+	}
+	n := newTestNode(t, "owner", "127.0.0.1:1")
+	n.seeds = []string{servePeer(t, server)}
+	n.options.Store = client
+	self := store.Owner{Node: "owner"}
+	term, release, err := store.Claim(t.Context(), client, "fleet", self, n.log)
+	assert.NilError(t, err)
+	defer release()
+	self.Token = term.Token()
+	assert.Assert(t, n.setShard(&shard.Shard{}, term, self))
+	time.Sleep(maxRenewalAge)
+	checked := make(chan struct{})
+	go func() {
+		defer close(checked)
+		n.handOverWhenStoreUnreachable(term, &lagMeter{})
+	}()
+	<-client.reading
+	n.updateOwner(store.Owner{
+		Node:  "next",
+		Token: term.Token() + 1,
+	})
+	<-checked
+	select {
+	case token := <-released:
+		t.Errorf("the term with token %d is announced as released, its own is %d", token, term.Token())
+	case <-time.After(helloTimeout):
+	}
+}
