Show an owner without a lease that never asks who the owner is

Callers see, at the node of such an owner: 200 with keys withdrawn and 401 or 404 with keys and routes added seconds ago, 503 and "no owner" although another owner serves. Sequence: the owner gets too little processor time, so it is silent and is replaced; the announcement of the next owner is sent once, with a timeout of 0.3 s, and is lost; its reads of the agreement have no answer in 0.3 s, because it is late itself; its lease is over, so mayDecide allows any age; its timers are late, so handOverWhenStoreUnreachable does not end the term; sendHellos sends none while Node.shard is set; Ready is true while Node.shard is set, so the platform sends it more callers. Cause: silence. An expired lease and a read without an answer are taken for an outage of the store for all nodes, and no newer announcement for no newer owner. Fix that I would make: while the lease is over, an owner sends hellos to the other nodes as an entry without an owner does, and learns of the next one from the first answer; before it uses an agreement older than the bound, it waits for one such answer or for its own timeout to all of them; Ready and hello ask LeaseValid, with the present 5 s for outages.

--- a/internal/cluster/node/review_test.go
+++ b/internal/cluster/node/review_test.go
@@ -73,3 +73,34 @@
 	case <-time.After(helloTimeout):
 	}
 }
+
+// TestOwnerWithoutLeaseAsksForNewerOwner guards against an owner that has lost its lease and
+// missed the one announcement of the next owner, as on a node that gets too little processor
+// time: it goes on serving its own callers by the agreement that it read last.
+func TestOwnerWithoutLeaseAsksForNewerOwner(t *testing.T) {
+	next := store.Owner{
+		Node:    "next",
+		Address: "127.0.0.1:2",
+	}
+	server := peer.NewServer()
+	peer.Handle(server, methodHello, func(context.Context, helloRequest) (helloResponse, error) {
+		return helloResponse{
+			Owner: next,
+			Token: 2,
+		}, nil
+	})
+	n := newTestNode(t, "owner", "127.0.0.1:1")
+	n.seeds = []string{servePeer(t, server)}
+	self := store.Owner{Node: "owner"}
+	term, release, err := store.Claim(t.Context(), leasingStore{}, "fleet", self, n.log)
+	assert.NilError(t, err)
+	defer release()
+	self.Token = term.Token()
+	assert.Assert(t, n.setShard(&shard.Shard{}, term, self))
+	go n.sendHellos(t.Context())
+	time.Sleep(store.OwnershipLeaseTime + time.Second)
+	assert.Assert(t, term.Remaining() < 0)
+	owner, _ := n.currentOwner()
+	assert.Equal(t, owner.Node, next.Node)
+	assert.Assert(t, n.currentShard() == nil)
+}
