Show a call that ends while the agreement is read and is decided by the old one

Callers see: 200 with a withdrawn key, although the read of the agreement was answered 10 ms later. Only an owner's own callers get such an answer: Node.Serve returns it although the context has ended, and the platform's handler has 150 ms left of the deadline. Sequence: a call has waited for an owner, or its node was frozen, so that little of its time is left; its agreement is outdated; the context ends during the read; Serve goes on with the old agreement. Cause: refreshAgreement does not report why it returned, and the end of the call is taken for a read that failed. Fix that I would make: Serve returns caller.Unknown for a submission or cancel, and caller.Refused for a read, if ctx has ended after refreshAgreement; the same check helps TestEndedAttemptIsNotAccepted.

--- a/internal/cluster/shard/review_test.go
+++ b/internal/cluster/shard/review_test.go
@@ -58,3 +58,20 @@
 		assert.Assert(t, response.Status != caller.OK, "confirmed by an agreement of %s ago", owner.agreement.AsOf.Age())
 	})
 }
+
+// TestEndedCallIsNotDecidedByOutdatedAgreement guards against an answer by an outdated
+// agreement because the call ends while the owner reads the newest one. An owner's own caller
+// still gets that answer, within the margin of its deadline.
+func TestEndedCallIsNotDecidedByOutdatedAgreement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		withdrawn := testAgreement(2, queueHost, keptKey)
+		owner, release := runOwnerWithJob(t, maxReviewAge, newest(withdrawn, 20*time.Millisecond))
+		defer release()
+		time.Sleep(inForceWithin + time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		response := owner.Serve(ctx, submission(acceptedID, validKey, secondCall))
+		assert.Assert(t, response.Status != caller.OK, "confirmed by an agreement of %s ago", owner.agreement.AsOf.Age())
+		time.Sleep(agreementReadTimeout) // until the read has ended
+	})
+}
