Show requests refused because of two limits of the agreement's age that do not fit

Callers see: 503 for every request while the store answers, on a deployment with changeInForceMillis above 8750. Sequence: MaxAgreementAge is 0.8 of the setting, say 8 s; the agreement is 7.5 s old after late answers to Follow; refreshAgreement does not read it yet, and mayDecide, with its constant of 7 s, refuses. Cause: the two limits come from different places. Fix that I would make: derive both from the one setting.

--- a/internal/cluster/shard/review_test.go
+++ b/internal/cluster/shard/review_test.go
@@ -75,3 +75,38 @@
 		time.Sleep(agreementReadTimeout) // until the read has ended
 	})
 }
+
+// TestAgreementIsReadBeforeRequestsAreRefused guards against requests that are refused because
+// of the agreement's age although the store would answer a read.
+func TestAgreementIsReadBeforeRequestsAreRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		maxAge      time.Duration
+		age         time.Duration
+		failedReads int
+	}{
+		"changes may take longer than the limit": {maxAge: 8 * time.Second, age: 7500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				read := newest(testAgreement(1, queueHost, validKey), time.Millisecond)
+				failures := c.failedReads
+				owner, release := runOwnerWithJob(t, c.maxAge, func(ctx context.Context) (DatedAgreement, error) {
+					if failures > 0 {
+						failures--
+						return DatedAgreement{}, store.ErrNotApplied
+					}
+					return read(ctx)
+				})
+				defer release()
+				time.Sleep(c.age)
+				query := submission(acceptedID, validKey, secondCall)
+				query.Verb = caller.Read
+				for range c.failedReads {
+					owner.Serve(t.Context(), query)
+					time.Sleep(100 * time.Millisecond)
+				}
+				assert.Equal(t, owner.Serve(t.Context(), query).Status, caller.OK)
+			})
+		})
+	}
+}
