Show requests refused for up to a second after the store has come back

Callers see: 503 ("agreementUnknown") for reads, cancels and durable answers, and waits for copies, for up to 1 s after an outage of more than 7 s in which leases pause. Sequence: the outage ends; a renewal is answered, so the lease is valid; the agreement is older than 7 s; the last read of the agreement failed less than 1 s ago, so refreshAgreement reads nothing; Follow may still wait for a call that was sent in the outage (1 to 1.5 s). The lease being over, the same request was answered a moment before. Cause: agreementRetryInterval was made for outages, in which the old agreement may be used; it also applies when it may not. Evidence: fails every time. Of what else costs there: in an outage callers wait up to 0.3 s in each 1.3 s for a read that fails, which Follow tries all the time anyway. Fix that I would make: no retry interval while the lease is valid and the agreement too old.

--- a/internal/cluster/shard/review_test.go
+++ b/internal/cluster/shard/review_test.go
@@ -85,6 +85,7 @@
 		failedReads int
 	}{
 		"changes may take longer than the limit": {maxAge: 8 * time.Second, age: 7500 * time.Millisecond},
+		"the store has just come back":           {maxAge: maxReviewAge, age: 10 * time.Second, failedReads: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
