Show an accepted call that is not found because of its route's prefix

Callers see: 401 or 404 for a submission that was accepted, on a route whose prefix does not end with a slash. Promise: REFUSED. PROTOCOL.md: a path is the prefix followed by the ID; it asks for no slash. Sequence: the key or the route is withdrawn between two attempts at the accepted call. Cause: isRecordedCall and refuseUndecided take the last segment of the path for the ID, everything else the rest after the prefix. All prefixes on the two deployments end with a slash, as far as I know. Fix that I would make: the ID is the last 16 bytes of the path, in one function; the recorded call makes a false match harmless.

--- a/internal/cluster/shard/review_test.go
+++ b/internal/cluster/shard/review_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/citronbay/citronbay/internal/cluster/caller"
+	"github.com/citronbay/citronbay/internal/cluster/operator"
 	"github.com/citronbay/citronbay/internal/cluster/store"
 )
 
@@ -111,3 +112,27 @@
 		})
 	}
 }
+
+// TestAcceptedCallIsFoundByTheIDOfItsJob guards against rejecting the accepted call because its
+// route's prefix ends within a segment of the path, or refusing a copy of it.
+func TestAcceptedCallIsFoundByTheIDOfItsJob(t *testing.T) {
+	prefixed := func(version int64, keys ...string) DatedAgreement {
+		a := testAgreement(version, queueHost, keys...)
+		a.Routes = []operator.Route{{
+			Host:   queueHost,
+			Prefix: queuePath + "job-",
+			Queue:  "queue",
+		}}
+		return a
+	}
+	synctest.Test(t, func(t *testing.T) {
+		client := newMemoryStore()
+		request := submission("job-"+acceptedID, validKey, firstCall)
+		owner, release := runOwner(t, client, prefixed(1, validKey))
+		assert.Equal(t, owner.Serve(t.Context(), request).Status, caller.OK)
+		release()
+		owner, release = runOwner(t, client, prefixed(2, keptKey))
+		defer release()
+		assert.Equal(t, owner.Serve(t.Context(), request).Status, caller.OK)
+	})
+}
