Show a submission accepted although its attempt had been given up

Callers see: nothing by that alone. If a later attempt at the call got its definite answer first, 503 for a job that runs: REFUSED. Cause: an attempt is not told from a later one at the same call, and Serve accepts for a caller who is gone. The whole sequence was not produced; that it occurs is supposed. Fix that I would make: return under s.mu if ctx has ended, before accepting; besides, number the attempts of a call, and let the owner refuse one with a lower number than the highest it has seen.

--- a/internal/cluster/shard/review_test.go
+++ b/internal/cluster/shard/review_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -136,3 +138,24 @@
 		assert.Equal(t, owner.Serve(t.Context(), request).Status, caller.OK)
 	})
 }
+
+// TestEndedAttemptIsNotAccepted guards against accepting a submission whose caller has given
+// the attempt up: a later attempt at the call may have been refused by then, and the job would
+// run all the same.
+func TestEndedAttemptIsNotAccepted(t *testing.T) {
+	const calls = 1000
+	owner, release := runOwner(t, newMemoryStore(), testAgreement(1, queueHost, validKey))
+	defer release()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	var attempts sync.WaitGroup
+	for call := range uint64(calls) {
+		attempts.Go(func() {
+			owner.Serve(ctx, submission(fmt.Sprintf("%016x", call), validKey, call+1))
+		})
+	}
+	attempts.Wait()
+	owner.mu.Lock()
+	defer owner.mu.Unlock()
+	assert.Equal(t, len(owner.state.OpenJobs()), 0, "accepted, of %d", calls)
+}
