Show an owner that starts tasks by an agreement that it cannot confirm

Could happen: a start beyond a cap that the operators have lowered since (QUOTA, which holds for machines in touch or not; the highest cap of the last 3.5 s counts), or by an old policy or number of attempts. Cause: mayDecide guards the answers alone. The planner, maxFailures, exceedsRate and ticketsByWorker take the agreement without its age. Fix that I would make: such an owner ends its term and names a node that reads the agreement as its successor; that also ends the refusals, which last as long as the reads fail now. The simpler one: no pass while the agreement may not decide. Neighbour: tasks that run must not be stopped by that.

--- a/internal/cluster/shard/review_test.go
+++ b/internal/cluster/shard/review_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log/slog"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +15,8 @@
 	"github.com/citronbay/citronbay/internal/cluster/caller"
 	"github.com/citronbay/citronbay/internal/cluster/operator"
 	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
 // inForceWithin is the platform's bound for a change of the agreement, and maxReviewAge the
@@ -159,3 +163,54 @@
 	defer owner.mu.Unlock()
 	assert.Equal(t, len(owner.state.OpenJobs()), 0, "accepted, of %d", calls)
 }
+
+// TestNothingStartsByUnconfirmedAgreement guards against an owner that starts tasks by the caps
+// and queues of an agreement by which it may answer no request any more.
+func TestNothingStartsByUnconfirmedAgreement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := slog.New(slog.NewTextHandler(io.Discard, nil))
+		client := newMemoryStore()
+		agreement := testAgreement(1, queueHost, validKey)
+		agreement.AsOf = store.Now()
+		agreement.Rules.Queues = map[string]job.Queue{
+			"queue": {
+				Name:    "queue",
+				Service: "service",
+			},
+		}
+		term, release, err := store.Claim(t.Context(), client, "fleet", store.Owner{}, log)
+		assert.NilError(t, err)
+		defer release()
+		workerClient := newRestartingWorker()
+		owner, err := Open(t.Context(), Options{
+			Store:     client,
+			Term:      term,
+			Agreement: func() DatedAgreement { return agreement },
+			ReadAgreement: func(context.Context) (DatedAgreement, error) {
+				return DatedAgreement{}, store.ErrNotApplied
+			},
+			MaxAgreementAge: maxReviewAge,
+			Advisors:        func() []AdvisorNode { return nil },
+			NewWorkerClient: func(worker.Registration) (worker.Client, func()) {
+				return workerClient, func() {}
+			},
+			JobStateRetention: time.Minute,
+			WorkerLease:       6500 * time.Millisecond,
+			MaxWorkerLease:    maxTestLease,
+			Log:               log,
+		})
+		assert.NilError(t, err)
+		go func() { _ = owner.Run() }()
+		assert.Equal(t, owner.Serve(t.Context(), submission(acceptedID, validKey, firstCall)).Status, caller.OK)
+		time.Sleep(maxUnconfirmedAge + time.Second)
+		assert.Equal(t, owner.Serve(t.Context(), submission(unknownID, validKey, secondCall)).Status, caller.Refused)
+		registration := firstRegistration()
+		registration.Service = "service"
+		registration.Capacity = job.Resources{MilliCores: 1000}
+		owner.SetWorkers([]worker.Registration{registration})
+		time.Sleep(2 * pollsAnswered)
+		workerClient.mu.Lock()
+		defer workerClient.mu.Unlock()
+		assert.Equal(t, workerClient.running[job.TaskKey{Job: acceptedID}], 0, "attempt")
+	})
+}
