--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -32,6 +32,9 @@
 	// slower than usual takes about 300 ms to answer one.
 	maxRenewalAge        = 500 * time.Millisecond
 	renewalCheckInterval = 50 * time.Millisecond
+	// maxFirstAgreementAge is the age of the agreement above which a new owner reads it once
+	// more before it serves; a takeover usually takes a fifth of that.
+	maxFirstAgreementAge = 100 * time.Millisecond
 	// successorClaimWindow is how long other nodes leave the claim to a named successor.
 	successorClaimWindow = 600 * time.Millisecond
 	// maxRoundTripClaimDelay bounds the part of the claim delay that is proportional to
@@ -264,7 +267,7 @@
 	s, err := shard.Open(term.Context(), shard.Options{
 		Store:             n.options.Store,
 		Term:              term,
-		Agreement:         func() shard.DatedAgreement { return <-agreement },
+		Agreement:         func() shard.DatedAgreement { return n.renewAgreement(term.Context(), <-agreement) },
 		ReadAgreement:     n.readAgreement,
 		ChangeInForce:     n.options.ChangeInForce,
 		NewWorkerClient:   n.options.NewWorkerClient,
@@ -351,6 +354,21 @@
 	n.ownerServingAt = time.Time{}
 }
 
+// renewAgreement returns the agreement, or the present one if that was read longer ago than
+// maxFirstAgreementAge and the store answers. The owner before may have answered callers by a
+// newer version while this node read the journal.
+func (n *Node) renewAgreement(ctx context.Context, a shard.DatedAgreement) shard.DatedAgreement {
+	if ctx.Err() != nil || a.AsOf.Age() <= maxFirstAgreementAge {
+		return a
+	}
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if present, err := n.readAgreement(callCtx); err == nil {
+		return present
+	}
+	return a
+}
+
 // awaitAgreement reads the agreement from the store, retrying until it can be decoded,
 // and returns the zero value if the context ends first.
 func (n *Node) awaitAgreement(ctx context.Context) shard.DatedAgreement {
--- a/internal/cluster/node/review_test.go
+++ b/internal/cluster/node/review_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/citronbay/citronbay/internal/api/peer"
+	"github.com/citronbay/citronbay/internal/cluster/caller"
 	"github.com/citronbay/citronbay/internal/cluster/shard"
 	"github.com/citronbay/citronbay/internal/cluster/store"
 )
@@ -104,3 +107,50 @@
 	assert.Equal(t, owner.Node, next.Node)
 	assert.Assert(t, n.currentShard() == nil)
 }
+
+// TestNextOwnerDoesNotGoBack guards against a new owner that serves by the agreement that it
+// read when it claimed ownership, after the owner before it has answered callers by a newer
+// one while the journal was read.
+func TestNextOwnerDoesNotGoBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared := newSharedStore()
+		shared.putAgreement(t, testAgreement(1, oldKey))
+		silentRenewals := &remoteStore{
+			sharedStore: shared,
+			delay: func(operation, _ string) time.Duration {
+				if operation == "renew" {
+					return noAnswer
+				}
+				return usualDelay
+			},
+			leaseTime: time.Hour,
+		}
+		earlier, _, release := openShard(t, silentRenewals, "earlier")
+		defer release()
+		shared.mu.Lock()
+		lease := shared.items[store.OwnerKey("fleet")].Lease
+		shared.mu.Unlock()
+		assert.NilError(t, shared.EndLease(t.Context(), lease))
+		n := newStoreNode(t, &remoteStore{
+			sharedStore: shared,
+			delay: func(operation, key string) time.Duration {
+				if strings.HasPrefix(key, "citronbay/") && operation == "range" {
+					return time.Second // the journal
+				}
+				return usualDelay
+			},
+			leaseTime: time.Hour,
+		}, "next")
+		_, releaseNext := own(t, n)
+		defer releaseNext()
+		time.Sleep(4 * usualDelay)
+		shared.putAgreement(t, testAgreement(2, newKey))
+		earlier.SetAgreement(shard.DatedAgreement{
+			Agreement: testAgreement(2, newKey),
+			AsOf:      store.Now(),
+		})
+		assert.Equal(t, earlier.Serve(t.Context(), submission(oldKey)).Status, caller.BadKey)
+		awaitShard(n)
+		assert.Equal(t, n.Serve(t.Context(), submission(oldKey)).Status, caller.BadKey)
+	})
+}
