Never answer an entry by an older agreement than it has seen

What callers would see, at one entry: an answer by a version of the agreement, and then one by an older version (CONFIG, a machine regresses), when two owners' answers overlap: nothing ordered the answers of two terms. Change: responses carry the version that the owner has, and an entry sends the newest that it has seen with each call. An owner with an older one reads the agreement again before it decides; if it cannot, it is not the one to answer. If that read shows that the operators have restored an older version, that version decides. Promises next to it: no read for a version that is not newer (wantReads); the accepted call is confirmed before (isRecordedCall); a restored agreement does not stop the cell (case of that name).

--- a/internal/cluster/caller/caller.go
+++ b/internal/cluster/caller/caller.go
@@ -43,6 +43,9 @@
 	// it, and all attempts to pass the call to an owner carry the same one. Two calls that
 	// submit the same job differ in it.
 	Call uint64 `cbor:"8,keyasint,omitempty"`
+	// Agreement is the newest version of the agreement that the entry has seen in a
+	// Response, or zero. An owner that has an older one reads it again before it answers.
+	Agreement int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Status is the outcome of a request.
@@ -109,4 +112,7 @@
 	Reason string `cbor:"5,keyasint,omitempty"`
 	// RetryMillis is the delay after which the caller may retry, if Status is Refused.
 	RetryMillis int64 `cbor:"6,keyasint,omitempty"`
+	// Agreement is the version of the agreement that the owner had when it answered, or
+	// zero if no owner has answered.
+	Agreement int64 `cbor:"7,keyasint,omitempty"`
 }
--- a/internal/cluster/node/forward.go
+++ b/internal/cluster/node/forward.go
@@ -46,7 +46,9 @@
 	r.Call = newCall()
 	for ctx.Err() == nil {
 		owner, _ := n.currentOwner()
+		r.Agreement = n.agreementSeen.Load()
 		response, err := n.attempt(ctx, r)
+		n.noteAgreement(response.Agreement)
 		if err == nil && response.Status != caller.NotOwner && response.Status != caller.Unknown {
 			if outcomeUnknown {
 				n.log.Info("requestRepeated", "path", r.Path, "verb", r.Verb, "call", r.Call, "status", response.Status,
@@ -82,6 +84,16 @@
 	}
 }
 
+// noteAgreement notes the version of the agreement by which an owner has answered.
+func (n *Node) noteAgreement(version int64) {
+	for {
+		seen := n.agreementSeen.Load()
+		if version <= seen || n.agreementSeen.CompareAndSwap(seen, version) {
+			return
+		}
+	}
+}
+
 // newCall returns the identity of a caller's call.
 func newCall() uint64 {
 	return max(1, rand.Uint64())
--- a/internal/cluster/node/forward_test.go
+++ b/internal/cluster/node/forward_test.go
@@ -111,3 +111,33 @@
 	assert.Equal(t, calls[2], calls[3])
 	assert.Assert(t, calls[0] != calls[2] && calls[0] != 0 && calls[2] != 0)
 }
+
+// TestEntryTellsOwnersTheNewestAgreement checks that an entry sends with each call the newest
+// version of the agreement by which an owner has answered it.
+func TestEntryTellsOwnersTheNewestAgreement(t *testing.T) {
+	answers := []int64{3, 5, 4, 0}
+	var mu sync.Mutex
+	var told []int64
+	server := peer.NewServer()
+	peer.Handle(server, methodServe, func(_ context.Context, r caller.Request) (caller.Response, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		told = append(told, r.Agreement)
+		return caller.Response{
+			Status:    caller.OK,
+			Agreement: answers[len(told)-1],
+		}, nil
+	})
+	n := newTestNode(t, "node", "127.0.0.1:1")
+	n.updateOwner(store.Owner{
+		Node:    "owner",
+		Address: servePeer(t, server),
+		Token:   1,
+	})
+	for range answers {
+		assert.Equal(t, n.Serve(t.Context(), caller.Request{Verb: caller.Read}).Status, caller.OK)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	assert.DeepEqual(t, told, []int64{0, 3, 5, 5})
+}
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -71,6 +71,8 @@
 	log             *slog.Logger
 	leaving         atomic.Bool
 	electionTrigger chan struct{}
+	// agreementSeen is the newest version of the agreement in an owner's response.
+	agreementSeen atomic.Int64
 	// storeLost reports whether the election's last call to the store failed; only the
 	// goroutine of elect sets it.
 	storeLost atomic.Bool
--- a/internal/cluster/shard/agreement.go
+++ b/internal/cluster/shard/agreement.go
@@ -48,6 +48,7 @@
 	}
 	s.log.Info("agreementInForce", "version", a.Version, "before", s.agreement.Version)
 	s.agreement = a
+	s.agreementVersion.Store(a.Version)
 	s.requestPass()
 }
 
@@ -59,11 +60,11 @@
 
 // refreshAgreement waits for a read of the agreement from the store if the present one may
 // soon lack a change that has to be in force, as after a time in which this process was
-// frozen. If the store cannot be read, the present agreement stays in force as long as
-// mayDecide allows it.
-func (s *Shard) refreshAgreement(ctx context.Context) {
+// frozen, or is older than the version. If the store cannot be read, the present agreement
+// stays in force as long as mayDecide allows it.
+func (s *Shard) refreshAgreement(ctx context.Context, version int64) {
 	s.mu.Lock()
-	read := s.startAgreementRead()
+	read := s.startAgreementRead(version)
 	timeout := agreementReadTimeout
 	if read != nil && s.mayDecide() {
 		timeout = maxAgreementWait
@@ -81,10 +82,11 @@
 }
 
 // startAgreementRead returns the read of the agreement in progress. It starts one if the
-// agreement should be read again, and returns nil otherwise. The caller holds s.mu.
-func (s *Shard) startAgreementRead() *agreementRead {
+// agreement should be read again, for its age or since it is older than the version, and
+// returns nil otherwise. The caller holds s.mu.
+func (s *Shard) startAgreementRead(version int64) *agreementRead {
 	age := s.agreement.AsOf.Age()
-	if s.options.ChangeInForce == 0 || float64(age) <= refreshFraction*float64(s.options.ChangeInForce) {
+	if s.options.ChangeInForce == 0 || float64(age) <= refreshFraction*float64(s.options.ChangeInForce) && s.agreement.Version >= version {
 		return nil
 	}
 	if s.agreementRead != nil {
--- a/internal/cluster/shard/agreement_test.go
+++ b/internal/cluster/shard/agreement_test.go
@@ -127,6 +127,37 @@
 	}
 }
 
+// TestEntryIsNotAnsweredByOlderAgreement guards against an answer by an agreement older than
+// one by which another owner has answered the entry before.
+func TestEntryIsNotAnsweredByOlderAgreement(t *testing.T) {
+	withdrawn := newest(testAgreement(2, queueHost, keptKey), time.Millisecond)
+	restored := newest(testAgreement(1, queueHost, validKey), time.Millisecond)
+	for name, c := range map[string]struct {
+		seen      int64
+		read      agreementReader
+		want      caller.Status
+		wantReads int
+	}{
+		"older version seen":                  {seen: 1, read: withdrawn, want: caller.OK},
+		"newer version seen":                  {seen: 2, read: withdrawn, want: caller.BadKey, wantReads: 1},
+		"newer version seen, read fails":      {seen: 2, read: silent, want: caller.NotOwner, wantReads: 1},
+		"operators have restored the earlier": {seen: 2, read: restored, want: caller.OK, wantReads: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				owner, release := newFrozenOwner(t, 2*time.Second, time.Millisecond, c.read, false)
+				defer release()
+				request := submission(acceptedID, validKey, secondCall)
+				request.Agreement = c.seen
+				assert.Equal(t, owner.Serve(t.Context(), request).Status, c.want)
+				owner.mu.Lock()
+				defer owner.mu.Unlock()
+				assert.Equal(t, owner.reads, c.wantReads)
+			})
+		})
+	}
+}
+
 // TestUnconfirmedAgreementDecidesNothing guards against requests that are answered by an
 // agreement of unknown age while the store answers the owner's other calls. The caller of an
 // accepted job must not be told that it was refused.
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -7,6 +7,7 @@
 
 	"github.com/citronbay/citronbay/internal/cluster/caller"
 	"github.com/citronbay/citronbay/internal/cluster/operator"
+	"github.com/citronbay/citronbay/internal/cluster/store"
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
@@ -56,7 +57,14 @@
 // cancellation may have taken effect or may still do so, and caller.NotOwner if this
 // process can no longer answer as the owner.
 func (s *Shard) Serve(ctx context.Context, r caller.Request) caller.Response {
-	s.refreshAgreement(ctx)
+	response := s.serve(ctx, r)
+	response.Agreement = s.agreementVersion.Load()
+	return response
+}
+
+func (s *Shard) serve(ctx context.Context, r caller.Request) caller.Response {
+	arrived := store.Now()
+	s.refreshAgreement(ctx, r.Agreement)
 	if s.term.Context().Err() != nil {
 		return caller.Response{Status: caller.NotOwner}
 	}
@@ -64,6 +72,11 @@
 	if s.isRecordedCall(r) {
 		return s.confirmRecordedCall(ctx, r)
 	}
+	if r.Agreement > s.agreement.Version && s.agreement.AsOf.Age() > arrived.Age() {
+		// An owner with a newer agreement has answered the entry.
+		defer s.mu.Unlock()
+		return caller.Response{Status: caller.NotOwner}
+	}
 	a, rejection, allowed := s.authorize(ctx, r)
 	if !allowed {
 		defer s.mu.Unlock()
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/cluster/store"
@@ -92,6 +93,9 @@
 	// lastPassDuration is how long the last pass took; only Run uses it.
 	lastPassDuration time.Duration
 
+	// agreementVersion is that of agreement.
+	agreementVersion atomic.Int64
+
 	// passLoad sums up the planning passes for the log; only Run uses it.
 	passLoad passLoad
 
@@ -155,6 +159,7 @@
 	if s.agreement = options.Agreement(); s.agreement.Agreement == nil {
 		return nil, errors.New("shard: recover: the term of ownership ended before the agreement was read")
 	}
+	s.agreementVersion.Store(s.agreement.Version)
 	s.log.Info("shardRecovered", "token", s.term.Token(), "records", len(records),
 		"openJobs", len(s.state.OpenJobs()), "agreement", s.agreement.Version,
 		"read", readTime, "apply", applyTime, "agreementWait", stepTime())
@@ -310,7 +315,7 @@
 	if s.term.Remaining() <= 0 || s.journal.StalledFor() >= storeStallLimit {
 		return false
 	}
-	s.startAgreementRead()
+	s.startAgreementRead(0)
 	return s.mayDecide()
 }
 
