Deny a job only after the store has confirmed the ownership

What callers saw: 410 for a GET or a DELETE of an accepted job, from an owner that was frozen and woke: the other nodes end the lease of a silent owner before its time is over, and the next one accepts jobs, while the first one trusts its own clock until a renewal is refused. Change: a job that is not found is denied only after a read of the ownership key that began after the look-up has shown the own term. Requests that come meanwhile share the next read, so a flood of unknown IDs costs at most one read at a time. If the read fails, the request is refused with Retry-After.

--- a/internal/cluster/shard/metrics.go
+++ b/internal/cluster/shard/metrics.go
@@ -17,6 +17,7 @@
 	reasonStoreUnavailable responseReason = "storeAway"
 	reasonAgreementUnknown responseReason = "agreementUnknown"
 	reasonGivenUp          responseReason = "givenUp"
+	reasonOwnershipUnknown responseReason = "ownershipUnknown"
 	reasonUnconfirmed      responseReason = "unconfirmed"
 	reasonInvalid          responseReason = "invalid"
 	reasonNoQueue          responseReason = "noQueue"
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -432,20 +432,13 @@
 	return unconfirmedResponse()
 }
 
-func noJobResponse() caller.Response {
-	return caller.Response{
-		Status: caller.NoJob,
-		Reason: "no such job",
-	}
-}
-
 // readJob answers a request for a job's state. The caller holds s.mu, which readJob
 // releases.
 func (s *Shard) readJob(ctx context.Context, a access) caller.Response {
 	j := s.accessibleJob(a)
 	if j == nil {
 		s.mu.Unlock()
-		return noJobResponse()
+		return s.denyJob(ctx, a.id)
 	}
 	response := caller.Response{
 		Status: caller.OK,
@@ -492,7 +485,7 @@
 	j := s.accessibleJob(a)
 	if j == nil {
 		s.mu.Unlock()
-		return noJobResponse()
+		return s.denyJob(ctx, a.id)
 	}
 	var records []job.Record
 	if j.Outcome == job.Open {
--- a/internal/cluster/shard/requests_test.go
+++ b/internal/cluster/shard/requests_test.go
@@ -39,6 +39,11 @@
 	}, nil
 }
 
+// Get returns the owner key of the first claim.
+func (grantingStore) Get(context.Context, string) (store.Item, error) {
+	return store.Item{CreateRevision: 1}, nil
+}
+
 func (grantingStore) RenewLease(context.Context, int64) error {
 	return nil
 }
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -103,6 +103,10 @@
 	mu        sync.Mutex
 	state     *job.State
 	agreement DatedAgreement
+	// nextCheck is the check of ownership that begins after the one in progress, or nil, and
+	// checking is set while there is either.
+	nextCheck *ownershipCheck
+	checking  bool
 	// agreementRead is the read for which requests wait, or nil.
 	agreementRead *agreementRead
 	// agreementReadFailedAt is when such a read last failed.
--- a/internal/cluster/store/election.go
+++ b/internal/cluster/store/election.go
@@ -150,6 +150,24 @@
 	return time.Duration(t.leaseExpiry.Load()) - timeSinceBoot()
 }
 
+// Confirm reads from the store whether this process is still the owner. If it is not, Confirm
+// ends the term and returns an error that wraps ErrRevoked.
+func (t *Term) Confirm() error {
+	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+	defer cancel()
+	item, err := t.client.Get(ctx, OwnerKey(t.shard))
+	switch {
+	case t.ctx.Err() != nil:
+		return context.Cause(t.ctx)
+	case errors.Is(err, ErrNotFound), err == nil && item.CreateRevision != t.token:
+		t.Revoke(fmt.Errorf("the store has another owner than that with token %d", t.token))
+		return context.Cause(t.ctx)
+	case err != nil:
+		return fmt.Errorf("store: confirm ownership of shard %s: %w", t.shard, err)
+	}
+	return nil
+}
+
 // Release ends the term and its lease, so that a successor can claim the shard at
 // once. If the call to the store fails, the lease expires instead.
 func (t *Term) Release() {
