Log why attempts are suspected of a crash, and what suspects wait for

The line workerCrashed has how long the worker had been silent, how many attempts had just started, how many workers went with it, and whether that counted as an outage. planningLoad has the jobs with suspects, the workers isolated for them and those on which suspects are placed, and tells a missing worker (isolation) from one that is not empty yet (emptyWorker) and from suspects of another step (clearing).

No decision changes.

--- a/internal/cluster/shard/crash.go
+++ b/internal/cluster/shard/crash.go
@@ -45,7 +45,9 @@
 		s.noteDisconnection(l, l.lastAnswer)
 	}
 	var records []job.Record
-	for p, suspicion := range s.crashes.Suspects(s.state, l.key()) {
+	suspects := s.crashes.Suspects(s.state, l.key())
+	s.logCrash(l, len(suspects))
+	for p, suspicion := range suspects {
 		p.Suspicion = suspicion
 		if match == nil || match(p) {
 			records = s.endSuspect(records, p)
@@ -57,6 +59,16 @@
 	}
 }
 
+// logCrash logs a crash of the worker and why so many attempts are suspected of causing it.
+// The caller holds s.mu.
+func (s *Shard) logCrash(l *link, suspects int) {
+	attributes := []any{"worker", l.registration.ID, "placements", len(s.state.Placements(l.key())), "suspects", suspects}
+	if e, ok := s.crashes.Evidence(l.key()); ok {
+		attributes = append(attributes, "silentMillis", e.SilentMillis, "recent", e.Recent, "together", e.Together, "outage", e.Outage)
+	}
+	s.log.Info("workerCrashed", attributes...)
+}
+
 // endSuspect ends an attempt that may have crashed its worker, and its job if the task has
 // crashed too many workers. It returns records followed by those of the changes. The caller
 // holds s.mu.
--- a/internal/cluster/shard/load.go
+++ b/internal/cluster/shard/load.go
@@ -42,18 +42,26 @@
 	defer s.mu.Unlock()
 	workers := s.plannerWorkers()
 	used, capacity, _ := s.fleetUsage(workers)
+	now := s.now()
+	planner := job.NewPlanner(s.state, s.agreement.Rules, workers, now)
 	s.log.Info("planningLoad", "interval", time.Since(s.passLoad.since), "passes", s.passLoad.passes,
 		"total", s.passLoad.total, "longest", s.passLoad.longest, "openJobs", len(s.state.OpenJobs()),
 		"waitingJobs", len(s.state.UnplacedJobs()), "cores", capacity.MilliCores/1000, "coresUsed", used.MilliCores/1000,
-		"policyCalls", s.policyCallsInFlight(), "slowPolicyCalls", s.slowCalls, s.waitCauses(workers))
+		"policyCalls", s.policyCallsInFlight(), "slowPolicyCalls", s.slowCalls, waitCauses(planner, now), isolation(planner))
 	s.passLoad = passLoad{since: time.Now()}
 }
 
+// isolation returns the numbers of jobs with suspects, of workers that are isolated for them
+// and of those on which suspects are placed, for the log.
+func isolation(planner *job.Planner) slog.Attr {
+	jobs, isolated, placed := planner.Isolation()
+	return slog.Group("suspects", "jobs", jobs, "isolatedWorkers", isolated, "placedWorkers", placed)
+}
+
 // waitCauses returns the numbers of waiting steps for the log: by cause for jobs within
-// their team's rate, and one number for jobs over it. The caller holds s.mu.
-func (s *Shard) waitCauses(workers []*job.Worker) slog.Attr {
-	now := s.now()
-	withinRate, overRate := job.NewPlanner(s.state, s.agreement.Rules, workers, now).WaitCauses(now)
+// their team's rate, and one number for jobs over it.
+func waitCauses(planner *job.Planner, now int64) slog.Attr {
+	withinRate, overRate := planner.WaitCauses(now)
 	counts := []any{slog.Int("overRate", overRate)}
 	for _, cause := range slices.Sorted(maps.Keys(withinRate)) {
 		counts = append(counts, slog.Int(string(cause), withinRate[cause]))
--- a/internal/decide/job/crash.go
+++ b/internal/decide/job/crash.go
@@ -72,9 +72,12 @@
 }
 
 type disconnection struct {
-	worker              WorkerKey
-	atMillis            int64
+	worker      WorkerKey
+	atMillis    int64
+	aliveMillis int64 // when the worker is last known to have run
+
 	service, zone, rack string
+
 	// recent holds the attempts, by task, that may have started just before.
 	recent map[TaskKey]int
 }
@@ -102,6 +105,7 @@
 			aliveMillis = max(aliveMillis, p.StartedMillis)
 		}
 	}
+	d.aliveMillis = aliveMillis
 	for key, p := range state.placements[w.Key()] {
 		if p.mayHaveJustStarted(aliveMillis) {
 			d.recent[key] = p.Attempt
@@ -173,17 +177,49 @@
 	return suspects
 }
 
+// Evidence is what a CrashLog knows about the disconnection of a worker, for logs.
+type Evidence struct {
+	SilentMillis int64 // from when the worker is last known to have run to its disconnection
+	Recent       int   // attempts that may have started just before
+	Together     int   // disconnections of the service's workers that may have a common cause
+	Outage       bool
+}
+
+// Evidence returns what the log knows about the disconnection of the worker, or false if it
+// holds none.
+func (l *CrashLog) Evidence(key WorkerKey) (Evidence, bool) {
+	d := l.find(key)
+	if d == nil {
+		return Evidence{}, false
+	}
+	return Evidence{
+		SilentMillis: d.atMillis - d.aliveMillis,
+		Recent:       len(d.recent),
+		Together:     len(l.together(d)),
+		Outage:       l.inOutage(d),
+	}, true
+}
+
+// together returns the disconnections of the service's workers that may have the same cause
+// as the given one, which is among them.
+func (l *CrashLog) together(d *disconnection) []disconnection {
+	var list []disconnection
+	for _, o := range l.disconnections {
+		if o.service == d.service && max(o.atMillis-d.atMillis, d.atMillis-o.atMillis) <= togetherMillis {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
 // inOutage reports whether the disconnection was part of an outage of its rack, zone or
 // service. Nothing had just started on many of the workers that an outage disconnects,
 // whereas a task crashes its worker just after its start. Workers that a common job may
 // have crashed count as one.
 func (l *CrashLog) inOutage(d *disconnection) bool {
-	var rack, zone, service []disconnection
-	for _, o := range l.disconnections {
-		if o.service != d.service || max(o.atMillis-d.atMillis, d.atMillis-o.atMillis) > togetherMillis {
-			continue
-		}
-		service = append(service, o)
+	service := l.together(d)
+	var rack, zone []disconnection
+	for _, o := range service {
 		if o.zone == d.zone {
 			zone = append(zone, o)
 		}
--- a/internal/decide/job/crash_test.go
+++ b/internal/decide/job/crash_test.go
@@ -211,3 +211,24 @@
 		})
 	}
 }
+
+// TestCrashEvidence checks what the log tells about a disconnection.
+func TestCrashEvidence(t *testing.T) {
+	state := job.NewState()
+	workers := newWorkers(3)
+	acceptJob(t, state, "a", "team0", "plain", 0, job.StepSpec{Count: 1})
+	runTask(t, state, workers[0], "a", 0, 9_100, true)
+	var log job.CrashLog
+	_, ok := log.Evidence(workers[0].Key())
+	assert.Assert(t, !ok)
+	log.Disconnect(state, workers[0], 9_000, 10_000)
+	log.Disconnect(state, workers[1], 10_300, 10_300)
+	log.Disconnect(state, workers[2], 12_000, 12_000)
+	e, ok := log.Evidence(workers[0].Key())
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, e, job.Evidence{
+		SilentMillis: 900,
+		Recent:       1,
+		Together:     2,
+	})
+}
--- a/internal/decide/job/explain.go
+++ b/internal/decide/job/explain.go
@@ -46,12 +46,15 @@
 	WaitQueue      WaitCause = "queue"      // the operators' configuration has no such queue
 	WaitCap        WaitCause = "cap"        // the team's cap
 	WaitPolicy     WaitCause = "policy"     // the policy service has not answered yet
-	WaitIsolation  WaitCause = "isolation"  // suspected of crashing workers, and no empty worker is isolated for it
-	WaitWorkers    WaitCause = "workers"    // no usable worker is allowed
-	WaitCapacity   WaitCause = "capacity"   // no allowed worker has room for a task
-	WaitGang       WaitCause = "gang"       // the gang does not fit at once
-	WaitTickets    WaitCause = "tickets"    // tickets must be renewed
-	WaitOrder      WaitCause = "order"      // other steps go first, or a smaller limit applies
+	// Tasks of the job are suspected of crashing workers, and one of these holds:
+	WaitClearing    WaitCause = "clearing"    // the suspects are in other steps
+	WaitIsolation   WaitCause = "isolation"   // no worker is isolated for the job
+	WaitEmptyWorker WaitCause = "emptyWorker" // the isolated workers run other jobs
+	WaitWorkers     WaitCause = "workers"     // no usable worker is allowed
+	WaitCapacity    WaitCause = "capacity"    // no allowed worker has room for a task
+	WaitGang        WaitCause = "gang"        // the gang does not fit at once
+	WaitTickets     WaitCause = "tickets"     // tickets must be renewed
+	WaitOrder       WaitCause = "order"       // other steps go first, or a smaller limit applies
 )
 
 // WaitCauses returns how many ready steps of jobs within their team's rate wait for each
@@ -92,8 +95,8 @@
 	if queue.Policy != nil && !step.Advice.answered {
 		return WaitPolicy, 0
 	}
-	if p.awaitsIsolation(step) {
-		return WaitIsolation, 0
+	if cause, waits := p.isolationCause(step); waits {
+		return cause, 0
 	}
 	allowed := p.allowedWorkers(step, queue)
 	fits := slices.ContainsFunc(allowed, func(w *Worker) bool {
@@ -126,8 +129,12 @@
 		return "it would exceed its team's cap"
 	case WaitPolicy:
 		return "the policy service has not answered yet"
+	case WaitClearing:
+		return "tasks of the job's other steps are suspected of crashing workers, and must be cleared first"
 	case WaitIsolation:
-		return "tasks of the job are suspected of crashing workers, and must run on a worker without other jobs"
+		return "tasks of the job are suspected of crashing workers, and no worker is isolated for it yet"
+	case WaitEmptyWorker:
+		return "tasks of the job are suspected of crashing workers, and the workers that are isolated for it still run other jobs"
 	case WaitWorkers:
 		return "no usable worker has the service, the label and the policy's permission that the step requires"
 	case WaitCapacity:
--- a/internal/decide/job/explain_test.go
+++ b/internal/decide/job/explain_test.go
@@ -59,3 +59,36 @@
 	})
 	assert.Equal(t, overRate, 1)
 }
+
+// TestWaitCausesOfSuspects checks that the log tells a suspect without an isolated worker from
+// one whose worker is not empty yet, and from a step that waits for the suspects of another.
+func TestWaitCausesOfSuspects(t *testing.T) {
+	state := job.NewState()
+	rules := newRules(1)
+	workers := newWorkers(4) // one of which may be isolated
+	acceptJob(t, state, "busy", "team0", "plain", 0, job.StepSpec{
+		Count: 4,
+		Needs: cores(40),
+	})
+	assert.Equal(t, len(job.NewPlanner(state, rules, workers, 0).Plan(0)), 4)
+	for _, id := range []string{"a", "b"} {
+		acceptJob(t, state, id, "team0", "plain", 0, job.StepSpec{
+			Count: 1,
+			Needs: cores(4),
+		}, job.StepSpec{
+			Count: 1,
+			Needs: cores(4),
+		})
+		runTask(t, state, &job.Worker{ID: "gone"}, id, 0, 0, true)
+		endTask(t, state, id, 0, job.AttemptCrashed)
+	}
+	p := job.NewPlanner(state, rules, workers, 1)
+	withinRate, _ := p.WaitCauses(1)
+	assert.DeepEqual(t, withinRate, map[job.WaitCause]int{
+		job.WaitEmptyWorker: 1,
+		job.WaitIsolation:   1,
+		job.WaitClearing:    2,
+	})
+	jobs, isolated, placed := p.Isolation()
+	assert.DeepEqual(t, []int{jobs, isolated, placed}, []int{2, 1, 0})
+}
--- a/internal/decide/job/isolation.go
+++ b/internal/decide/job/isolation.go
@@ -94,6 +94,22 @@
 	return n
 }
 
+// Isolation returns the numbers of open jobs with suspects, of workers that are isolated for
+// such jobs, and of workers, also ones that are gone, on which suspects are placed.
+func (p *Planner) Isolation() (jobs, isolated, placed int) {
+	for _, w := range p.workers {
+		if w.isolatedFor != "" {
+			isolated++
+		}
+	}
+	for key := range p.state.placements {
+		if p.state.RunsSuspects(key) {
+			placed++
+		}
+	}
+	return len(p.state.suspects), isolated, placed
+}
+
 // tasksAtOnce returns how many tasks of the step must start together.
 func (p *Planner) tasksAtOnce(step *Step) int {
 	if step.Spec.Gang {
@@ -185,10 +201,28 @@
 // awaitsIsolation reports whether the step must wait until a worker is isolated for its job
 // and runs no other, or until the suspects of its job's other steps are cleared.
 func (p *Planner) awaitsIsolation(step *Step) bool {
+	_, waits := p.isolationCause(step)
+	return waits
+}
+
+// isolationCause returns for which part of the isolation the step must wait, or false if it
+// need not.
+func (p *Planner) isolationCause(step *Step) (WaitCause, bool) {
 	if !p.isSuspect(step.Job) || p.withoutWorkers[step] {
-		return false
+		return "", false
 	}
-	return !step.hasSuspects() || !slices.ContainsFunc(p.workers, func(w *Worker) bool {
-		return p.admits(w, step)
-	})
+	if !step.hasSuspects() {
+		return WaitClearing, true
+	}
+	cause := WaitIsolation
+	for _, w := range p.workers {
+		if w.isolatedFor != step.Job.ID {
+			continue
+		}
+		if p.admits(w, step) {
+			return "", false
+		}
+		cause = WaitEmptyWorker
+	}
+	return cause, true
 }
--- a/internal/decide/job/planner_bench_test.go
+++ b/internal/decide/job/planner_bench_test.go
@@ -71,8 +71,8 @@
 	}
 }
 
-// acceptJob adds a job with a single step to the state.
-func acceptJob(tb testing.TB, state *job.State, id, team, queue string, millis int64, spec job.StepSpec) {
+// acceptJob adds a job with the steps to the state.
+func acceptJob(tb testing.TB, state *job.State, id, team, queue string, millis int64, steps ...job.StepSpec) {
 	tb.Helper()
 	mustApply(tb, state, job.Record{
 		Kind:       job.RecordAccept,
@@ -81,7 +81,7 @@
 		Queue:      queue,
 		TimeMillis: millis,
 		Submission: &job.Submission{
-			Steps: []job.StepSpec{spec},
+			Steps: steps,
 		},
 	})
 }
