--- a/internal/decide/job/crash_test.go
+++ b/internal/decide/job/crash_test.go
@@ -232,3 +232,58 @@
 		Together:     2,
 	})
 }
+
+// TestSilentWorkersAreNotSuspected replays a cut: workers fall silent at one moment, and the
+// owner notes it over a second, as the long polls to each of them time out. In a busy fleet
+// something has just started on almost all of them. It guards against innocent tasks that are
+// suspected of having crashed their workers at the same moment, and checks that the tasks of
+// one job, of a few workers, and of one whose connection broke at its end, still are.
+func TestSilentWorkersAreNotSuspected(t *testing.T) {
+	const (
+		cutMillis     = 10_000
+		pollMillis    = 1_000 // for which a worker may hold a poll
+		timeoutMillis = 1_700 // after which the poll fails
+	)
+	for name, c := range map[string]struct {
+		count    int
+		spread   int64 // of the moments at which the workers fall silent
+		oneJob   bool
+		broken   bool // the connection to worker 0 breaks when it ends
+		suspects int  // workers with suspects
+	}{
+		"cut":                        {count: 12},
+		"cut of three workers":       {count: 3},
+		"two workers":                {count: 2, suspects: 2},
+		"one after the other":        {count: 6, spread: 2 * timeoutMillis, suspects: 6},
+		"tasks of one job":           {count: 12, oneJob: true, suspects: 12},
+		"a connection breaks beside": {count: 12, broken: true, suspects: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			workers := newWorkers(c.count)
+			var log job.CrashLog
+			for n, w := range workers {
+				silent := cutMillis + int64(n)*c.spread
+				id, index := fmt.Sprint("job", n), 0
+				if c.oneJob {
+					id, index = "job", n
+				}
+				if state.Job(id) == nil {
+					acceptJob(t, state, id, "team0", "plain", 0, job.StepSpec{Count: c.count})
+				}
+				alive := silent - int64(n)*pollMillis/int64(c.count)
+				failed := alive + timeoutMillis
+				runTask(t, state, w, id, index, silent-10, n%2 == 0)
+				if c.broken && n == 0 {
+					alive, failed = silent, silent
+				}
+				log.Disconnect(state, w, alive, failed)
+			}
+			suspects := 0
+			for _, w := range workers {
+				suspects += min(1, len(log.Suspects(state, w.Key())))
+			}
+			assert.Equal(t, suspects, c.suspects)
+		})
+	}
+}
