Do not suspect tasks whose workers fell silent together

Most tasks that the cuts hit had to wait for a worker of their own, some for 29 s.

Cause: an outage was assumed only if the disconnections were noted within 500 ms and nothing had just started on a third of the workers. The long polls to workers that fall silent at one moment fail over a second, and since the last answer of a silent worker something has started almost everywhere. So every cut looked like many tasks that crash their workers.

Fix: the owner knows between which moments a silent worker ended. Three or more workers, with separate causes, whose silences overlap are an outage, whatever had started there. This cannot hide a task whose worker breaks the connection as it crashes, nor one or two silent workers, nor the tasks of one job.

--- a/internal/cluster/shard/crash.go
+++ b/internal/cluster/shard/crash.go
@@ -18,15 +18,17 @@
 		return
 	}
 	alive := l.lastAnswer
-	if !errors.Is(err, worker.ErrNotSent) && !errors.Is(err, context.DeadlineExceeded) {
+	silent := errors.Is(err, context.DeadlineExceeded)
+	if !errors.Is(err, worker.ErrNotSent) && !silent {
 		alive = time.Now() // the connection broke while the worker held the poll
 	}
-	s.noteDisconnection(l, alive)
+	s.noteDisconnection(l, alive, silent)
 }
 
 // noteDisconnection records the loss of the connection to the worker, which was last known
-// to run at the given time, unless it is recorded already. The caller holds s.mu.
-func (s *Shard) noteDisconnection(l *link, alive time.Time) {
+// to run at the given time, unless it is recorded already. The worker is silent if the
+// connection did not break. The caller holds s.mu.
+func (s *Shard) noteDisconnection(l *link, alive time.Time, silent bool) {
 	r := l.registration
 	s.crashes.Disconnect(s.state, &job.Worker{
 		ID:          r.ID,
@@ -34,7 +36,7 @@
 		Service:     r.Service,
 		Zone:        r.Zone,
 		Rack:        r.Rack,
-	}, s.millisAt(alive), s.now())
+	}, s.millisAt(alive), s.now(), silent)
 }
 
 // endSuspects ends those attempts that may have crashed the worker, which has certainly
@@ -42,7 +44,7 @@
 // worker's next incarnation may have carried out. The caller holds s.mu.
 func (s *Shard) endSuspects(l *link, match func(*job.Placement) bool) {
 	if l.answered {
-		s.noteDisconnection(l, l.lastAnswer)
+		s.noteDisconnection(l, l.lastAnswer, true)
 	}
 	var records []job.Record
 	suspects := s.crashes.Suspects(s.state, l.key())
--- a/internal/cluster/shard/crash_test.go
+++ b/internal/cluster/shard/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"slices"
 	"sync/atomic"
@@ -15,10 +16,11 @@
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
-// crashingWorker is a restartingWorker whose polls fail while it is away. Another worker
-// answers at its address while it is replaced.
+// crashingWorker is a restartingWorker whose polls fail while it is away, or time out if it is
+// silent. Another worker answers at its address while it is replaced.
 type crashingWorker struct {
 	*restartingWorker
+	silent         bool
 	away, replaced atomic.Bool
 }
 
@@ -27,6 +29,10 @@
 	if w.replaced.Load() {
 		return worker.Report{Refused: worker.WrongIncarnation}, nil
 	}
+	if w.away.Load() && w.silent {
+		<-ctx.Done()
+		return worker.Report{}, ctx.Err()
+	}
 	if w.away.Load() {
 		return worker.Report{}, io.EOF
 	}
@@ -41,6 +47,7 @@
 	for name, c := range map[string]struct {
 		runTimes    []time.Duration // of the attempts, until the worker crashes or is cut off
 		cut         bool
+		silent      bool // polls time out while the worker is away
 		replaced    bool // the worker comes back under another ID
 		listed      bool // the directory, not a report, tells the owner of the restart
 		wantCrashes int
@@ -61,6 +68,12 @@
 			wantCrashes: 2,
 			wantOutcome: job.Failed,
 		},
+		"second crash, silent": {
+			runTimes:    []time.Duration{crashTime, crashTime},
+			silent:      true,
+			wantCrashes: 2,
+			wantOutcome: job.Failed,
+		},
 		"second crash, replaced": {
 			runTimes:    []time.Duration{crashTime, crashTime},
 			replaced:    true,
@@ -80,7 +93,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				client := &crashingWorker{restartingWorker: newRestartingWorker()}
+				client := &crashingWorker{
+					restartingWorker: newRestartingWorker(),
+					silent:           c.silent,
+				}
 				s, release := newRestartTest(t, client)
 				defer release()
 				registration := worker.Registration{
@@ -146,3 +162,81 @@
 		})
 	}
 }
+
+// TestCutTasksAreNotSuspected guards against innocent tasks that are suspected of crashing
+// their workers because a cut, behind which the workers restart, came just after their start.
+// It checks that they can be placed again, and that a task whose worker falls silent alone is
+// suspected.
+func TestCutTasksAreNotSuspected(t *testing.T) {
+	for name, c := range map[string]struct {
+		workers     int
+		wantCrashes int
+	}{
+		"cut":       {workers: 4},
+		"one alone": {workers: 1, wantCrashes: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, release := newRestartTest(t, nil)
+				defer release()
+				clients := map[string]*crashingWorker{}
+				s.options.NewWorkerClient = func(r worker.Registration) (worker.Client, func()) {
+					return clients[r.ID], func() {}
+				}
+				var registrations []worker.Registration
+				var placed []job.Record
+				for n := range c.workers {
+					id := fmt.Sprint("w", n)
+					clients[id] = &crashingWorker{
+						restartingWorker: newRestartingWorker(),
+						silent:           true,
+					}
+					registrations = append(registrations, worker.Registration{
+						ID:          id,
+						Incarnation: 1,
+					})
+					placed = append(placed, job.Record{
+						Kind:        job.RecordPlace,
+						Job:         fmt.Sprint("job", n),
+						Attempt:     1,
+						Worker:      id,
+						Incarnation: 1,
+					})
+				}
+				s.SetWorkers(registrations)
+				time.Sleep(pollsAnswered)
+				s.mu.Lock()
+				for _, r := range placed {
+					assert.NilError(t, s.state.Apply(job.Record{
+						Kind: job.RecordAccept,
+						Job:  r.Job,
+						Submission: &job.Submission{
+							Steps: []job.StepSpec{{Count: 1}},
+						},
+					}))
+					assert.NilError(t, s.state.Apply(r))
+				}
+				s.mu.Unlock()
+				s.sendStarts(placed)
+				time.Sleep(10 * time.Millisecond)
+				for _, client := range clients {
+					client.away.Store(true)
+				}
+				time.Sleep(3 * time.Second)
+				for _, client := range clients {
+					client.replaced.Store(true)
+					client.away.Store(false)
+				}
+				s.SetWorkers(nil)
+				time.Sleep(2 * time.Second)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				for _, r := range placed {
+					task := s.state.Task(job.TaskKey{Job: r.Job})
+					assert.Assert(t, task.Placement == nil)
+					assert.Equal(t, task.Crashes, c.wantCrashes)
+				}
+			})
+		})
+	}
+}
--- a/internal/decide/job/crash.go
+++ b/internal/decide/job/crash.go
@@ -15,7 +15,7 @@
 	// cause, such as a power failure.
 	togetherMillis = 500
 	// minOutage is the minimum number of disconnections with separate causes that an outage
-	// of a rack, a zone or a service must explain.
+	// of a rack, a zone, a service or a network must explain.
 	minOutage = 3
 	// outageDivisor: an outage is assumed if at least the number of disconnections divided
 	// by it were of workers on which nothing had just started.
@@ -75,6 +75,7 @@
 	worker      WorkerKey
 	atMillis    int64
 	aliveMillis int64 // when the worker is last known to have run
+	silent      bool  // the connection did not break
 
 	service, zone, rack string
 
@@ -84,8 +85,9 @@
 
 // Disconnect records that the connection to the worker was lost at the Unix millisecond
 // now, unless the log already holds an earlier loss. The parameter aliveMillis is the
-// latest Unix millisecond at which the worker is known to have run.
-func (l *CrashLog) Disconnect(state *State, w *Worker, aliveMillis, now int64) {
+// latest Unix millisecond at which the worker is known to have run, and silent is set if the
+// connection did not break, but the worker did not answer.
+func (l *CrashLog) Disconnect(state *State, w *Worker, aliveMillis, now int64, silent bool) {
 	if l.find(w.Key()) != nil {
 		return
 	}
@@ -95,6 +97,7 @@
 	d := disconnection{
 		worker:   w.Key(),
 		atMillis: now,
+		silent:   silent,
 		service:  w.Service,
 		zone:     w.Zone,
 		rack:     w.Rack,
@@ -201,11 +204,14 @@
 }
 
 // together returns the disconnections of the service's workers that may have the same cause
-// as the given one, which is among them.
+// as the given one, which is among them. Those of silent workers are noted at different times
+// even if they have the same cause, since polls wait for different times.
 func (l *CrashLog) together(d *disconnection) []disconnection {
 	var list []disconnection
 	for _, o := range l.disconnections {
-		if o.service == d.service && max(o.atMillis-d.atMillis, d.atMillis-o.atMillis) <= togetherMillis {
+		bothSilent := d.silent && o.silent && o.aliveMillis <= d.atMillis && d.aliveMillis <= o.atMillis
+		near := max(o.atMillis-d.atMillis, d.atMillis-o.atMillis) <= togetherMillis
+		if o.service == d.service && (bothSilent || near) {
 			list = append(list, o)
 		}
 	}
@@ -213,25 +219,39 @@
 }
 
 // inOutage reports whether the disconnection was part of an outage of its rack, zone or
-// service. Nothing had just started on many of the workers that an outage disconnects,
-// whereas a task crashes its worker just after its start. Workers that a common job may
-// have crashed count as one.
+// service, or of the network. Nothing had just started on many of the workers that an outage
+// disconnects, whereas a task crashes its worker just after its start. When silent workers
+// ended is not known so precisely, so for those their number decides: the connection to a
+// worker that crashes usually breaks, that to one that is cut off or loses power does not.
+// Workers that a common job may have crashed count as one.
 func (l *CrashLog) inOutage(d *disconnection) bool {
-	service := l.together(d)
-	var rack, zone []disconnection
-	for _, o := range service {
+	var rack, zone, service, silent []disconnection
+	for _, o := range l.together(d) {
+		service = append(service, o)
 		if o.zone == d.zone {
 			zone = append(zone, o)
 		}
 		if o.rack == d.rack {
 			rack = append(rack, o)
 		}
+		if o.silent {
+			silent = append(silent, o)
+		}
+	}
+	if causes, _ := countCauses(silent); d.silent && causes >= minOutage {
+		return true
 	}
 	return isOutage(rack) || isOutage(zone) || isOutage(service)
 }
 
 func isOutage(list []disconnection) bool {
-	unexplained, causes := 0, 0
+	causes, unexplained := countCauses(list)
+	return causes >= minOutage && unexplained*outageDivisor >= len(list)
+}
+
+// countCauses returns how many separate causes the disconnections have at least, and the number
+// of those that no attempt explains because none had just started.
+func countCauses(list []disconnection) (causes, unexplained int) {
 	seen := map[string]bool{}
 	for _, d := range list {
 		known := false
@@ -248,7 +268,7 @@
 			causes++
 		}
 	}
-	return causes >= minOutage && unexplained*outageDivisor >= len(list)
+	return causes, unexplained
 }
 
 // Crashes returns the number of crashes of which the task is suspected. A gang is
--- a/internal/decide/job/crash_test.go
+++ b/internal/decide/job/crash_test.go
@@ -137,10 +137,10 @@
 				if n == 0 && c.alive != 0 {
 					alive = c.alive
 				}
-				log.Disconnect(state, workers[n], alive, at)
+				log.Disconnect(state, workers[n], alive, at, false)
 			}
 			if len(c.crashes) == 0 && !c.unknown {
-				log.Disconnect(state, workers[0], 10_000, 10_000)
+				log.Disconnect(state, workers[0], 10_000, 10_000, false)
 				log.Reconnect(workers[0].Key())
 			}
 			var got []string
@@ -221,9 +221,9 @@
 	var log job.CrashLog
 	_, ok := log.Evidence(workers[0].Key())
 	assert.Assert(t, !ok)
-	log.Disconnect(state, workers[0], 9_000, 10_000)
-	log.Disconnect(state, workers[1], 10_300, 10_300)
-	log.Disconnect(state, workers[2], 12_000, 12_000)
+	log.Disconnect(state, workers[0], 9_000, 10_000, true)
+	log.Disconnect(state, workers[1], 10_300, 10_300, false)
+	log.Disconnect(state, workers[2], 12_000, 12_000, true)
 	e, ok := log.Evidence(workers[0].Key())
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, e, job.Evidence{
@@ -249,6 +249,7 @@
 		spread   int64 // of the moments at which the workers fall silent
 		oneJob   bool
 		broken   bool // the connection to worker 0 breaks when it ends
+		refused  bool // the workers refuse connections, so their processes have ended
 		suspects int  // workers with suspects
 	}{
 		"cut":                        {count: 12},
@@ -257,6 +258,7 @@
 		"one after the other":        {count: 6, spread: 2 * timeoutMillis, suspects: 6},
 		"tasks of one job":           {count: 12, oneJob: true, suspects: 12},
 		"a connection breaks beside": {count: 12, broken: true, suspects: 1},
+		"refused connections":        {count: 12, refused: true, suspects: 12},
 	} {
 		t.Run(name, func(t *testing.T) {
 			state := job.NewState()
@@ -277,7 +279,7 @@
 				if c.broken && n == 0 {
 					alive, failed = silent, silent
 				}
-				log.Disconnect(state, w, alive, failed)
+				log.Disconnect(state, w, alive, failed, !c.refused && (n > 0 || !c.broken))
 			}
 			suspects := 0
 			for _, w := range workers {
