--- a/internal/decide/job/isolation_test.go
+++ b/internal/decide/job/isolation_test.go
@@ -167,3 +167,110 @@
 		})
 	}
 }
+
+// TestInnocentSuspectsRunSoon replays waves of crashes in a fleet that is less than half in use:
+// every 5 s, many innocent tasks are suspected at once. It guards against suspects that wait for
+// isolation for longer than the 3 s within which a task must run that has room twice over.
+func TestInnocentSuspectsRunSoon(t *testing.T) {
+	const (
+		waveMillis     = 5_000
+		endMillis      = 20_000
+		maxWaitMillis  = 3_000
+		passMillis     = 40
+		reportMillis   = 200
+		runMillis      = 1_500
+		ordinaryMillis = 500
+	)
+	task := job.StepSpec{
+		Count:          1,
+		Needs:          cores(4),
+		EstimateMillis: runMillis,
+	}
+	gang := job.StepSpec{
+		Count:          17,
+		Needs:          cores(40),
+		EstimateMillis: runMillis,
+		Gang:           true,
+	}
+	for name, c := range map[string]struct {
+		suspects int   // in each wave
+		gangs    int   // among them
+		late     int   // among them, long past their deadlines
+		stream   int64 // the time between further suspects, zero if there are none
+	}{
+		"twelve":               {suspects: 12},
+		"forty":                {suspects: 40},
+		"gang beside others":   {suspects: 30, gangs: 1},
+		"late beside a stream": {suspects: 30, late: 30, stream: 80},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			rules := newRules(1)
+			workers := newWorkers(48)
+			waiting := map[string]int64{} // suspects that have not started, since when
+			runs := map[string]int64{}    // the ends of the jobs that run
+			suspect := func(id string, submitted, now int64, spec job.StepSpec) {
+				acceptJob(t, state, id, "team0", "plain", submitted, spec)
+				for n := range spec.Count {
+					runTask(t, state, &job.Worker{ID: "gone"}, id, n, now, true)
+				}
+				for n := range spec.Count {
+					endTask(t, state, id, n, job.AttemptCrashed)
+				}
+				waiting[id] = now
+			}
+			for now := int64(0); now < endMillis; now += passMillis {
+				for n := range c.suspects {
+					if now%waveMillis != 0 {
+						break
+					}
+					spec, submitted := task, now-1000
+					if n < c.gangs {
+						spec = gang
+					}
+					if n < c.late {
+						submitted -= 60_000
+					}
+					suspect(fmt.Sprintf("wave%d-%d", now, n), submitted, now, spec)
+				}
+				if c.stream > 0 && now%c.stream == 0 {
+					suspect(fmt.Sprintf("stream%d", now), now, now, task)
+				}
+				for n := range 6 {
+					acceptJob(t, state, fmt.Sprintf("ordinary%d-%d", now, n), "team0", "plain", now, job.StepSpec{
+						Count:          1,
+						Needs:          cores(8),
+						EstimateMillis: ordinaryMillis,
+					})
+				}
+				for id, end := range runs {
+					step := state.Job(id).Steps[0]
+					for n := range step.Tasks {
+						p := step.Tasks[n].Placement
+						if r, ok := step.ClearSurvivor(p, now); ok && now%reportMillis == 0 {
+							mustApply(t, state, r)
+						}
+						if now >= end {
+							endTask(t, state, id, n, job.AttemptCompleted)
+							delete(runs, id)
+						}
+					}
+				}
+				for _, r := range job.NewPlanner(state, rules, workers, now).Plan(now) {
+					p := state.Placement(job.TaskKey{Job: r.Job, Index: r.Index})
+					p.Confirmed, p.StartedMillis = true, now
+					runs[r.Job] = now + state.Job(r.Job).Steps[0].Spec.EstimateMillis
+					delete(waiting, r.Job)
+				}
+				used := int64(0)
+				for _, w := range workers {
+					used += state.Used(w.Key()).MilliCores
+				}
+				assert.Assert(t, used < 48*64000/2, "%d ms: %d millicores in use", now, used)
+				for id, since := range waiting {
+					assert.Assert(t, now-since <= maxWaitMillis, "%d ms: %s has waited for %d ms", now, id, now-since)
+				}
+			}
+		})
+	}
+}
