Isolate suspects first that have waited long

Cause: workers were isolated for suspects in the order in which steps are served, where late jobs come last. While crashes bring new suspects, those that have become late wait without bound.

The case "late beside a stream" of TestInnocentSuspectsRunSoon fails in a fleet that is less than half in use.

Fix: suspects that have waited for 1.5 s go before others, the longest wait first, so each waits only for those before it. That is half of the 3 s within which users expect a task to run that has room; the rest is for emptying the worker. What is isolated, and how much, does not change.

Promises next to it: BUDGET and the room of the others are bounded as before (TestCrashingTaskRunsIsolated, TestPlacementsRespectAllLimits); gangs and low priorities do not starve (TestSuspectDoesNotStarve).

--- a/internal/decide/job/crash.go
+++ b/internal/decide/job/crash.go
@@ -304,6 +304,9 @@
 		s.suspects++
 	}
 	t.Crashes, t.CertainCrashes = crashes, certain
+	if s.suspects == 0 {
+		s.suspectsWaitSince = 0
+	}
 }
 
 func (s *Step) hasSuspects() bool {
--- a/internal/decide/job/isolation.go
+++ b/internal/decide/job/isolation.go
@@ -15,9 +15,14 @@
 	maxDrainedDivisor  = 8
 )
 
-// isolateSuspects assigns workers to the jobs that have suspects, in the order in which
-// their steps are served. A job that is not a gang gets one worker at a time, so that it
-// crashes few. Until a suspect is cleared, nothing of another job starts on its worker.
+// longWaitMillis is how long a suspect may wait for a worker before it goes before others. The
+// users expect a task that has room to run within 3 s; the rest is for emptying the worker.
+const longWaitMillis = 1500
+
+// isolateSuspects assigns workers to the jobs that have suspects, first to those that have
+// waited long, then in the order in which their steps are served. A job that is not a gang
+// gets one worker at a time, so that it crashes few. Until a suspect is cleared, nothing of
+// another job starts on its worker.
 func (p *Planner) isolateSuspects(now int64) {
 	if len(p.state.suspects) == 0 {
 		return
@@ -26,8 +31,8 @@
 	isolated, isolatedJobs := p.findIsolated()
 	drained := map[string]int{} // by service, like isolated
 	full := map[string]bool{}   // by service
-	for _, step := range p.steps {
-		if !step.hasSuspects() || isolatedJobs[step.Job.ID] || !p.withinCap(step, p.tasksAtOnce(step)) {
+	for _, step := range p.suspectSteps(now) {
+		if isolatedJobs[step.Job.ID] || !p.withinCap(step, p.tasksAtOnce(step)) {
 			continue
 		}
 		queue := p.rules.Queues[step.Job.Queue]
@@ -59,6 +64,25 @@
 	}
 }
 
+// suspectSteps returns the steps with suspects to place, those first that have waited long.
+func (p *Planner) suspectSteps(now int64) []*Step {
+	var steps []*Step
+	for _, step := range p.steps {
+		if !step.hasSuspects() {
+			continue
+		}
+		if step.suspectsWaitSince == 0 {
+			step.suspectsWaitSince = now
+		}
+		steps = append(steps, step)
+	}
+	longAgo := now - longWaitMillis
+	slices.SortStableFunc(steps, func(a, b *Step) int {
+		return cmp.Compare(min(a.suspectsWaitSince, longAgo), min(b.suspectsWaitSince, longAgo))
+	})
+	return steps
+}
+
 // findIsolated sets isolatedFor of the workers with suspects. It returns the number of
 // those by service, including workers that are gone, and the suspects' jobs.
 func (p *Planner) findIsolated() (map[string]int, map[string]bool) {
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -276,6 +276,9 @@
 	placed   int
 	// suspects is the number of tasks that are not done and have crashes.
 	suspects int
+	// suspectsWaitSince is the Unix millisecond since which the planner has found suspects to
+	// place, or zero. It is not part of the records.
+	suspectsWaitSince int64
 }
 
 // Job is a job of the shard and its state.
