Add a failing test of suspects whose starts had no answer

A start order without an answer is weak evidence: most never arrived. Each such suspect waits for a worker of its own all the same, however many there are. With 150 of them, in a fleet of 48 workers that is less than half in use, the last waits for longer than the 3 s that users allow.

--- a/internal/decide/job/isolation_test.go
+++ b/internal/decide/job/isolation_test.go
@@ -197,25 +197,32 @@
 		gangs    int   // among them
 		late     int   // among them, long past their deadlines
 		stream   int64 // the time between further suspects, zero if there are none
+		// unanswered is set if the suspects' start orders had no answer.
+		unanswered bool
 	}{
-		"twelve":               {suspects: 12},
-		"forty":                {suspects: 40},
-		"gang beside others":   {suspects: 30, gangs: 1},
-		"late beside a stream": {suspects: 30, late: 30, stream: 80},
+		"twelve":                          {suspects: 12},
+		"forty":                           {suspects: 40},
+		"gang beside others":              {suspects: 30, gangs: 1},
+		"many whose starts had no answer": {suspects: 150, unanswered: true},
+		"late beside a stream":            {suspects: 30, late: 30, stream: 80},
 	} {
 		t.Run(name, func(t *testing.T) {
 			state := job.NewState()
 			rules := newRules(1)
 			workers := newWorkers(48)
+			suspicion := job.HadStarted
+			if c.unanswered {
+				suspicion = job.MayHaveStarted
+			}
 			waiting := map[string]int64{} // suspects that have not started, since when
 			runs := map[string]int64{}    // the ends of the jobs that run
 			suspect := func(id string, submitted, now int64, spec job.StepSpec) {
 				acceptJob(t, state, id, "team0", "plain", submitted, spec)
 				for n := range spec.Count {
-					runTask(t, state, &job.Worker{ID: "gone"}, id, n, now, true)
+					runTask(t, state, &job.Worker{ID: "gone"}, id, n, now, !c.unanswered)
 				}
 				for n := range spec.Count {
-					endTask(t, state, id, n, job.AttemptCrashed)
+					endTask(t, state, id, n, suspicion.Outcome())
 				}
 				waiting[id] = now
 			}
