--- a/internal/cluster/shard/crash.go
+++ b/internal/cluster/shard/crash.go
@@ -18,15 +18,17 @@
 		return
 	}
 	alive := l.lastAnswer
-	if !errors.Is(err, worker.ErrNotSent) && !errors.Is(err, context.DeadlineExceeded) {
+	silent := errors.Is(err, context.DeadlineExceeded)
+	if !errors.Is(err, worker.ErrNotSent) && !silent {
 		alive = time.Now() // the connection broke while the worker held the poll
 	}
-	s.noteDisconnection(l, alive)
+	s.noteDisconnection(l, alive, silent)
 }
 
 // noteDisconnection records the loss of the connection to the worker, which was last known
-// to run at the given time, unless it is recorded already. The caller holds s.mu.
-func (s *Shard) noteDisconnection(l *link, alive time.Time) {
+// to run at the given time, unless it is recorded already. The worker is silent if the
+// connection did not break. The caller holds s.mu.
+func (s *Shard) noteDisconnection(l *link, alive time.Time, silent bool) {
 	r := l.registration
 	s.crashes.Disconnect(s.state, &job.Worker{
 		ID:          r.ID,
@@ -34,7 +36,7 @@
 		Service:     r.Service,
 		Zone:        r.Zone,
 		Rack:        r.Rack,
-	}, s.millisAt(alive), s.now())
+	}, s.millisAt(alive), s.now(), silent)
 }
 
 // endSuspects ends those attempts that may have crashed the worker, which has certainly
@@ -42,10 +44,12 @@
 // worker's next incarnation may have carried out. The caller holds s.mu.
 func (s *Shard) endSuspects(l *link, match func(*job.Placement) bool) {
 	if l.answered {
-		s.noteDisconnection(l, l.lastAnswer)
+		s.noteDisconnection(l, l.lastAnswer, true)
 	}
 	var records []job.Record
-	for p, suspicion := range s.crashes.Suspects(s.state, l.key()) {
+	suspects := s.crashes.Suspects(s.state, l.key())
+	s.logCrash(l, len(suspects))
+	for p, suspicion := range suspects {
 		p.Suspicion = suspicion
 		if match == nil || match(p) {
 			records = s.endSuspect(records, p)
@@ -57,6 +61,16 @@
 	}
 }
 
+// logCrash logs a crash of the worker and why so many attempts are suspected of causing it.
+// The caller holds s.mu.
+func (s *Shard) logCrash(l *link, suspects int) {
+	attributes := []any{"worker", l.registration.ID, "placements", len(s.state.Placements(l.key())), "suspects", suspects}
+	if e, ok := s.crashes.Evidence(l.key()); ok {
+		attributes = append(attributes, "silentMillis", e.SilentMillis, "recent", e.Recent, "together", e.Together, "outage", e.Outage)
+	}
+	s.log.Info("workerCrashed", attributes...)
+}
+
 // endSuspect ends an attempt that may have crashed its worker, and its job if the task has
 // crashed too many workers. It returns records followed by those of the changes. The caller
 // holds s.mu.
--- a/internal/decide/job/isolation.go
+++ b/internal/decide/job/isolation.go
@@ -15,9 +15,14 @@
 	maxDrainedDivisor  = 8
 )
 
-// isolateSuspects assigns workers to the jobs that have suspects, in the order in which
-// their steps are served. A job that is not a gang gets one worker at a time, so that it
-// crashes few. Until a suspect is cleared, nothing of another job starts on its worker.
+// longWaitMillis is how long a suspect may wait for a worker before it goes before others. The
+// users expect a task that has room to run within 3 s; the rest is for emptying the worker.
+const longWaitMillis = 1500
+
+// isolateSuspects assigns workers to the jobs that have suspects, first to those that have
+// waited long, then in the order in which their steps are served. A job that is not a gang
+// gets one worker at a time, so that it crashes few. Until a suspect is cleared, nothing of
+// another job starts on its worker.
 func (p *Planner) isolateSuspects(now int64) {
 	if len(p.state.suspects) == 0 {
 		return
@@ -26,8 +31,8 @@
 	isolated, isolatedJobs := p.findIsolated()
 	drained := map[string]int{} // by service, like isolated
 	full := map[string]bool{}   // by service
-	for _, step := range p.steps {
-		if !step.hasSuspects() || isolatedJobs[step.Job.ID] || !p.withinCap(step, p.tasksAtOnce(step)) {
+	for _, step := range p.suspectSteps(now) {
+		if isolatedJobs[step.Job.ID] || !p.withinCap(step, p.tasksAtOnce(step)) {
 			continue
 		}
 		queue := p.rules.Queues[step.Job.Queue]
@@ -59,6 +64,25 @@
 	}
 }
 
+// suspectSteps returns the steps with suspects to place, those first that have waited long.
+func (p *Planner) suspectSteps(now int64) []*Step {
+	var steps []*Step
+	for _, step := range p.steps {
+		if !step.hasSuspects() {
+			continue
+		}
+		if step.suspectsWaitSince == 0 {
+			step.suspectsWaitSince = now
+		}
+		steps = append(steps, step)
+	}
+	longAgo := now - longWaitMillis
+	slices.SortStableFunc(steps, func(a, b *Step) int {
+		return cmp.Compare(min(a.suspectsWaitSince, longAgo), min(b.suspectsWaitSince, longAgo))
+	})
+	return steps
+}
+
 // findIsolated sets isolatedFor of the workers with suspects. It returns the number of
 // those by service, including workers that are gone, and the suspects' jobs.
 func (p *Planner) findIsolated() (map[string]int, map[string]bool) {
@@ -94,6 +118,22 @@
 	return n
 }
 
+// Isolation returns the numbers of open jobs with suspects, of workers that are isolated for
+// such jobs, and of workers, also ones that are gone, on which suspects are placed.
+func (p *Planner) Isolation() (jobs, isolated, placed int) {
+	for _, w := range p.workers {
+		if w.isolatedFor != "" {
+			isolated++
+		}
+	}
+	for key := range p.state.placements {
+		if p.state.RunsSuspects(key) {
+			placed++
+		}
+	}
+	return len(p.state.suspects), isolated, placed
+}
+
 // tasksAtOnce returns how many tasks of the step must start together.
 func (p *Planner) tasksAtOnce(step *Step) int {
 	if step.Spec.Gang {
@@ -185,10 +225,28 @@
 // awaitsIsolation reports whether the step must wait until a worker is isolated for its job
 // and runs no other, or until the suspects of its job's other steps are cleared.
 func (p *Planner) awaitsIsolation(step *Step) bool {
+	_, waits := p.isolationCause(step)
+	return waits
+}
+
+// isolationCause returns for which part of the isolation the step must wait, or false if it
+// need not.
+func (p *Planner) isolationCause(step *Step) (WaitCause, bool) {
 	if !p.isSuspect(step.Job) || p.withoutWorkers[step] {
-		return false
+		return "", false
 	}
-	return !step.hasSuspects() || !slices.ContainsFunc(p.workers, func(w *Worker) bool {
-		return p.admits(w, step)
-	})
+	if !step.hasSuspects() {
+		return WaitClearing, true
+	}
+	cause := WaitIsolation
+	for _, w := range p.workers {
+		if w.isolatedFor != step.Job.ID {
+			continue
+		}
+		if p.admits(w, step) {
+			return "", false
+		}
+		cause = WaitEmptyWorker
+	}
+	return cause, true
 }
