--- a/internal/cluster/shard/crash_test.go
+++ b/internal/cluster/shard/crash_test.go
@@ -217,7 +217,7 @@
 					assert.NilError(t, s.state.Apply(r))
 				}
 				s.mu.Unlock()
-				s.sendStarts(placed)
+				s.sendStarts(s.placementsOf(placed))
 				time.Sleep(10 * time.Millisecond)
 				for _, client := range clients {
 					client.away.Store(true)
