--- a/internal/standin/proxy/tcp.go
+++ b/internal/standin/proxy/tcp.go
@@ -101,7 +101,7 @@
 		p.closeConnections()
 		return err
 	}
-	listener, err := net.ListenTCP("tcp", p.address)
+	listener, err := p.listenAgain()
 	if err != nil {
 		return fmt.Errorf("proxy: listen for %s: %w", p.target, err)
 	}
@@ -110,6 +110,21 @@
 	return nil
 }
 
+// listenAgain listens on the proxy's address, which the last listener may still occupy: a
+// child process that this one has forked has it until it executes its program.
+func (p *TCP) listenAgain() (*net.TCPListener, error) {
+	const (
+		timeout       = time.Second
+		retryInterval = 5 * time.Millisecond
+	)
+	for deadline := time.Now().Add(timeout); ; time.Sleep(retryInterval) {
+		listener, err := net.ListenTCP("tcp", p.address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return listener, err
+		}
+	}
+}
+
 // Address returns the IP address and port that the proxy listens on.
 func (p *TCP) Address() string {
 	return p.address.String()
--- a/internal/standin/proxy/tcp_test.go
+++ b/internal/standin/proxy/tcp_test.go
@@ -38,3 +38,16 @@
 	assert.NilError(t, err)
 	_ = conn.Close()
 }
+
+// TestAcceptsAgainWhileChildHoldsListener guards against a proxy that cannot accept connections
+// again because a child process, forked at that moment, still has its last listener.
+func TestAcceptsAgainWhileChildHoldsListener(t *testing.T) {
+	p, closeProxy, err := NewTCP("127.0.0.1:1")
+	assert.NilError(t, err)
+	defer closeProxy()
+	held, err := p.listener.(*net.TCPListener).File()
+	assert.NilError(t, err)
+	assert.NilError(t, p.SetRefusing(true))
+	time.AfterFunc(50*time.Millisecond, func() { _ = held.Close() })
+	assert.NilError(t, p.SetRefusing(false))
+}
