--- a/internal/cluster/node/forward_test.go
+++ b/internal/cluster/node/forward_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/citronbay/citronbay/internal/api/peer"
 	"github.com/citronbay/citronbay/internal/cluster/caller"
+	"github.com/citronbay/citronbay/internal/cluster/operator"
+	"github.com/citronbay/citronbay/internal/cluster/shard"
 	"github.com/citronbay/citronbay/internal/cluster/store"
 )
 
@@ -141,3 +143,70 @@
 	defer mu.Unlock()
 	assert.DeepEqual(t, told, []int64{0, 3, 5, 5})
 }
+
+// TestCancellationIsAnsweredByItsOwnEffect checks a cancellation that an entry repeats at the
+// next owner, when the operators have withdrawn its key or its route. If its first try has
+// taken effect, the caller must not be told that it was rejected. If not, the key decides,
+// also if another call has cancelled the job before.
+func TestCancellationIsAnsweredByItsOwnEffect(t *testing.T) {
+	withoutRoute := testAgreement(2, oldKey)
+	withoutRoute.Routes = nil
+	for name, c := range map[string]struct {
+		agreement *operator.Agreement // of the second owner
+		// lost is set if the first try does not take effect.
+		lost bool
+		want caller.Status
+	}{
+		"withdrawn key": {
+			agreement: testAgreement(2, newKey),
+			want:      caller.OK,
+		},
+		"withdrawn route": {
+			agreement: withoutRoute,
+			want:      caller.OK,
+		},
+		"withdrawn key and cancelled by another call": {
+			agreement: testAgreement(2, newKey),
+			lost:      true,
+			want:      caller.BadKey,
+		},
+		"withdrawn route and cancelled by another call": {
+			agreement: withoutRoute,
+			lost:      true,
+			want:      caller.NoQueue,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := newSharedStore()
+			client.putAgreement(t, testAgreement(1, oldKey))
+			tried := make(chan struct{})
+			first, release := startOwner(t, client, "first", func(ctx context.Context, s *shard.Shard, r caller.Request) (caller.Response, error) {
+				if !c.lost {
+					s.Serve(ctx, r)
+				}
+				close(tried)
+				<-ctx.Done()
+				return caller.Response{}, ctx.Err()
+			})
+			assert.Equal(t, first.shard.Serve(t.Context(), submission(oldKey)).Status, caller.OK)
+			if c.lost {
+				assert.Equal(t, first.shard.Serve(t.Context(), cancellation(oldKey)).Status, caller.OK)
+			}
+			n := newTestNode(t, "entry", "127.0.0.1:1")
+			n.updateOwner(first.owner)
+			status := make(chan caller.Status)
+			go func() { status <- n.Serve(t.Context(), cancellation(oldKey)).Status }()
+			<-tried
+			release()
+			client.putAgreement(t, c.agreement)
+			second, release := startOwner(t, client, "second", func(ctx context.Context, s *shard.Shard, r caller.Request) (caller.Response, error) {
+				return s.Serve(ctx, r), nil
+			})
+			defer release()
+			n.updateOwner(second.owner)
+			assert.Equal(t, <-status, c.want)
+			again := n.Serve(t.Context(), cancellation(oldKey))
+			assert.Assert(t, again.Status != caller.OK, "a new call is confirmed")
+		})
+	}
+}
--- a/internal/cluster/shard/agreement_test.go
+++ b/internal/cluster/shard/agreement_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"log/slog"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,8 +14,13 @@
 
 	"github.com/citronbay/citronbay/internal/cluster/caller"
 	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
+// inForceWithin is the platform's bound for a change of the agreement.
+const inForceWithin = 2500 * time.Millisecond
+
 // agreementReader is how reads of the agreement are answered.
 type agreementReader func(ctx context.Context) (DatedAgreement, error)
 
@@ -127,6 +134,36 @@
 	}
 }
 
+// TestWithdrawnKeyIsNotConfirmedWhileLeaseIsValid guards against an owner that confirms a copy
+// with a key that was withdrawn longer ago than a change may take, although its lease is
+// valid, so that the store answers it: one read of the agreement was late, as on a node that
+// gets too little processor time.
+func TestWithdrawnKeyIsNotConfirmedWhileLeaseIsValid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		withdrawn := testAgreement(2, queueHost, keptKey)
+		owner, release := newFrozenOwner(t, inForceWithin, inForceWithin+time.Second, newest(withdrawn, maxAgreementWait+10*time.Millisecond), false)
+		defer release()
+		response := owner.Serve(t.Context(), submission(acceptedID, validKey, secondCall))
+		assert.Assert(t, response.Status != caller.OK)
+	})
+}
+
+// TestEndedCallIsNotDecidedByOutdatedAgreement guards against an answer by an outdated
+// agreement because the call ends while the owner reads the newest one. An owner's own caller
+// still gets that answer, within the margin of its deadline.
+func TestEndedCallIsNotDecidedByOutdatedAgreement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		withdrawn := testAgreement(2, queueHost, keptKey)
+		owner, release := newFrozenOwner(t, inForceWithin, inForceWithin+time.Second, newest(withdrawn, 20*time.Millisecond), false)
+		defer release()
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		response := owner.Serve(ctx, submission(acceptedID, validKey, secondCall))
+		assert.Assert(t, response.Status != caller.OK)
+		time.Sleep(agreementReadTimeout) // until the read has ended
+	})
+}
+
 // TestEntryIsNotAnsweredByOlderAgreement guards against an answer by an agreement older than
 // one by which another owner has answered the entry before.
 func TestEntryIsNotAnsweredByOlderAgreement(t *testing.T) {
@@ -184,6 +221,92 @@
 	}
 }
 
+// TestAgreementIsReadBeforeRequestsAreRefused guards against requests that are refused because
+// of the agreement's age although the store would answer a read.
+func TestAgreementIsReadBeforeRequestsAreRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		changeInForce time.Duration
+		age           time.Duration
+		failedReads   int
+	}{
+		"changes may take longer than the limit": {changeInForce: 8 * time.Second, age: 7500 * time.Millisecond},
+		"the store has just come back":           {changeInForce: inForceWithin, age: 10 * time.Second, failedReads: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				read := newest(testAgreement(1, queueHost, validKey), time.Millisecond)
+				failures := c.failedReads
+				owner, release := newFrozenOwner(t, c.changeInForce, c.age, func(ctx context.Context) (DatedAgreement, error) {
+					if failures > 0 {
+						failures--
+						return DatedAgreement{}, store.ErrNotApplied
+					}
+					return read(ctx)
+				}, false)
+				defer release()
+				query := submission(acceptedID, validKey, secondCall)
+				query.Verb = caller.Read
+				for range c.failedReads {
+					owner.Serve(t.Context(), query)
+					time.Sleep(100 * time.Millisecond)
+				}
+				assert.Equal(t, owner.Serve(t.Context(), query).Status, caller.OK)
+			})
+		})
+	}
+}
+
+// TestNothingStartsByUnconfirmedAgreement guards against an owner that starts tasks by the caps
+// and queues of an agreement by which it may answer no request any more.
+func TestNothingStartsByUnconfirmedAgreement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := slog.New(slog.NewTextHandler(io.Discard, nil))
+		client := newMemoryStore()
+		agreement := testAgreement(1, queueHost, validKey)
+		agreement.AsOf = store.Now()
+		agreement.Rules.Queues = map[string]job.Queue{
+			"queue": {
+				Name:    "queue",
+				Service: "service",
+			},
+		}
+		term, release, err := store.Claim(t.Context(), client, "fleet", store.Owner{}, log)
+		assert.NilError(t, err)
+		defer release()
+		workerClient := newRestartingWorker()
+		owner, err := Open(t.Context(), Options{
+			Store:     client,
+			Term:      term,
+			Agreement: func() DatedAgreement { return agreement },
+			ReadAgreement: func(context.Context) (DatedAgreement, error) {
+				return DatedAgreement{}, store.ErrNotApplied
+			},
+			ChangeInForce: inForceWithin,
+			Advisors:      func() []AdvisorNode { return nil },
+			NewWorkerClient: func(worker.Registration) (worker.Client, func()) {
+				return workerClient, func() {}
+			},
+			JobStateRetention: time.Minute,
+			WorkerLease:       6500 * time.Millisecond,
+			MaxWorkerLease:    maxTestLease,
+			Log:               log,
+		})
+		assert.NilError(t, err)
+		go func() { _ = owner.Run() }()
+		assert.Equal(t, owner.Serve(t.Context(), submission(acceptedID, validKey, firstCall)).Status, caller.OK)
+		time.Sleep(inForceWithin + time.Second)
+		assert.Equal(t, owner.Serve(t.Context(), submission(unknownID, validKey, secondCall)).Status, caller.Refused)
+		registration := firstRegistration()
+		registration.Service = "service"
+		registration.Capacity = job.Resources{MilliCores: 1000}
+		owner.SetWorkers([]worker.Registration{registration})
+		time.Sleep(2 * pollsAnswered)
+		workerClient.mu.Lock()
+		defer workerClient.mu.Unlock()
+		assert.Equal(t, workerClient.running[job.TaskKey{Job: acceptedID}], 0, "attempt")
+	})
+}
+
 // TestEndedTermDoesNotWaitForAgreement guards against a call that waits for a read of the
 // agreement after the term of ownership has ended, when another owner could answer it.
 func TestEndedTermDoesNotWaitForAgreement(t *testing.T) {
