--- a/internal/cluster/shard/metrics.go
+++ b/internal/cluster/shard/metrics.go
@@ -28,6 +28,10 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_submissions_total{outcome=%q}", outcome)).Inc()
 }
 
+func countRefusedRequest(reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_requests_refused_total{reason=%q}", reason)).Inc()
+}
+
 func countJobEnd(queue string, outcome job.Outcome, age time.Duration) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_jobs_ended_total{queue=%q,outcome=%q}", queue, outcome)).Inc()
 	metrics.GetOrCreateHistogram(fmt.Sprintf("citronbay_job_seconds{queue=%q}", queue)).Update(age.Seconds())
--- a/internal/cluster/shard/ownership.go
+++ b/internal/cluster/shard/ownership.go
@@ -14,13 +14,13 @@
 
 // denyJob answers a request about a job that was not found. The other nodes end the lease of
 // a silent owner before its time is over, so the next owner may have accepted the job.
-func (s *Shard) denyJob(ctx context.Context, id string) caller.Response {
+func (s *Shard) denyJob(ctx context.Context, r caller.Request) caller.Response {
 	err := s.confirmOwnership(ctx)
 	switch {
 	case s.term.Context().Err() != nil:
 		return caller.Response{Status: caller.NotOwner}
 	case err != nil:
-		return s.refuse(id, reasonOwnershipUnknown)
+		return s.refuseRequest(r, reasonOwnershipUnknown)
 	}
 	return caller.Response{
 		Status: caller.NoJob,
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -62,6 +62,7 @@
 	return response
 }
 
+// serve is Serve without the version of the agreement in the response.
 func (s *Shard) serve(ctx context.Context, r caller.Request) caller.Response {
 	arrived := store.Now()
 	s.refreshAgreement(ctx, r.Agreement)
@@ -102,7 +103,7 @@
 			Pending: s.countPending(a.route.Queue),
 		}
 	}
-	return s.readJob(ctx, a)
+	return s.readJob(ctx, r, a)
 }
 
 // access is what the agreement makes of a request: its route, the team of its key, which is
@@ -283,10 +284,25 @@
 	return s.awaitAcceptance(ctx, id, records)
 }
 
-// refuse answers a request that certainly has no effect and may be retried later.
+// refuse answers a submission that certainly has no effect and may be retried later.
 func (s *Shard) refuse(id string, reason responseReason) caller.Response {
 	countSubmission(string(reason))
 	s.log.Info("jobRefused", "job", id, "reason", reason, "stalled", s.journal.StalledFor(), "leaseRemaining", s.term.Remaining())
+	return refusal(reason)
+}
+
+// refuseRequest answers a request that is not decided, has no effect and may be retried
+// later.
+func (s *Shard) refuseRequest(r caller.Request, reason responseReason) caller.Response {
+	if r.Verb == caller.Submit {
+		return s.refuse(pathID(r.Path), reason)
+	}
+	countRefusedRequest(string(reason))
+	s.log.Info("requestRefused", "path", r.Path, "verb", r.Verb, "call", r.Call, "reason", reason, "leaseRemaining", s.term.Remaining())
+	return refusal(reason)
+}
+
+func refusal(reason responseReason) caller.Response {
 	return caller.Response{
 		Status:      caller.Refused,
 		Reason:      string(reason),
@@ -314,13 +330,14 @@
 	if r.Verb == caller.Submit && s.state.Job(id) != nil {
 		return s.answerUnconfirmed(id)
 	}
-	return s.refuse(id, reason)
+	return s.refuseRequest(r, reason)
 }
 
 // awaitAcceptance appends the records to the journal, releases s.mu and answers a
-// submission of the job, which must exist, once its acceptance is durable. If the store becomes unavailable or ctx or the term ends,
-// it withdraws a submission that is still pending in the journal: after the term's end the
-// next owner can be asked at once. The caller holds s.mu.
+// submission of the job, which must exist, once its acceptance is durable. If the store
+// becomes unavailable or ctx or the term ends, it withdraws a submission that is still
+// pending in the journal: after the term's end the next owner can be asked at once. The
+// caller holds s.mu.
 func (s *Shard) awaitAcceptance(ctx context.Context, id string, records []job.Record) caller.Response {
 	j := s.state.Job(id)
 	if j.Recorded {
@@ -434,11 +451,11 @@
 
 // readJob answers a request for a job's state. The caller holds s.mu, which readJob
 // releases.
-func (s *Shard) readJob(ctx context.Context, a access) caller.Response {
+func (s *Shard) readJob(ctx context.Context, r caller.Request, a access) caller.Response {
 	j := s.accessibleJob(a)
 	if j == nil {
 		s.mu.Unlock()
-		return s.denyJob(ctx, a.id)
+		return s.denyJob(ctx, r)
 	}
 	response := caller.Response{
 		Status: caller.OK,
@@ -485,7 +502,7 @@
 	j := s.accessibleJob(a)
 	if j == nil {
 		s.mu.Unlock()
-		return s.denyJob(ctx, a.id)
+		return s.denyJob(ctx, r)
 	}
 	var records []job.Record
 	if j.Outcome == job.Open {
--- a/internal/cluster/store/follow.go
+++ b/internal/cluster/store/follow.go
@@ -19,9 +19,10 @@
 
 // Follow maintains a copy of all items under the prefix and calls onChange with it
 // after each read and each change, until the context ends. The copy has all changes that
-// the store had acknowledged by asOf. onChange must not keep or modify the map. Besides watching, Follow reads the whole prefix again when a watch
-// call returns no changes or fails, and once watchWait has passed, since a watch can miss
-// changes when the store loses its history.
+// the store had acknowledged by asOf. onChange must not keep or modify the map. Besides
+// watching, Follow reads the whole prefix again when a watch call returns no changes or
+// fails, and once watchWait has passed, since a watch can miss changes when the store loses
+// its history.
 func Follow(ctx context.Context, client Client, prefix string, log *slog.Logger, onChange func(items map[string]Item, asOf Instant)) {
 	f := &follower{
 		client: client,
