Date a followed copy by reads alone

A watch can miss changes while the store loses its history, so its events do not show that the copy is complete. Reads follow each other within a second, so the age of an agreement stays what it was.

--- a/internal/cluster/store/follow.go
+++ b/internal/cluster/store/follow.go
@@ -51,7 +51,8 @@
 	log      *slog.Logger
 	items    map[string]Item
 	revision int64
-	// asOf is the start of the last call that the store has answered.
+	// asOf is the start of the last read that the store has answered. Watches do not count:
+	// they can miss changes.
 	asOf    Instant
 	failing bool
 }
@@ -92,7 +93,6 @@
 	started := time.Now()
 	for ctx.Err() == nil && time.Since(started) < watchWait {
 		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-		asOf := Now()
 		events, revision, err := f.client.Watch(callCtx, f.prefix, f.revision, watchWait)
 		cancel()
 		if err != nil {
@@ -113,7 +113,6 @@
 			f.items[e.Key] = e
 		}
 		f.revision = max(f.revision, revision)
-		f.asOf = asOf
 		onChange(f.items, f.asOf)
 	}
 }
