Read the clock twice for a request instead of six times

Each look at the age of an agreement reads the clock that counts suspended time, which is a system call, and a request took up to six. Change: a request reads it when it arrives and once more when it is decided, a planning pass once. Completed jobs no longer log an empty call.

--- a/internal/cluster/shard/agreement.go
+++ b/internal/cluster/shard/agreement.go
@@ -41,7 +41,7 @@
 		return
 	}
 	if a.Version == s.agreement.Version {
-		if a.AsOf.Age() < s.agreement.AsOf.Age() {
+		if a.AsOf.Sub(s.agreement.AsOf) > 0 {
 			s.agreement.AsOf = a.AsOf
 		}
 		return
@@ -62,11 +62,11 @@
 // soon lack a change that has to be in force, as after a time in which this process was
 // frozen, or is older than the version. If the store cannot be read, the present agreement
 // stays in force as long as mayDecide allows it.
-func (s *Shard) refreshAgreement(ctx context.Context, version int64) {
+func (s *Shard) refreshAgreement(ctx context.Context, now store.Instant, version int64) {
 	s.mu.Lock()
-	read := s.startAgreementRead(version)
+	read := s.startAgreementRead(now, version)
 	timeout := agreementReadTimeout
-	if read != nil && s.mayDecide() {
+	if read != nil && s.mayDecide(now) {
 		timeout = maxAgreementWait
 	}
 	s.mu.Unlock()
@@ -84,8 +84,8 @@
 // startAgreementRead returns the read of the agreement in progress. It starts one if the
 // agreement should be read again, for its age or since it is older than the version, and
 // returns nil otherwise. The caller holds s.mu.
-func (s *Shard) startAgreementRead(version int64) *agreementRead {
-	age := s.agreement.AsOf.Age()
+func (s *Shard) startAgreementRead(now store.Instant, version int64) *agreementRead {
+	age := now.Sub(s.agreement.AsOf)
 	if s.options.ChangeInForce == 0 || float64(age) <= refreshFraction*float64(s.options.ChangeInForce) && s.agreement.Version >= version {
 		return nil
 	}
@@ -93,10 +93,10 @@
 		return s.agreementRead
 	}
 	retryInterval := minAgreementRetryInterval
-	if s.mayDecide() {
+	if s.mayDecide(now) {
 		retryInterval = agreementRetryInterval
 	}
-	if s.agreementReadFailedAt.Age() <= retryInterval {
+	if now.Sub(s.agreementReadFailedAt) <= retryInterval {
 		return nil
 	}
 	s.log.Info("agreementOutdated", "version", s.agreement.Version, "age", age, "leaseRemaining", s.term.Remaining())
@@ -131,6 +131,6 @@
 // agreement. An owner whose lease is valid reaches the store, so that the operators may have
 // changed an agreement of unknown age. Without a lease, the store may be unavailable to
 // everyone. The caller holds s.mu.
-func (s *Shard) mayDecide() bool {
-	return s.options.ChangeInForce == 0 || s.agreement.AsOf.Age() <= s.options.ChangeInForce || !s.LeaseValid()
+func (s *Shard) mayDecide(now store.Instant) bool {
+	return s.options.ChangeInForce == 0 || now.Sub(s.agreement.AsOf) <= s.options.ChangeInForce || !s.LeaseValid()
 }
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -65,7 +65,7 @@
 // serve is Serve without the version of the agreement in the response.
 func (s *Shard) serve(ctx context.Context, r caller.Request) caller.Response {
 	arrived := store.Now()
-	s.refreshAgreement(ctx, r.Agreement)
+	s.refreshAgreement(ctx, arrived, r.Agreement)
 	if s.term.Context().Err() != nil {
 		return caller.Response{Status: caller.NotOwner}
 	}
@@ -73,7 +73,7 @@
 	if s.isRecordedCall(r) {
 		return s.confirmRecordedCall(ctx, r)
 	}
-	if r.Agreement > s.agreement.Version && s.agreement.AsOf.Age() > arrived.Age() {
+	if r.Agreement > s.agreement.Version && arrived.Sub(s.agreement.AsOf) > 0 {
 		// An owner with a newer agreement has answered the entry.
 		defer s.mu.Unlock()
 		return caller.Response{Status: caller.NotOwner}
@@ -317,7 +317,7 @@
 	case ctx.Err() != nil:
 		// The entry may have the answer to a later attempt at the call already.
 		return reasonGivenUp
-	case !s.mayDecide():
+	case !s.mayDecide(store.Now()):
 		return reasonAgreementUnknown
 	}
 	return ""
@@ -516,8 +516,11 @@
 // that cancelled the job, or zero. The caller holds s.mu.
 func (s *Shard) finishJob(records []job.Record, j *job.Job, outcome job.Outcome, call uint64) []job.Record {
 	countJobEnd(j.Queue, outcome, time.Duration(s.now()-j.SubmittedMillis)*time.Millisecond)
-	s.log.Info("jobEnded", "job", j.ID, "call", call, "team", j.Team, "queue", j.Queue, "outcome", outcome,
-		"ageMillis", s.now()-j.SubmittedMillis)
+	attributes := []any{"job", j.ID, "team", j.Team, "queue", j.Queue, "outcome", outcome, "ageMillis", s.now() - j.SubmittedMillis}
+	if call != 0 {
+		attributes = append(attributes, "call", call)
+	}
+	s.log.Info("jobEnded", attributes...)
 	records = s.apply(records, job.Record{
 		Kind:       job.RecordJobEnd,
 		Job:        j.ID,
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -319,8 +319,9 @@
 	if s.term.Remaining() <= 0 || s.journal.StalledFor() >= storeStallLimit {
 		return false
 	}
-	s.startAgreementRead(0)
-	return s.mayDecide()
+	now := store.Now()
+	s.startAgreementRead(now, 0)
+	return s.mayDecide(now)
 }
 
 // plannerWorkers returns the workers as the planner sees them; the caller holds s.mu.
--- a/internal/cluster/store/clock.go
+++ b/internal/cluster/store/clock.go
@@ -20,10 +20,15 @@
 	}
 }
 
-// Age returns the time since the instant, including time during which the VM was suspended:
-// the store's leases expire, and its items change, in that time too.
+// Sub returns the time from the earlier instant to i, including time during which the VM was
+// suspended: the store's leases expire, and its items change, in that time too.
+func (i Instant) Sub(earlier Instant) time.Duration {
+	return max(i.steady.Sub(earlier.steady), i.sinceBoot-earlier.sinceBoot)
+}
+
+// Age returns the time since the instant. Like Now, it takes a system call.
 func (i Instant) Age() time.Duration {
-	return max(time.Since(i.steady), timeSinceBoot()-i.sinceBoot)
+	return Now().Sub(i)
 }
 
 // timeSinceBoot returns the time since boot, including time during which the VM was
