--- a/internal/api/peer/client.go
+++ b/internal/api/peer/client.go
@@ -12,6 +12,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
+
+	"github.com/citronbay/citronbay/internal/api/traffic"
 )
 
 // Client calls the methods of one peer. It opens a QUIC connection on the first call.
@@ -42,6 +44,7 @@
 type connection struct {
 	conn      *quic.Conn
 	transport *quic.Transport
+	messages  *atomic.Int64 // bytes of messages that were counted for themselves
 }
 
 // NewClient returns a client for the peer at the address (IP:port), and a function
@@ -148,6 +151,7 @@
 		_ = socket.Close()
 		return nil, err
 	}
+	countConnection(conn)
 	return &connection{
 		conn:      conn,
 		transport: transport,
@@ -215,10 +219,12 @@
 		stream.CancelWrite(0)
 	})
 	defer stop()
-	if err := writeMessage(stream, frame); err != nil {
+	sent, err := writeMessage(stream, frame)
+	if err != nil {
 		return reply, err
 	}
-	err = readMessage(stream, &reply)
+	received, err := readMessage(stream, &reply)
+	traffic.Add(traffic.Purpose(frame.Method), sent, received)
 	switch {
 	case err == nil:
 		now := time.Now()
--- a/internal/api/peer/frame.go
+++ b/internal/api/peer/frame.go
@@ -1,12 +1,16 @@
 package peer
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go"
+
+	"github.com/citronbay/citronbay/internal/api/traffic"
 )
 
 const (
@@ -43,24 +47,38 @@
 
 // readMessage reads and decodes one message up to the end of the stream. A stream
 // that was reset or truncated returns an error, never part of a message.
-func readMessage(r io.Reader, message any) error {
+// It returns the size of the encoded message.
+func readMessage(r io.Reader, message any) (int, error) {
 	encoded, err := io.ReadAll(io.LimitReader(r, maxMessageBytes+1))
 	if err != nil {
-		return err
+		return len(encoded), err
 	}
 	if len(encoded) > maxMessageBytes {
-		return fmt.Errorf("message exceeds %d bytes", maxMessageBytes)
+		return len(encoded), fmt.Errorf("message exceeds %d bytes", maxMessageBytes)
 	}
-	return cbor.Unmarshal(encoded, message)
+	return len(encoded), cbor.Unmarshal(encoded, message)
 }
 
-func writeMessage(w io.WriteCloser, message any) error {
+// writeMessage writes the message and ends the stream. It returns the size of the encoded
+// message.
+func writeMessage(w io.WriteCloser, message any) (int, error) {
 	encoded, err := cbor.Marshal(message)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	if _, err := w.Write(encoded); err != nil {
-		return err
+	if n, err := w.Write(encoded); err != nil {
+		return n, err
 	}
-	return w.Close()
+	return len(encoded), w.Close()
+}
+
+// countConnection counts the bytes of a connection that was just opened: those so far as the
+// handshake, and the others when it ends.
+func countConnection(conn *quic.Conn) {
+	opened := conn.ConnectionStats()
+	traffic.Add(traffic.Handshake, int(opened.BytesSent), int(opened.BytesReceived))
+	context.AfterFunc(conn.Context(), func() {
+		ended := conn.ConnectionStats()
+		traffic.Add(traffic.PeerPackets, int(ended.BytesSent-opened.BytesSent), int(ended.BytesReceived-opened.BytesReceived))
+	})
 }
--- a/internal/api/peer/server.go
+++ b/internal/api/peer/server.go
@@ -11,6 +11,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
+
+	"github.com/citronbay/citronbay/internal/api/traffic"
 )
 
 // maxCallDuration limits the time that a handler gets for a call, also if the call has
@@ -152,6 +154,7 @@
 }
 
 func (s *Server) serveConnection(conn *quic.Conn) {
+	countConnection(conn)
 	for {
 		stream, err := conn.AcceptStream(conn.Context())
 		if err != nil {
@@ -167,7 +170,8 @@
 
 func (s *Server) serveStream(stream *quic.Stream) {
 	var frame callFrame
-	if err := readMessage(stream, &frame); err != nil {
+	received, err := readMessage(stream, &frame)
+	if err != nil {
 		stream.CancelWrite(0)
 		return
 	}
@@ -184,9 +188,13 @@
 	} else {
 		reply.Body = body
 	}
-	if err := writeMessage(stream, reply); err != nil {
+	sent, err := writeMessage(stream, reply)
+	if err != nil {
 		stream.CancelWrite(0)
 	}
+	if s.handlers[frame.Method] != nil { // an unknown name must not become a metric's label
+		traffic.Add(traffic.Purpose(frame.Method), sent, received)
+	}
 }
 
 func (s *Server) dispatch(ctx context.Context, frame callFrame) ([]byte, error) {
--- /dev/null
+++ b/internal/api/traffic/doc.go
@@ -0,0 +1,2 @@
+// Package traffic counts the bytes that a process exchanges with others, by purpose.
+package traffic
--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/citronbay/citronbay/internal/api/traffic"
 	"github.com/citronbay/citronbay/internal/cluster/shard"
 	"github.com/citronbay/citronbay/internal/cluster/store"
 )
@@ -251,15 +252,17 @@
 	}
 	defer release()
 	n.log.Info("ownershipTaken", "shard", n.options.Shard, "token", term.Token(), "delay", delay, knowledge)
+	started, before := time.Now(), traffic.Read()
 	err = n.own(ctx, term)
-	n.log.Info("ownershipEnded", "shard", n.options.Shard, "token", term.Token(), "reason", err)
+	n.log.Info("ownershipEnded", "shard", n.options.Shard, "token", term.Token(), "reason", err,
+		"lasted", time.Since(started), traffic.Since(before))
 	return nil
 }
 
 // own runs the shard until the term of ownership ends or the node leaves, and returns
 // why it ended.
 func (n *Node) own(ctx context.Context, term *store.Term) error {
-	start := time.Now()
+	start, before := time.Now(), traffic.Read()
 	agreement := make(chan shard.DatedAgreement, 1)
 	go func() {
 		agreement <- n.awaitAgreement(term.Context())
@@ -299,7 +302,7 @@
 	defer n.releaseShard(s)
 	n.announceOwnership(self)
 	metrics.GetOrCreateHistogram("citronbay_takeover_seconds").Update(time.Since(start).Seconds())
-	n.log.Info("takeoverDone", "token", term.Token(), "took", time.Since(start))
+	n.log.Info("takeoverDone", "token", term.Token(), "took", time.Since(start), traffic.Since(before))
 	go n.handOverWhenLeaving(ctx, term)
 	lag, stopLag := startLagMeter()
 	defer stopLag()
