--- a/internal/api/peer/client.go
+++ b/internal/api/peer/client.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,8 @@
 type Client struct {
 	address   string
 	tlsConfig *tls.Config
+	// server serves the calls that the peer makes over the connection, or is nil.
+	server *Server
 	// ctx ends when the client is closed.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -28,8 +31,15 @@
 	mu         sync.Mutex
 	connection *connection
 	dial       *dial // nil unless a connection is being opened
+	// failedDials counts the dials that have failed since the last that succeeded, and dialAfter
+	// is when the next one may begin.
+	failedDials int
+	dialAfter   time.Time
 
 	lastReply atomic.Pointer[time.Time] // nil if the peer has never answered
+	// packetsOfEnded is the number of packets received on connections that have ended; guarded
+	// by mu.
+	packetsOfEnded uint64
 }
 
 // dial is an attempt to open a connection, for which any number of calls may wait. It
@@ -48,12 +58,14 @@
 }
 
 // NewClient returns a client for the peer at the address (IP:port), and a function
-// that closes its connection.
-func NewClient(address string, tlsConfig *tls.Config) (*Client, func()) {
+// that closes its connection. The server, unless it is nil, serves calls that the peer makes
+// over this connection, as by Call with a Remote.
+func NewClient(address string, tlsConfig *tls.Config, server *Server) (*Client, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Client{
 		address:   address,
 		tlsConfig: tlsConfig,
+		server:    server,
 		ctx:       ctx,
 		cancel:    cancel,
 	}
@@ -65,7 +77,8 @@
 	c.Reset()
 }
 
-// LastReply returns when the peer last answered a call, or the zero time if it never has.
+// LastReply returns when the peer last answered a call without an error, or the zero time if it
+// never has.
 func (c *Client) LastReply() time.Time {
 	if t := c.lastReply.Load(); t != nil {
 		return *t
@@ -73,6 +86,18 @@
 	return time.Time{}
 }
 
+// PacketsReceived returns the number of packets that have arrived from the peer on the
+// connections of this client. It grows while the peer's process runs and the path carries
+// packets, also if the peer is too busy to answer in time.
+func (c *Client) PacketsReceived() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.connection == nil {
+		return c.packetsOfEnded
+	}
+	return c.packetsOfEnded + c.connection.conn.ConnectionStats().PacketsReceived
+}
+
 // Reset closes the connection, so that calls in flight fail. The next call opens a new
 // one from a new local port, because a firewall or NAT on the path that has lost the
 // state of the connection may go on dropping packets from the old port. A connection
@@ -87,6 +112,7 @@
 	if c.connection == nil {
 		return
 	}
+	c.packetsOfEnded += c.connection.conn.ConnectionStats().PacketsReceived
 	_ = c.connection.conn.CloseWithError(0, "")
 	_ = c.connection.transport.Close()
 	_ = c.connection.transport.Conn.Close()
@@ -102,6 +128,10 @@
 		return c.connection.conn, nil
 	}
 	if c.dial == nil {
+		if time.Now().Before(c.dialAfter) {
+			c.mu.Unlock()
+			return nil, errDialPaused
+		}
 		c.closeConnection()
 		c.dial = &dial{done: make(chan struct{})}
 		go c.runDial(c.dial)
@@ -122,6 +152,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.dial = nil
+	c.noteDial(err)
 	if err == nil {
 		c.connection = opened
 		d.conn = opened.conn
@@ -133,6 +164,20 @@
 	close(d.done)
 }
 
+// noteDial sets the pause before the next dial. The caller holds c.mu.
+func (c *Client) noteDial(err error) {
+	if err == nil {
+		c.failedDials = 0
+		return
+	}
+	c.failedDials++
+	if c.failedDials < freeDials {
+		return
+	}
+	pause := min(maxDialPause, minDialPause<<min(c.failedDials-freeDials, maxDialPauseDoublings))
+	c.dialAfter = time.Now().Add(pause/2 + rand.N(pause))
+}
+
 func (c *Client) open() (*connection, error) {
 	remoteAddress, err := net.ResolveUDPAddr("udp", c.address)
 	if err != nil {
@@ -152,6 +197,9 @@
 		return nil, err
 	}
 	countConnection(conn)
+	if c.server != nil {
+		go c.server.serveConnection(conn)
+	}
 	return &connection{
 		conn:      conn,
 		transport: transport,
@@ -168,15 +216,21 @@
 	}
 }
 
+// Peer is another node that can be called: a Client, or a Remote.
+type Peer interface {
+	name() string
+	roundTrip(ctx context.Context, frame callFrame) (replyFrame, error)
+}
+
 // Call calls the method of the peer with the request and returns the response. After
 // ErrNotSent the peer has not seen the call, and after ErrRemote the peer returned an
 // error. After any other error the outcome is unknown. The peer's handler gets the time
 // left until the deadline of ctx, and one minute at most.
-func Call[Response, Request any](ctx context.Context, c *Client, method string, request Request) (Response, error) {
+func Call[Response, Request any](ctx context.Context, p Peer, method string, request Request) (Response, error) {
 	var response Response
 	body, err := cbor.Marshal(request)
 	if err != nil {
-		return response, fmt.Errorf("peer %s: %s: %w", c.address, method, errors.Join(ErrNotSent, err))
+		return response, fmt.Errorf("peer %s: %s: %w", p.name(), method, errors.Join(ErrNotSent, err))
 	}
 	frame := callFrame{
 		Method: method,
@@ -185,15 +239,15 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		frame.RemainingMillis = remainingMillis(time.Until(deadline))
 	}
-	reply, err := c.roundTrip(ctx, frame)
+	reply, err := p.roundTrip(ctx, frame)
 	if err != nil {
-		return response, fmt.Errorf("peer %s: %s: %w", c.address, method, err)
+		return response, fmt.Errorf("peer %s: %s: %w", p.name(), method, err)
 	}
 	if reply.Error != "" {
-		return response, fmt.Errorf("peer %s: %s: %w: %s", c.address, method, ErrRemote, reply.Error)
+		return response, fmt.Errorf("peer %s: %s: %w: %s", p.name(), method, ErrRemote, reply.Error)
 	}
 	if err := cbor.Unmarshal(reply.Body, &response); err != nil {
-		return response, fmt.Errorf("peer %s: %s: %w", c.address, method, err)
+		return response, fmt.Errorf("peer %s: %s: %w", p.name(), method, err)
 	}
 	return response, nil
 }
@@ -204,12 +258,54 @@
 	return max(1, int64((timeLeft+time.Millisecond-1)/time.Millisecond))
 }
 
+func (c *Client) name() string {
+	return c.address
+}
+
 func (c *Client) roundTrip(ctx context.Context, frame callFrame) (replyFrame, error) {
-	var reply replyFrame
 	conn, err := c.connect(ctx)
 	if err != nil {
-		return reply, errors.Join(ErrNotSent, err)
+		return replyFrame{}, errors.Join(ErrNotSent, err)
 	}
+	reply, err := roundTrip(ctx, conn, frame)
+	if err == nil && reply.Error == "" { // a handler that does nothing until the deadline returns an error
+		now := time.Now()
+		c.lastReply.Store(&now)
+	}
+	return reply, err
+}
+
+// Remote is a peer that has opened a connection to this node, and is called over it. Create it
+// with RemoteOf.
+type Remote struct {
+	conn *quic.Conn
+}
+
+type remoteKey struct{}
+
+// RemoteOf returns the peer whose call the handler with the context serves, or nil if the
+// context is not that of a handler.
+func RemoteOf(ctx context.Context) *Remote {
+	r, _ := ctx.Value(remoteKey{}).(*Remote)
+	return r
+}
+
+// IsOpen reports whether the connection of the peer is open.
+func (r *Remote) IsOpen() bool {
+	return r != nil && r.conn.Context().Err() == nil
+}
+
+func (r *Remote) name() string {
+	return r.conn.RemoteAddr().String()
+}
+
+func (r *Remote) roundTrip(ctx context.Context, frame callFrame) (replyFrame, error) {
+	return roundTrip(ctx, r.conn, frame)
+}
+
+// roundTrip makes one call over the connection.
+func roundTrip(ctx context.Context, conn *quic.Conn, frame callFrame) (replyFrame, error) {
+	var reply replyFrame
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		return reply, errors.Join(ErrNotSent, err)
@@ -225,11 +321,7 @@
 	}
 	received, err := readMessage(stream, &reply)
 	traffic.Add(traffic.Purpose(frame.Method), sent, received)
-	switch {
-	case err == nil:
-		now := time.Now()
-		c.lastReply.Store(&now)
-	case ctx.Err() != nil:
+	if err != nil && ctx.Err() != nil {
 		err = errors.Join(ctx.Err(), err)
 	}
 	return reply, err
--- a/internal/api/peer/frame.go
+++ b/internal/api/peer/frame.go
@@ -20,11 +20,22 @@
 	keepAliveInterval = 500 * time.Millisecond
 	// idleTimeout is how long nothing may arrive on a connection before it is
 	// closed.
-	idleTimeout = 2 * time.Second
+	idleTimeout = 6 * time.Second
 	// handshakeTimeout limits how long opening a connection may take.
 	handshakeTimeout = time.Second
+	// After freeDials dials in a row that failed, the next one begins only after a random pause
+	// of minDialPause on average, which doubles with each further failure up to maxDialPause. The
+	// first packets of a handshake are large and repeated, so that the attempts of all nodes to
+	// reach one on a full link could fill that link.
+	freeDials             = 2
+	minDialPause          = 250 * time.Millisecond
+	maxDialPause          = time.Second
+	maxDialPauseDoublings = 2
 )
 
+// errDialPaused reports that no connection is open and none may be opened yet.
+var errDialPaused = errors.New("peer: connecting has failed; the next attempt comes later")
+
 // callFrame is the request of a call. RemainingMillis is the time until the caller's
 // deadline in milliseconds, or zero if it has none.
 type callFrame struct {
--- a/internal/api/peer/peer_test.go
+++ b/internal/api/peer/peer_test.go
@@ -45,7 +45,7 @@
 	t.Helper()
 	tlsConfig, err := TLSConfig(secret)
 	assert.NilError(t, err)
-	client, closeClient := NewClient(address, tlsConfig)
+	client, closeClient := NewClient(address, tlsConfig, nil)
 	t.Cleanup(closeClient)
 	return client
 }
@@ -146,7 +146,8 @@
 		return request, nil
 	})
 	go func() { _ = server.Serve(t.Context(), newListener) }()
-	ctx, cancel := context.WithTimeout(t.Context(), idleTimeout/2)
+	const atOnce = time.Second // well before idleTimeout
+	ctx, cancel := context.WithTimeout(t.Context(), atOnce)
 	defer cancel()
 	for {
 		_, err = Call[echoMessage](ctx, client, "echo", echoMessage{})
--- a/internal/api/peer/server.go
+++ b/internal/api/peer/server.go
@@ -112,6 +112,7 @@
 		if err != nil {
 			return fmt.Errorf("peer: accept: %w", err)
 		}
+		countConnection(conn)
 		go s.serveConnection(conn)
 	}
 }
@@ -154,7 +155,7 @@
 }
 
 func (s *Server) serveConnection(conn *quic.Conn) {
-	countConnection(conn)
+	remote := &Remote{conn: conn}
 	for {
 		stream, err := conn.AcceptStream(conn.Context())
 		if err != nil {
@@ -163,12 +164,12 @@
 		s.beginCall()
 		go func() {
 			defer s.endCall()
-			s.serveStream(stream)
+			s.serveStream(stream, remote)
 		}()
 	}
 }
 
-func (s *Server) serveStream(stream *quic.Stream) {
+func (s *Server) serveStream(stream *quic.Stream, remote *Remote) {
 	var frame callFrame
 	received, err := readMessage(stream, &frame)
 	if err != nil {
@@ -179,7 +180,7 @@
 	if frame.RemainingMillis > 0 {
 		timeout = min(timeout, time.Duration(frame.RemainingMillis)*time.Millisecond)
 	}
-	ctx, cancel := context.WithTimeout(stream.Context(), timeout)
+	ctx, cancel := context.WithTimeout(context.WithValue(stream.Context(), remoteKey{}, remote), timeout)
 	defer cancel()
 	var reply replyFrame
 	body, err := s.dispatch(ctx, frame)
--- a/internal/api/traffic/traffic.go
+++ b/internal/api/traffic/traffic.go
@@ -34,10 +34,8 @@
 // counter counts the bytes of one purpose.
 type counter struct {
 	sent, received *metrics.Counter
-}
-
-func (c *counter) total() int64 {
-	return int64(c.sent.Get() + c.received.Get())
+	// urgent is set for what must not wait behind other purposes.
+	urgent bool
 }
 
 var counters sync.Map // *counter by Purpose
@@ -52,6 +50,7 @@
 	c, _ := counters.LoadOrStore(p, &counter{
 		sent:     metric("sent"),
 		received: metric("received"),
+		urgent:   p == Ownership,
 	})
 	return c.(*counter)
 }
@@ -63,14 +62,22 @@
 	c.received.Add(received)
 }
 
-// Totals holds numbers of bytes, in both directions, by purpose.
-type Totals map[Purpose]int64
+// Bytes is the number of bytes that were sent and received.
+type Bytes struct {
+	Sent, Received int64
+}
+
+// Totals holds the numbers of bytes by purpose.
+type Totals map[Purpose]Bytes
 
 // Read returns the numbers of bytes that were counted so far.
 func Read() Totals {
 	totals := Totals{}
 	counters.Range(func(p, c any) bool {
-		totals[p.(Purpose)] = c.(*counter).total()
+		totals[p.(Purpose)] = Bytes{
+			Sent:     int64(c.(*counter).sent.Get()),
+			Received: int64(c.(*counter).received.Get()),
+		}
 		return true
 	})
 	return totals
@@ -80,26 +87,33 @@
 // attribute for the log.
 func Since(earlier Totals) slog.Attr {
 	totals := Read()
-	var attributes []any
+	var sent, received []any
 	for _, p := range slices.Sorted(maps.Keys(totals)) {
-		if n := totals[p] - earlier[p]; n > 0 {
-			attributes = append(attributes, slog.Int64(string(p), n))
+		if n := totals[p].Sent - earlier[p].Sent; n > 0 {
+			sent = append(sent, slog.Int64(string(p), n))
+		}
+		if n := totals[p].Received - earlier[p].Received; n > 0 {
+			received = append(received, slog.Int64(string(p), n))
 		}
 	}
-	return slog.Group("bytes", attributes...)
+	return slog.Group("bytes", slog.Group("sent", sent...), slog.Group("received", received...))
 }
 
-// Conn counts the bytes of a connection that serves one call at a time. Create it with
+// Conn counts and shapes the bytes of a connection that serves one call at a time. Create it with
 // NewConn.
 type Conn struct {
 	net.Conn
+	shaper  Shaper
 	counter atomic.Pointer[counter]
 }
 
 // NewConn returns a connection that counts its bytes for the purpose until SetPurpose is
 // called.
-func NewConn(conn net.Conn, p Purpose) *Conn {
-	c := &Conn{Conn: conn}
+func NewConn(conn net.Conn, shaper Shaper, p Purpose) *Conn {
+	c := &Conn{
+		Conn:   conn,
+		shaper: shaper,
+	}
 	c.SetPurpose(p)
 	return c
 }
@@ -109,16 +123,37 @@
 	c.counter.Store(counterOf(p))
 }
 
-// Read is that of the connection.
+// Read is that of the connection, except that it may return later and with fewer bytes.
 func (c *Conn) Read(b []byte) (int, error) {
+	if c.shaper.in != nil {
+		b = b[:min(len(b), c.shaper.in.Burst())]
+	}
 	n, err := c.Conn.Read(b)
-	c.counter.Load().received.Add(n)
+	counter := c.counter.Load()
+	counter.received.Add(n)
+	if c.shaper.in != nil && n > 0 {
+		wait(c.shaper.in, n, counter.urgent)
+	}
 	return n, err
 }
 
-// Write is that of the connection.
+// Write is that of the connection, except that it may take longer.
 func (c *Conn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.counter.Load().sent.Add(n)
-	return n, err
+	counter := c.counter.Load()
+	if c.shaper.out == nil {
+		n, err := c.Conn.Write(b)
+		counter.sent.Add(n)
+		return n, err
+	}
+	written := 0
+	for {
+		part := b[written:min(len(b), written+c.shaper.out.Burst())]
+		wait(c.shaper.out, len(part), counter.urgent)
+		n, err := c.Conn.Write(part)
+		counter.sent.Add(n)
+		written += n
+		if err != nil || written >= len(b) {
+			return written, err
+		}
+	}
 }
--- a/internal/api/traffic/traffic_test.go
+++ b/internal/api/traffic/traffic_test.go
@@ -25,7 +25,7 @@
 			_, _ = far.Write(buffer[:n])
 		}
 	}()
-	conn := NewConn(near, "testFirst")
+	conn := NewConn(near, Shaper{}, "testFirst")
 	exchange := func(text string) {
 		_, err := conn.Write([]byte(text))
 		assert.NilError(t, err)
@@ -42,15 +42,16 @@
 	after := Read()
 	for name, c := range map[string]struct {
 		purpose Purpose
-		want    int64
+		want    Bytes
 	}{
-		"purpose of the connection": {purpose: "testFirst", want: 8},
-		"purpose of one call":       {purpose: "testSecond", want: 6},
-		"counted directly":          {purpose: "testThird", want: 11},
+		"purpose of the connection": {purpose: "testFirst", want: Bytes{Sent: 4, Received: 4}},
+		"purpose of one call":       {purpose: "testSecond", want: Bytes{Sent: 3, Received: 3}},
+		"counted directly":          {purpose: "testThird", want: Bytes{Sent: 5, Received: 6}},
 		"never used":                {purpose: "testFourth"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, after[c.purpose]-before[c.purpose], c.want)
+			assert.Equal(t, after[c.purpose].Sent-before[c.purpose].Sent, c.want.Sent)
+			assert.Equal(t, after[c.purpose].Received-before[c.purpose].Received, c.want.Received)
 		})
 	}
 }
--- a/internal/cluster/node/candidate.go
+++ b/internal/cluster/node/candidate.go
@@ -39,6 +39,10 @@
 type member struct {
 	address   string
 	lastHello time.Time
+	// remote is the connection of the last hello, or nil.
+	remote *peer.Remote
+	// listed is when an owner last listed the member.
+	listed time.Time
 	// started is when the member's process was started.
 	started time.Time
 	// storeRoundTripMillis is the member's shortest round trip to the store in
@@ -49,6 +53,14 @@
 	cores float64
 }
 
+// lastKnown returns when this node last heard of the member.
+func (m member) lastKnown() time.Time {
+	if m.lastHello.After(m.listed) {
+		return m.lastHello
+	}
+	return m.listed
+}
+
 // candidates returns the members that are suitable as the owner: those near the store
 // that are not much weaker than the strongest of these. In a cluster of VMs of
 // different sizes the owner's processor limits the throughput of the whole cluster. If no
@@ -160,6 +172,39 @@
 	return lastStarted(suitable).address
 }
 
+// heirsFor returns the addresses of nodes that would be better owners than the one that has sent
+// the hello, those started last first, or nil if that one is a candidate itself. The others
+// know little of each other, since only the owner gets hellos of all. The caller holds n.mu.
+func (n *Node) heirsFor(request helloRequest) []string {
+	suitable := candidates(n.liveMembers())
+	slices.SortFunc(suitable, func(a, b member) int {
+		return b.started.Compare(a.started)
+	})
+	var heirs []string
+	for _, m := range suitable {
+		if m.address == request.Address {
+			return nil
+		}
+		if len(heirs) < maxHeirs {
+			heirs = append(heirs, m.address)
+		}
+	}
+	return heirs
+}
+
+// heir returns the address of the node that the owner at the given address has named as a better
+// owner than this node, or an empty string if it has named none.
+func (n *Node) heir(ownerAddress string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, address := range n.heirs {
+		if address != ownerAddress && address != n.options.Address {
+			return address
+		}
+	}
+	return ""
+}
+
 // handOverToBetterOwner hands ownership over once there is a node that is much stronger
 // or much nearer to the store and that reaches the store now.
 func (n *Node) handOverToBetterOwner(term *store.Term) {
--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -38,6 +38,11 @@
 	maxFirstAgreementAge = 100 * time.Millisecond
 	// successorClaimWindow is how long other nodes leave the claim to a named successor.
 	successorClaimWindow = 600 * time.Millisecond
+	// maxDirectoryReadInterval bounds the time between two reads of the whole list of workers.
+	maxDirectoryReadInterval = 15 * time.Second
+	// agreementReadShare is the time between two reads of the agreement as a share of that
+	// within which a change has to be in force. At 0.8 of that time requests wait for a read.
+	agreementReadShare = 0.3
 	// maxRoundTripClaimDelay bounds the part of the claim delay that is proportional to
 	// the round trip to the store, in case the store is slow.
 	maxRoundTripClaimDelay = time.Second
@@ -228,6 +233,25 @@
 	)
 }
 
+// readOwner reads the owner from the store, and reports whether there is one.
+func (n *Node) readOwner(ctx context.Context) (known bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	item, err := n.options.Store.Get(ctx, store.OwnerKey(n.options.Shard))
+	if errors.Is(err, store.ErrNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, fmt.Errorf("node: read owner: %w", err)
+	}
+	o, err := store.DecodeOwner(item)
+	if err != nil {
+		return false, err
+	}
+	n.updateOwner(o)
+	return true, nil
+}
+
 // claim waits for claimDelay and then tries to become the owner, unless there is a live
 // one or this node is leaving. If that succeeds, it runs the shard until ownership ends.
 // It returns nil after that, and also if the store has not applied the claim, as when
@@ -239,6 +263,13 @@
 	if n.ownerIsLive() || n.leaving.Load() {
 		return nil
 	}
+	if delay > 0 {
+		// Another node may have claimed ownership meanwhile. A read costs the store less than a
+		// claim that fails, and in a large cluster all nodes get here.
+		if known, err := n.readOwner(ctx); err != nil || known {
+			return err
+		}
+	}
 	term, release, err := store.Claim(ctx, n.options.Store, n.options.Shard, store.Owner{
 		Node:        n.options.Name,
 		Incarnation: n.incarnation,
@@ -263,6 +294,17 @@
 // why it ended.
 func (n *Node) own(ctx context.Context, term *store.Term) error {
 	start, before := time.Now(), traffic.Read()
+	self := store.Owner{
+		Node:        n.options.Name,
+		Incarnation: n.incarnation,
+		Address:     n.options.Address,
+		Token:       term.Token(),
+	}
+	if !n.beginRecovery(term, self) {
+		return context.Cause(term.Context())
+	}
+	defer n.abandonRecovery()
+	n.announceOwnership(self)
 	agreement := make(chan shard.DatedAgreement, 1)
 	go func() {
 		agreement <- n.awaitAgreement(term.Context())
@@ -274,6 +316,7 @@
 		ReadAgreement:     n.readAgreement,
 		ChangeInForce:     n.options.ChangeInForce,
 		NewWorkerClient:   n.options.NewWorkerClient,
+		Link:              n.options.Link,
 		Advisors:          n.advisors,
 		JobStateRetention: n.options.JobStateRetention,
 		WorkerLease:       n.options.WorkerLease,
@@ -284,23 +327,24 @@
 		return err
 	}
 	directory := newDirectoryReader(n.options.Directory, n.log)
-	go store.Follow(term.Context(), n.options.Store, n.options.Directory.Prefix, n.log, func(items map[string]store.Item, _ store.Instant) {
+	go store.Follow(term.Context(), n.options.Store, store.FollowOptions{
+		Prefix:          n.options.Directory.Prefix,
+		Link:            n.options.Link,
+		MaxReadInterval: maxDirectoryReadInterval,
+	}, n.log, func(items map[string]store.Item, _ store.Instant) {
 		s.SetWorkers(directory.read(items))
 	})
-	go store.Follow(term.Context(), n.options.Store, n.options.AgreementSource.Key, n.log, func(items map[string]store.Item, asOf store.Instant) {
+	go store.Follow(term.Context(), n.options.Store, store.FollowOptions{
+		Prefix:          n.options.AgreementSource.Key,
+		Link:            n.options.Link,
+		MaxReadInterval: time.Duration(agreementReadShare * float64(n.options.ChangeInForce)),
+	}, n.log, func(items map[string]store.Item, asOf store.Instant) {
 		n.applyAgreement(s, items, asOf)
 	})
-	self := store.Owner{
-		Node:        n.options.Name,
-		Incarnation: n.incarnation,
-		Address:     n.options.Address,
-		Token:       term.Token(),
-	}
 	if !n.setShard(s, term, self) {
 		return context.Cause(term.Context())
 	}
 	defer n.releaseShard(s)
-	n.announceOwnership(self)
 	metrics.GetOrCreateHistogram("citronbay_takeover_seconds").Update(time.Since(start).Seconds())
 	n.log.Info("takeoverDone", "token", term.Token(), "took", time.Since(start), traffic.Since(before))
 	go n.handOverWhenLeaving(ctx, term)
@@ -341,6 +385,7 @@
 		return false
 	}
 	n.shard, n.term = s, term
+	n.endRecoveryLocked()
 	n.markOwnerServing()
 	n.setOwnerLocked(owner)
 	return true
--- a/internal/cluster/node/forward.go
+++ b/internal/cluster/node/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/citronbay/citronbay/internal/api/peer"
 	"github.com/citronbay/citronbay/internal/cluster/caller"
+	"github.com/citronbay/citronbay/internal/cluster/store"
 )
 
 const (
@@ -18,8 +19,11 @@
 	// maxOwnerWait is how long a request waits for an owner; most takeovers after a
 	// planned stop take less.
 	maxOwnerWait = 900 * time.Millisecond
-	// retryDelay is the time between attempts.
+	// retryDelay is the time between attempts after one that failed.
 	retryDelay = 40 * time.Millisecond
+	// ownerChangeWait is how long a request waits for news of the next owner after one that
+	// does not own the shard has answered, or if no owner is known.
+	ownerChangeWait = 200 * time.Millisecond
 	// retryAfterMillis is the delay in milliseconds after which a caller should retry if
 	// no owner was reached.
 	retryAfterMillis = 1000
@@ -65,7 +69,7 @@
 		if !outcomeUnknown && (time.Since(start) > maxOwnerWait || n.expectsNoOwner()) {
 			break
 		}
-		sleep(ctx, retryDelay)
+		n.awaitNextAttempt(ctx, owner, err)
 	}
 	if outcomeUnknown {
 		metrics.GetOrCreateCounter("citronbay_requests_unknown_total").Inc()
@@ -84,6 +88,21 @@
 	}
 }
 
+// awaitNextAttempt waits until it makes sense to try again, after an attempt at the owner that
+// has returned the error. One that does not own the shard will go on to say so.
+func (n *Node) awaitNextAttempt(ctx context.Context, asked store.Owner, err error) {
+	known, changed := n.currentOwner()
+	if err != nil && !errors.Is(err, errNoOwner) || known.Token != asked.Token || n.isRecovering() {
+		sleep(ctx, retryDelay)
+		return
+	}
+	select {
+	case <-changed:
+	case <-time.After(ownerChangeWait):
+	case <-ctx.Done():
+	}
+}
+
 // noteAgreement notes the version of the agreement by which an owner has answered.
 func (n *Node) noteAgreement(version int64) {
 	for {
@@ -121,7 +140,7 @@
 
 // attempt passes the request to the owner once, and gives up when the owner changes.
 func (n *Node) attempt(ctx context.Context, r caller.Request) (caller.Response, error) {
-	if s := n.currentShard(); s != nil {
+	if s := n.awaitShard(ctx); s != nil {
 		return s.Serve(ctx, r), nil
 	}
 	owner, ownerChanged := n.currentOwner()
--- a/internal/cluster/node/hello.go
+++ b/internal/cluster/node/hello.go
@@ -3,98 +3,163 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/api/peer"
 	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/decide/owner"
 )
 
 const (
-	// maxUnansweredHellos is the number of unanswered hellos after which a node suspects
-	// that the owner has failed; a much weaker node waits for twice as many. Another
-	// node confirms the suspicion if the owner has not answered it for minOwnerSilence.
-	maxUnansweredHellos = 2
-	minOwnerSilence     = 400 * time.Millisecond
 	// probeSlack is the time by which this node's own read of the store may exceed twice
 	// the time of another node's probe.
 	probeSlack = 100 * time.Millisecond
+	// maxProbes is the number of nodes that are asked at once whether they reach the store.
+	maxProbes = 8
+	// firstSuspicion is the silence of the owner after which this node examines it.
+	firstSuspicion = 400 * time.Millisecond
+	// maxHellosInFlight bounds the hellos to the owner that wait for an answer.
+	maxHellosInFlight = 5
+	// silentConnectionTime is how long no packet may arrive from an owner that does not answer
+	// until the connection to it is replaced. Calls in flight then fail, and the handshake takes
+	// several times the bytes of a hello, so that a full link is not reason enough.
+	silentConnectionTime = 600 * time.Millisecond
+	// lossyConnectionTime is the same if the owner's link may be full.
+	lossyConnectionTime = 2500 * time.Millisecond
 )
 
-// sendHellos sends hellos to the owner at regular intervals, and to all other nodes to
-// learn of a new owner when the known one, which may be this node, does not serve. It
-// replaces an owner that is silent.
+// ownerWatch is what one node observes of the owner with the token.
+type ownerWatch struct {
+	token   int64
+	packets uint64    // received from the owner so far
+	heardAt time.Time // when packets last grew
+	resetAt time.Time // when the connection was last replaced
+}
+
+// observe notes the number of packets received from the owner so far.
+func (w *ownerWatch) observe(token int64, packets uint64, now time.Time) {
+	if w.token != token || w.packets != packets {
+		w.token, w.packets, w.heardAt = token, packets, now
+	}
+}
+
+// sendHellos sends hellos to the owner at regular intervals, without waiting for the answer to
+// the one before: on a full link packets are lost, and the next hello may get through. If the
+// known owner, which may be this node, does not serve, it also asks some of the other nodes
+// for a newer one, unless the store can tell. It replaces an owner that is silent.
 func (n *Node) sendHellos(ctx context.Context) {
-	failures := 0
+	var watch ownerWatch
+	inFlight := make(chan struct{}, maxHellosInFlight)
 	for ctx.Err() == nil {
-		owner, _ := n.currentOwner()
-		if n.currentShard() != nil {
-			failures = 0
-			if !n.holdsLease() {
-				// Another node may have become the owner and its announcement been lost.
-				n.sendHelloToOthers(ctx, n.options.Address)
-			}
+		known, _ := n.currentOwner()
+		switch {
+		case n.currentShard() != nil && !n.holdsLease():
+			// Another node may have become the owner and its announcement been lost.
+			n.sendHelloToSample(ctx, n.options.Address)
 			sleep(ctx, fastHelloInterval)
 			continue
-		}
-		answered, serving := false, false
-		sentAt := time.Now()
-		if owner.Address != "" && owner.Incarnation != n.incarnation {
-			answered, serving = n.sendHello(ctx, owner.Address, true)
-		}
-		if !answered && n.lastReplyOf(owner.Address).After(sentAt) {
-			// The owner is busy. Closing the connection would fail the calls in flight.
-			failures = 0
-			sleep(ctx, n.helloInterval())
+		case n.currentShard() != nil || n.isRecovering():
+			sleep(ctx, fastHelloInterval)
 			continue
-		}
-		if !serving {
-			n.triggerElection()
-			n.sendHelloToOthers(ctx, owner.Address)
-		}
-		if answered || owner.Incarnation == n.incarnation || owner.Address == "" {
-			failures = 0
+		case known.Address == "" || known.Incarnation == n.incarnation:
+			n.seekOwner(ctx, known)
 			sleep(ctx, n.helloInterval())
 			continue
 		}
-		failures++
-		n.peerClient(owner.Address).Reset()
-		if failures < n.unansweredHelloLimit() {
-			continue // the connection may be at fault: retry over a new one
-		}
-		if n.ownerIsSilent(ctx, owner) {
-			n.replaceOwner(owner)
+		select {
+		case inFlight <- struct{}{}:
+			go func() {
+				n.sendHello(ctx, known.Address, true)
+				<-inFlight
+			}()
+		default:
 		}
-		sleep(ctx, fastHelloInterval)
+		sleep(ctx, n.helloInterval())
+		n.checkOwner(ctx, known, &watch)
 	}
 }
 
-// lastReplyOf returns when the node at the address last answered any call of this node,
-// or the zero time if it never has.
-func (n *Node) lastReplyOf(address string) time.Time {
-	if address == "" {
-		return time.Time{}
+// checkOwner looks for another owner if the known one does not serve, and replaces it if it is
+// silent.
+func (n *Node) checkOwner(ctx context.Context, known store.Owner, watch *ownerWatch) {
+	now := time.Now()
+	watch.observe(known.Token, n.packetsOf(known.Address), now)
+	silence := n.silenceOfOwner()
+	if current, _ := n.currentOwner(); current.Token != known.Token || n.ownerIsLive() {
+		return
+	}
+	n.seekOwner(ctx, known)
+	if silence < firstSuspicion {
+		return
+	}
+	n.log.Warn("ownerSilent", "owner", known.Node, "token", known.Token, "silence", silence, "heardAgo", now.Sub(watch.heardAt))
+	heard := now.Sub(watch.heardAt) < silentConnectionTime
+	resetAfter := silentConnectionTime
+	if n.ownerHasSmallLink() {
+		resetAfter = lossyConnectionTime
+	}
+	if now.Sub(watch.heardAt) > resetAfter && now.Sub(watch.resetAt) > resetAfter {
+		watch.resetAt = now
+		n.peerClient(known.Address).Reset()
+	}
+	if n.watchesOwner() && n.ownerIsSilent(ctx, known, heard) {
+		n.replaceOwner(known)
+	}
+}
+
+// seekOwner looks for an owner in the store, and asks some of the other nodes if the store does
+// not answer, or if this node watches the owner.
+func (n *Node) seekOwner(ctx context.Context, known store.Owner) {
+	n.triggerElection()
+	if n.storeLost.Load() || n.watchesOwner() {
+		n.sendHelloToSample(ctx, known.Address)
 	}
-	return n.peerClient(address).LastReply()
 }
 
-// unansweredHelloLimit returns the number of unanswered hellos after which this node
-// suspects the owner. It is higher on a node that is much weaker than another, so that
-// the stronger one replaces the owner.
-func (n *Node) unansweredHelloLimit() int {
+// silenceOfOwner returns for how long the owner has answered no call of this node.
+func (n *Node) silenceOfOwner() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Since(n.lastAnswerOfOwner())
+}
+
+// ownerHasSmallLink reports whether the link of the owner that was last heard of may be full.
+func (n *Node) ownerHasSmallLink() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.isMuchWeaker() {
-		return 2 * maxUnansweredHellos
+	return n.ownerLink.IsSmall()
+}
+
+// packetsOf returns the number of packets that have arrived from the peer at the address.
+func (n *Node) packetsOf(address string) uint64 {
+	if address == "" {
+		return 0
 	}
-	return maxUnansweredHellos
+	return n.peerClient(address).PacketsReceived()
 }
 
-// ownerIsSilent asks all other nodes and reports whether at least one confirms that the
-// owner is silent, and none has heard from it lately or knows of a newer owner.
-func (n *Node) ownerIsSilent(ctx context.Context, owner store.Owner) bool {
-	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+// ownerIsSilent reports whether the owner has given no answer for as long as required, to this
+// node and to the other nodes that watch it. At least one of these has to confirm that, and
+// none may know of a newer owner. The parameter heard tells whether packets of the owner
+// arrive.
+func (n *Node) ownerIsSilent(ctx context.Context, silent store.Owner, heard bool) bool {
+	n.mu.Lock()
+	patience, ok := n.changes.Patience(time.Now(), owner.Observation{
+		Heard:     heard,
+		SmallLink: n.ownerLink.IsSmall(),
+		Weak:      n.isMuchWeaker(),
+	})
+	silence := time.Since(n.lastAnswerOfOwner())
+	n.mu.Unlock()
+	if !ok || silence < patience {
+		return false
+	}
+	// Others have sent their last hello up to an interval later.
+	others := patience - fastHelloInterval
+	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
 	defer cancel()
-	addresses := n.peerAddresses(owner.Address)
+	addresses := owner.Watchers(n.peerAddresses(silent.Address))
 	answers := make(chan helloResponse, len(addresses))
 	for _, address := range addresses {
 		go func() {
@@ -110,9 +175,9 @@
 		response := <-answers
 		switch {
 		case response.Token == 0:
-		case response.Token > owner.Token || response.OwnerSilenceMillis < minOwnerSilence.Milliseconds():
+		case response.Token > silent.Token || response.OwnerSilenceMillis < others.Milliseconds():
 			return false
-		case response.Token == owner.Token:
+		case response.Token == silent.Token:
 			confirmed = true
 		}
 	}
@@ -124,10 +189,10 @@
 // successor's next campaign then ends the silent owner's lease, if the store still has it
 // as the owner, and claims ownership. This is safe even if that owner is alive: its term of
 // ownership ends, and its journal writes fail once the owner key is deleted.
-func (n *Node) replaceOwner(owner store.Owner) {
-	better := n.betterOwner(owner.Address)
-	if n.nameSuccessor(owner, cmp.Or(better, n.options.Address)) && better != "" {
-		n.announceRelease(owner.Token, better)
+func (n *Node) replaceOwner(silent store.Owner) {
+	better := cmp.Or(n.betterOwner(silent.Address), n.heir(silent.Address))
+	if n.nameSuccessor(silent, cmp.Or(better, n.options.Address)) && better != "" {
+		n.announceRelease(silent.Token, better)
 	}
 }
 
@@ -149,15 +214,15 @@
 }
 
 // sendHello sends a hello to the address and applies the response. It returns whether a
-// node answered, and whether that node is the known owner and serves. Callers set toOwner if
-// the address is that of the known owner.
+// node answered, and whether that node is the known owner and serves or soon will. Callers set
+// toOwner if the address is that of the known owner.
 func (n *Node) sendHello(ctx context.Context, address string, toOwner bool) (answered, serving bool) {
 	callCtx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	response, err := peer.Call[helloResponse](callCtx, n.peerClient(address), methodHello, n.newHello())
 	if err != nil {
 		if toOwner && ctx.Err() == nil {
-			n.log.Warn("ownerSilent", "address", address, "error", err)
+			n.log.Info("helloUnanswered", "address", address, "error", err)
 		}
 		return false, false
 	}
@@ -168,28 +233,35 @@
 	n.mu.Lock()
 	n.reportedMaxCores = response.MaxCandidateCores
 	n.mu.Unlock()
+	serving = n.noteServing(response)
 	if toOwner {
 		n.mu.Lock()
 		n.ownerAnsweredAt = time.Now()
+		if !serving && response.Token == n.owner.Token {
+			n.ownerServingAt = time.Time{} // the owner says that it does not serve
+		}
 		n.mu.Unlock()
 	}
-	return true, n.noteServing(response)
+	return true, serving
 }
 
-// noteServing reports whether the response is that of the known owner, which serves, and if
-// so notes that and the members that it lists. An earlier owner may still believe that it
-// serves.
+// noteServing reports whether the response is that of the known owner, which serves or opens
+// the shard, and if so notes that and the members that it lists. An earlier owner may still
+// believe that it serves.
 func (n *Node) noteServing(response helloResponse) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !response.Serving || response.Token != n.owner.Token {
+	if !response.Serving && !response.Recovering || response.Token != n.owner.Token {
 		return false
 	}
 	n.markOwnerServing()
+	n.ownerLink = response.Link
+	n.heirs = response.Heirs
 	for _, a := range response.MemberAddresses {
-		if n.members[a].address == "" {
-			n.members[a] = member{address: a}
-		}
+		m := n.members[a]
+		m.address, m.listed = a, time.Now()
+		n.members[a] = m
+		n.listedUntil = a
 	}
 	return true
 }
@@ -221,10 +293,10 @@
 	return found
 }
 
-// preferredNodeReachingStore probes all other nodes and returns the address that
-// preferredAddress selects from those that reach the store.
+// preferredNodeReachingStore probes some of the other nodes, others in each call, and returns
+// the address that preferredAddress selects from those that reach the store.
 func (n *Node) preferredNodeReachingStore(ctx context.Context) string {
-	addresses := n.peerAddresses("")
+	addresses := n.samplePeers(maxProbes, "")
 	found := make(chan string, len(addresses))
 	for _, address := range addresses {
 		go func() {
@@ -263,34 +335,55 @@
 
 // announceOwnership notifies the other nodes that this one has become the owner, so
 // that they need not read it from the store.
-func (n *Node) announceOwnership(owner store.Owner) {
+func (n *Node) announceOwnership(self store.Owner) {
 	message := n.newHello()
-	message.Owner = owner
-	message.Token = owner.Token
-	n.broadcast(message, "ownerNotAnnounced")
+	message.Owner = self
+	message.Token = self.Token
+	addresses := n.samplePeers(math.MaxInt, n.options.Address)
+	n.announce(message, addresses)
 }
 
-// broadcast sends the hello to all other nodes without waiting for their responses. A
-// failure is logged as failureEvent.
-func (n *Node) broadcast(message helloRequest, failureEvent string) {
-	for _, address := range n.peerAddresses(n.options.Address) {
+// announce sends the message to the addresses without waiting for responses: to a few of them,
+// each of which passes it on to a part of the others. Connections to all nodes at once would
+// cost a new owner more than the rest of its takeover. A node that an announcement does not
+// reach learns of the owner from the store.
+func (n *Node) announce(message helloRequest, addresses []string) {
+	for _, group := range owner.Split(addresses, announceFanOut) {
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), helloTimeout)
-			defer cancel()
-			_, err := peer.Call[helloResponse](ctx, n.peerClient(address), methodHello, message)
-			if err != nil {
-				n.log.Info(failureEvent, "address", address, "error", err)
+			for attempt := 0; attempt < maxRelayAttempts && len(group) > 0; attempt++ {
+				message := message
+				message.Forward = group[1:]
+				if n.tell(group[0], message) {
+					return
+				}
+				group = group[1:]
 			}
 		}()
 	}
 }
 
-// announceRelease notifies the other nodes that the term of ownership with the token was
-// released, so that the successor need not wait until it detects the owner's silence.
+// tell sends the announcement to one node, and reports whether it has answered.
+func (n *Node) tell(address string, message helloRequest) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), helloTimeout)
+	defer cancel()
+	_, err := peer.Call[helloResponse](ctx, n.peerClient(address), methodHello, message)
+	if err != nil {
+		n.log.Info("notAnnounced", "address", address, "token", max(message.Token, message.ReleasedToken), "error", err)
+	}
+	return err == nil
+}
+
+// announceRelease notifies the successor that the term of ownership with the token was
+// released, so that it need not wait until it detects the owner's silence. The others learn
+// from the successor. If none is named, all nodes are notified.
 func (n *Node) announceRelease(token int64, successor string) {
 	message := n.newHello()
 	message.ReleasedToken = token
 	message.Successor = successor
 	n.log.Info("ownershipReleased", "token", token, "successor", message.Successor)
-	n.broadcast(message, "releaseNotTold")
+	if successor == "" {
+		n.announce(message, n.samplePeers(math.MaxInt, n.options.Address))
+		return
+	}
+	go n.tell(successor, message)
 }
--- a/internal/cluster/node/hello_test.go
+++ b/internal/cluster/node/hello_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -37,7 +38,10 @@
 		for _, address := range addresses {
 			n := newTestNode(t, address, address)
 			for _, other := range addresses {
-				n.members[other] = member{address: other}
+				n.members[other] = member{
+					address: other,
+					listed:  time.Now(),
+				}
 			}
 			total += 1 / n.helloInterval().Seconds()
 		}
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -14,10 +14,12 @@
 	"github.com/oklog/run"
 
 	"github.com/citronbay/citronbay/internal/api/peer"
+	"github.com/citronbay/citronbay/internal/api/traffic"
 	"github.com/citronbay/citronbay/internal/cluster/operator"
 	"github.com/citronbay/citronbay/internal/cluster/shard"
 	"github.com/citronbay/citronbay/internal/cluster/store"
 	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/owner"
 )
 
 // AgreementSource locates and decodes the operators' agreement in the store, that is,
@@ -59,7 +61,12 @@
 	MaxWorkerLease time.Duration
 	// Cores is the processor capacity that the node may use, in cores of the usual speed.
 	Cores float64
-	Log   *slog.Logger
+	// Link is the link of the node's VM. Descriptors is the number of file descriptors and
+	// MemoryMB the memory in MiB that the node may use; zero means unknown.
+	Link        traffic.Link
+	Descriptors int
+	MemoryMB    int64
+	Log         *slog.Logger
 }
 
 // Node is one process of the cluster. Create it with New.
@@ -68,6 +75,7 @@
 	incarnation     string
 	started         time.Time
 	tlsConfig       *tls.Config
+	server          *peer.Server // of the calls of peers
 	log             *slog.Logger
 	leaving         atomic.Bool
 	electionTrigger chan struct{}
@@ -86,6 +94,8 @@
 	// served. Either may date from an owner before the present one.
 	ownerServingAt  time.Time
 	ownerAnsweredAt time.Time
+	// ownerLearnedAt is when this node learned of the known owner.
+	ownerLearnedAt time.Time
 	// ownerLastServing is when any owner last confirmed that it serves.
 	ownerLastServing time.Time
 	// ownerChanged is closed when a new owner is known, so that calls to the previous
@@ -95,9 +105,21 @@
 	// the owner.
 	shard *shard.Shard
 	term  *store.Term
+	// recovery is the term in which this node opens the shard, or nil.
+	recovery *recovery
+	// changes holds the unplanned changes of the owner, and plannedChange is set if the known
+	// owner has announced the end of its term itself.
+	changes       owner.Changes
+	plannedChange bool
 	// members holds the nodes that have sent a hello, by name, and those that an owner
 	// has listed in a response to a hello, by address. A node may be in it under both.
 	members map[string]member
+	// listedUntil is the last address that an owner has listed.
+	listedUntil string
+	// ownerLink is the link of the owner that last answered a hello of this node.
+	ownerLink traffic.Link
+	// heirs are the addresses that the owner has named as those of better owners than this node.
+	heirs []string
 	// clients are the connections to peers, by address.
 	clients map[string]*peer.Client
 	// storeRoundTrip is the shortest round trip to the store so far.
@@ -122,7 +144,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("node: %w", err)
 	}
-	return &Node{
+	n := &Node{
 		options:         options,
 		seeds:           options.Seeds,
 		incarnation:     rand.Text(),
@@ -134,7 +156,9 @@
 		ownerChanged: make(chan struct{}),
 		members:      map[string]member{},
 		clients:      map[string]*peer.Client{},
-	}, nil
+	}
+	n.server = n.peerServer()
+	return n, nil
 }
 
 // Run serves peers and takes part in the election of the owner until the context ends.
@@ -145,12 +169,11 @@
 		return fmt.Errorf("node: %w", err)
 	}
 	defer closeListener()
-	server := n.peerServer()
 	var group run.Group
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group.Add(func() error {
-		return server.Serve(ctx, listener)
+		return n.server.Serve(ctx, listener)
 	}, func(error) {
 		cancel()
 	})
@@ -166,7 +189,8 @@
 	}, func(error) {
 		cancel()
 	})
-	n.log.Info("nodeStarted", "life", n.incarnation, "address", n.options.Address)
+	n.log.Info("nodeStarted", "life", n.incarnation, "address", n.options.Address, "cores", n.options.Cores,
+		"linkMbps", n.options.Link.Mbps, "descriptors", n.options.Descriptors, "memoryMB", n.options.MemoryMB)
 	return group.Run()
 }
 
@@ -203,7 +227,7 @@
 	defer n.mu.Unlock()
 	c := n.clients[address]
 	if c == nil {
-		c, _ = peer.NewClient(address, n.tlsConfig)
+		c, _ = peer.NewClient(address, n.tlsConfig, n.server)
 		n.clients[address] = c
 	}
 	return c
@@ -249,11 +273,16 @@
 		return false
 	}
 	n.log.Info("ownerLearned", "owner", o.Node, "token", o.Token, "before", n.owner.Token)
+	replaced := fmt.Errorf("%s is the owner with token %d", o.Node, o.Token)
 	if n.shard != nil {
 		// The lease may still be valid by this node's clock.
-		n.term.Revoke(fmt.Errorf("%s is the owner with token %d", o.Node, o.Token))
+		n.term.Revoke(replaced)
 		n.shard, n.term = nil, nil
 	}
+	if n.recovery != nil {
+		n.recovery.term.Revoke(replaced)
+		n.endRecoveryLocked()
+	}
 	n.setOwnerLocked(o)
 	return true
 }
@@ -261,6 +290,13 @@
 // setOwnerLocked replaces the known owner and cancels calls to the previous one. The
 // caller holds n.mu.
 func (n *Node) setOwnerLocked(o store.Owner) {
+	if n.owner.Token != 0 && n.owner.Token != o.Token && !n.plannedChange {
+		n.changes = n.changes.With(time.Now())
+	}
+	n.plannedChange = false
+	if n.owner.Token != o.Token {
+		n.ownerLearnedAt = time.Now()
+	}
 	n.owner = o
 	close(n.ownerChanged)
 	n.ownerChanged = make(chan struct{})
--- a/internal/cluster/node/peers.go
+++ b/internal/cluster/node/peers.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/api/peer"
+	"github.com/citronbay/citronbay/internal/api/traffic"
 	"github.com/citronbay/citronbay/internal/cluster/caller"
 	"github.com/citronbay/citronbay/internal/cluster/shard"
 	"github.com/citronbay/citronbay/internal/cluster/store"
 	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/owner"
 )
 
 const (
@@ -19,19 +23,32 @@
 	methodAdvise = "advise"
 	methodProbe  = "probe"
 
-	// fastHelloInterval is how often the first fastHelloNodes nodes, by address, send a
-	// hello to the owner, and so detect its silence. The others send one every
-	// slowHelloInterval, so that the owner's load hardly grows with their number. A node
-	// whose last hello is older than memberTimeout is no candidate and is not asked to
-	// call the policy service.
+	// fastHelloInterval is how often the nodes that watch the owner send it a hello, and so
+	// detect its silence. The others send one every slowHelloInterval, so that the owner's
+	// load hardly grows with their number. A node whose last hello is older than
+	// memberTimeout is no candidate and is not asked to call the policy service.
 	fastHelloInterval = 200 * time.Millisecond
 	slowHelloInterval = 900 * time.Millisecond
 	memberTimeout     = 2200 * time.Millisecond
-	// fastHelloNodes is the number of nodes that use fastHelloInterval. It covers all
-	// nodes of the clusters deployed at present.
-	fastHelloNodes = 7
-	// helloTimeout bounds one hello exchange; a round trip between regions is 40 ms.
-	helloTimeout = 300 * time.Millisecond
+	// memberMemory is how long a node stays known that an owner has listed. In that time an
+	// owner lists 500 nodes.
+	memberMemory = time.Minute
+	// membersPerHello is the number of addresses in the response to a hello.
+	membersPerHello = 8
+	// maxHeirs is the number of nodes that an owner names to others as its heirs.
+	maxHeirs = 3
+	// sampleSize is the number of peers that a node asks when it does not know the owner.
+	sampleSize = 3
+	// announceFanOut is the number of peers to which each node passes an announcement on, and
+	// maxRelayAttempts how many silent ones it skips for each of these.
+	announceFanOut   = 4
+	maxRelayAttempts = 4
+	// helloTimeout bounds one hello exchange. Its packets are repeated in that time if they are
+	// lost, and the owner gets further hellos meanwhile.
+	helloTimeout = time.Second
+	// questionTimeout bounds the exchange with another node about a silent owner; a round trip
+	// between regions is 40 ms.
+	questionTimeout = 300 * time.Millisecond
 )
 
 // helloRequest is a node's periodic message to the owner. It also announces to all
@@ -56,6 +73,11 @@
 	Token int64       `cbor:"9,keyasint,omitempty"`
 	// Cores is the processor capacity that the node may use, in cores of the usual speed.
 	Cores float64 `cbor:"10,keyasint,omitempty"`
+	// Forward lists the addresses to which the receiver passes an announcement on.
+	Forward []string `cbor:"11,keyasint,omitempty"`
+	// ListedUntil is the last address in the response to the last hello; the next response
+	// continues after it.
+	ListedUntil string `cbor:"12,keyasint,omitempty"`
 }
 
 // helloResponse is what the receiver of a hello knows of the owner and the members.
@@ -65,7 +87,8 @@
 	Token int64       `cbor:"2,keyasint"`
 	// Serving is true if the answering node is the owner and its lease is valid.
 	Serving bool `cbor:"3,keyasint"`
-	// MemberAddresses are the addresses of the nodes that the answering node knows.
+	// MemberAddresses are the addresses of some of the nodes whose hellos the answering node
+	// has received lately, from the one after ListedUntil of the request.
 	MemberAddresses []string `cbor:"4,keyasint,omitempty"`
 	// OwnerSilenceMillis is how long ago the owner last answered a hello or another call
 	// of the answering node, in milliseconds. It is 0 if that node is the owner, and 292
@@ -74,6 +97,13 @@
 	// MaxCandidateCores is the most cores of any candidate that the answering node knows
 	// of.
 	MaxCandidateCores float64 `cbor:"6,keyasint,omitempty"`
+	// Recovering is true if the answering node is the owner, but reads the journal first.
+	Recovering bool `cbor:"7,keyasint,omitempty"`
+	// Heirs are the addresses of nodes that would be better owners than the one that has sent
+	// the hello.
+	Heirs []string `cbor:"8,keyasint,omitempty"`
+	// Link is the link of the owner.
+	Link traffic.Link `cbor:"9,keyasint,omitempty"`
 }
 
 type adviseRequest struct {
@@ -101,9 +131,10 @@
 }
 
 // serveAsOwner serves a forwarded request if this node is the owner, and responds
-// caller.NotOwner otherwise.
+// caller.NotOwner otherwise. If the node is about to be the owner, it waits for that, since the
+// request would otherwise be sent again and again.
 func (n *Node) serveAsOwner(ctx context.Context, r caller.Request) (caller.Response, error) {
-	s := n.currentShard()
+	s := n.awaitShard(ctx)
 	if s == nil {
 		return caller.Response{Status: caller.NotOwner}, nil
 	}
@@ -112,21 +143,16 @@
 
 // handleHello records the sender as a member, or removes it if it is leaving. If the
 // request announces that ownership was taken or released, it updates the known owner or
-// the named successor.
-func (n *Node) handleHello(_ context.Context, request helloRequest) (helloResponse, error) {
+// the named successor, and passes the announcement on.
+func (n *Node) handleHello(ctx context.Context, request helloRequest) (helloResponse, error) {
+	if len(request.Forward) > 0 {
+		message := request
+		message.Forward = nil
+		n.announce(message, request.Forward)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if request.Leaving {
-		delete(n.members, request.Node)
-	} else {
-		n.members[request.Node] = member{
-			address:              request.Address,
-			lastHello:            time.Now(),
-			started:              time.Now().Add(-time.Duration(request.UptimeMillis) * time.Millisecond),
-			storeRoundTripMillis: request.StoreRoundTripMillis,
-			cores:                request.Cores,
-		}
-	}
+	n.noteMember(request, peer.RemoteOf(ctx))
 	request.Owner.Token = request.Token
 	if n.updateOwnerLocked(request.Owner) {
 		n.markOwnerServing()
@@ -136,6 +162,7 @@
 		n.successor = request.Successor
 		n.releasedToken = request.ReleasedToken
 		n.successorNamedAt = time.Now()
+		n.plannedChange = request.Node == n.owner.Node
 		n.triggerElection()
 	}
 	response := helloResponse{
@@ -143,25 +170,61 @@
 		Token:   n.owner.Token,
 		Serving: n.shard != nil && n.shard.LeaseValid(),
 
+		Recovering:        n.recovery != nil && n.recovery.term.Remaining() > 0,
 		MaxCandidateCores: n.maxCandidateCores(),
 	}
-	if n.shard == nil {
+	if n.shard == nil && n.recovery == nil {
 		response.OwnerSilenceMillis = time.Since(n.lastAnswerOfOwner()).Milliseconds()
+		return response, nil
 	}
-	for _, m := range n.members {
-		response.MemberAddresses = append(response.MemberAddresses, m.address)
-	}
+	response.MemberAddresses = owner.Page(n.liveAddresses(), request.ListedUntil, membersPerHello)
+	response.Heirs = n.heirsFor(request)
+	response.Link = n.options.Link
 	return response, nil
 }
 
-// lastAnswerOfOwner returns when the owner last answered this node. The caller holds
-// n.mu.
+// noteMember records the sender of a hello as a member, or removes it if it is leaving. The
+// caller holds n.mu.
+func (n *Node) noteMember(request helloRequest, remote *peer.Remote) {
+	if request.Token != 0 || request.ReleasedToken != 0 {
+		remote = n.members[request.Node].remote // another node may have passed the announcement on
+	}
+	if request.Leaving {
+		delete(n.members, request.Node)
+		return
+	}
+	n.members[request.Node] = member{
+		address:              request.Address,
+		remote:               remote,
+		lastHello:            time.Now(),
+		started:              time.Now().Add(-time.Duration(request.UptimeMillis) * time.Millisecond),
+		storeRoundTripMillis: request.StoreRoundTripMillis,
+		cores:                request.Cores,
+	}
+}
+
+// liveAddresses returns the sorted addresses of this node and of those whose last hello is
+// recent. The caller holds n.mu.
+func (n *Node) liveAddresses() []string {
+	addresses := []string{n.options.Address}
+	for _, m := range n.liveMembers() {
+		addresses = append(addresses, m.address)
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
+// lastAnswerOfOwner returns when the owner last answered this node, or when this node learned of
+// it if that was later. The caller holds n.mu.
 func (n *Node) lastAnswerOfOwner() time.Time {
-	client := n.clients[n.owner.Address]
-	if client == nil || client.LastReply().Before(n.ownerAnsweredAt) {
-		return n.ownerAnsweredAt
+	last := n.ownerAnsweredAt
+	if client := n.clients[n.owner.Address]; client != nil && client.LastReply().After(last) {
+		last = client.LastReply()
 	}
-	return client.LastReply()
+	if n.ownerLearnedAt.After(last) {
+		last = n.ownerLearnedAt
+	}
+	return last
 }
 
 func (n *Node) newHello() helloRequest {
@@ -174,35 +237,42 @@
 		UptimeMillis:         time.Since(n.started).Milliseconds(),
 		StoreRoundTripMillis: n.storeRoundTrip.Seconds() * 1000,
 		Cores:                n.options.Cores,
+		ListedUntil:          n.listedUntil,
 	}
 }
 
-// sendsFastHellos reports whether this node is one of the first fastHelloNodes nodes by
-// address, which are the first to detect that the owner is silent.
-func (n *Node) sendsFastHellos() bool {
-	lowerAddresses := 0
-	for _, address := range n.peerAddresses("") {
-		if address < n.options.Address {
-			lowerAddresses++
-		}
-	}
-	return lowerAddresses < fastHelloNodes
+// watchesOwner reports whether this node is one of those that send the owner frequent hellos
+// and replace it when it is silent.
+func (n *Node) watchesOwner() bool {
+	return owner.IsWatcher(n.options.Address, n.peerAddresses(""))
 }
 
 // helloInterval returns how often this node sends a hello to the owner.
 func (n *Node) helloInterval() time.Duration {
-	if n.sendsFastHellos() {
+	if n.watchesOwner() {
 		return fastHelloInterval
 	}
 	return slowHelloInterval
 }
 
-func (n *Node) sendHelloToOthers(ctx context.Context, except string) {
-	for _, a := range n.peerAddresses(except) {
+// sendHelloToSample sends hellos to some of the other nodes, to learn of a newer owner.
+func (n *Node) sendHelloToSample(ctx context.Context, except string) {
+	for _, a := range n.samplePeers(sampleSize, except) {
 		go n.sendHello(ctx, a, false)
 	}
 }
 
+// samplePeers returns the addresses of at most count other nodes except one, at random. What
+// a node sends while it looks for an owner must not grow with the number of nodes: all of them
+// do so at once.
+func (n *Node) samplePeers(count int, except string) []string {
+	addresses := n.peerAddresses(except)
+	rand.Shuffle(len(addresses), func(i, j int) {
+		addresses[i], addresses[j] = addresses[j], addresses[i]
+	})
+	return addresses[:min(count, len(addresses))]
+}
+
 // peerAddresses returns the addresses of all other known nodes except one.
 func (n *Node) peerAddresses(except string) []string {
 	n.mu.Lock()
@@ -211,7 +281,11 @@
 	for _, a := range n.seeds {
 		known[a] = true
 	}
-	for _, m := range n.members {
+	for name, m := range n.members {
+		if time.Since(m.lastKnown()) > memberMemory {
+			delete(n.members, name)
+			continue
+		}
 		known[m.address] = true
 	}
 	delete(known, except)
@@ -232,22 +306,35 @@
 		if name == n.options.Name || time.Since(m.lastHello) > memberTimeout {
 			continue
 		}
-		address := m.address
 		advisors = append(advisors, shard.AdvisorNode{
 			Node: name,
-			Ask: func(ctx context.Context, job string, step int, workers []string) ([]worker.Ticket, error) {
-				r, err := peer.Call[adviseResponse](ctx, n.peerClient(address), methodAdvise, adviseRequest{
-					Job:     job,
-					Step:    step,
-					Workers: workers,
-				})
-				return r.Tickets, err
-			},
+			Ask:  n.askThrough(m),
 		})
 	}
 	return advisors
 }
 
+// askThrough returns a function that has the member call the policy service. It uses the
+// connection over which the member sends its hellos, if that is open.
+func (n *Node) askThrough(m member) func(context.Context, string, int, []string) ([]worker.Ticket, error) {
+	return func(ctx context.Context, job string, step int, workers []string) ([]worker.Ticket, error) {
+		request := adviseRequest{
+			Job:     job,
+			Step:    step,
+			Workers: workers,
+		}
+		var p peer.Peer = m.remote
+		if !m.remote.IsOpen() {
+			p = n.peerClient(m.address)
+		}
+		r, err := peer.Call[adviseResponse](ctx, p, methodAdvise, request)
+		if err != nil && !errors.Is(err, peer.ErrRemote) {
+			err = errors.Join(shard.ErrAdvisorUnreachable, err)
+		}
+		return r.Tickets, err
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/cluster/settings/settings.go
+++ b/internal/cluster/settings/settings.go
@@ -3,12 +3,16 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
 )
 
 // Settings is the configuration of a node, read from its settings file.
@@ -41,8 +45,12 @@
 	// ProcessorSpeed the speed of that core relative to the usual speed. Zero means 1.
 	ProcessorShare float64 `yaml:"processorShare"`
 	ProcessorSpeed float64 `yaml:"processorSpeed"`
-	// MemoryMB is the memory that the process may use, in MiB; zero sets no limit.
-	MemoryMB int64 `yaml:"memoryMB"`
+	// MemoryMB is the memory that the process may use, in MiB, LinkMbps the capacity of its link
+	// in Mbit/s, and Descriptors the number of file descriptors that it may open. Zero means that
+	// the key is missing or empty and sets no limit.
+	MemoryMB    int64   `yaml:"memoryMB"`
+	LinkMbps    float64 `yaml:"linkMbps"`
+	Descriptors int     `yaml:"descriptors"`
 	// JobStateRetentionSeconds is how long the state of an ended job is kept; zero means
 	// 120.
 	JobStateRetentionSeconds float64 `yaml:"statusSeconds"`
@@ -75,7 +83,42 @@
 	if err := yaml.UnmarshalWithOptions(text, &s, yaml.Strict()); err != nil {
 		return s, fmt.Errorf("settings: %w", err)
 	}
-	return s, s.validate()
+	return s, errors.Join(s.validate(), validateLimits(text))
+}
+
+// limits are the values that a limit of the process can have, by key. A node below the least
+// memory or number of descriptors cannot serve, and one with a slower link cannot send a hello
+// in time.
+var limits = map[string]struct{ least, most float64 }{
+	"memoryMB":    {least: 32, most: 1 << 24},
+	"linkMbps":    {least: 0.1, most: 1e6},
+	"descriptors": {least: 256, most: 1 << 26},
+}
+
+// validateLimits returns an error that names line and key of each limit in the YAML text that is
+// not a number in its range. A missing or empty limit is valid.
+func validateLimits(text []byte) error {
+	file, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	var problems []error
+	for _, key := range slices.Sorted(maps.Keys(limits)) {
+		path, err := yaml.PathString("$." + key)
+		if err != nil {
+			return fmt.Errorf("settings: %w", err)
+		}
+		node, err := path.FilterFile(file)
+		if err != nil || node == nil || node.Type() == ast.NullType {
+			continue
+		}
+		value, err := strconv.ParseFloat(node.String(), 64)
+		if l := limits[key]; err != nil || !(value >= l.least && value <= l.most) {
+			problems = append(problems, fmt.Errorf("settings: line %d: %s: %s is not between %g and %g",
+				node.GetToken().Position.Line, key, node, l.least, l.most))
+		}
+	}
+	return errors.Join(problems...)
 }
 
 func (s Settings) validate() error {
--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -12,9 +12,13 @@
 )
 
 const (
-	// pollWait is how long a worker may wait for an attempt to end before it
-	// answers a poll.
-	pollWait = time.Second
+	// A worker may wait between minPollWait and maxPollWait, the longest that workers permit,
+	// for an attempt to end before it answers a poll: so long that polls, pollBytes each, take
+	// only pollShare of the link.
+	minPollWait = time.Second
+	maxPollWait = 2 * time.Second
+	pollBytes   = 600
+	pollShare   = 0.1
 	// suspectPollWait is the same for a worker with suspects, which are to be cleared soon.
 	suspectPollWait = 200 * time.Millisecond
 	// pollTimeoutSlack is what a poll may take beyond its wait. It is also the pause
@@ -23,9 +27,9 @@
 	// pollPause batches the ended attempts of a few milliseconds into one poll,
 	// since polls are charged per call.
 	pollPause = 10 * time.Millisecond
-	// unresponsiveAfter is the age of a worker's last answer from which the worker
-	// gets no work and its lease is not extended.
-	unresponsiveAfter = 2200 * time.Millisecond
+	// responseSlack plus the wait of a poll is the age of a worker's last answer from which the
+	// worker gets no work and its lease is not extended.
+	responseSlack = 1200 * time.Millisecond
 	// leaseExpirySlack covers the error in reading a worker's clock.
 	leaseExpirySlack = 400 * time.Millisecond
 	// clockDriftFactor is the maximum ratio of a time span on the owner's clock to the
@@ -222,7 +226,7 @@
 	const reason = "worker lease expired; the worker does not respond"
 	now := time.Now()
 	for _, l := range s.links {
-		if now.Sub(l.lastAnswer) < unresponsiveAfter || now.Before(l.lastExtension.Add(s.maxWorkerLease())) {
+		if now.Sub(l.lastAnswer) < s.unresponsiveAfter() || now.Before(l.lastExtension.Add(s.maxWorkerLease())) {
 			continue
 		}
 		if now.Before(l.lastExtension.Add(onOwnerClock(s.options.MaxWorkerLease))) {
@@ -238,6 +242,17 @@
 	}
 }
 
+// pollWait returns how long a worker may wait before it answers a poll; the caller holds s.mu.
+func (s *Shard) pollWait() time.Duration {
+	return s.options.Link.Interval(float64(pollBytes*len(s.links)), pollShare, minPollWait, maxPollWait)
+}
+
+// unresponsiveAfter returns the age of a worker's last answer from which the worker gets no work
+// and its lease is not extended; the caller holds s.mu.
+func (s *Shard) unresponsiveAfter() time.Duration {
+	return s.pollWait() + responseSlack
+}
+
 func (l *link) key() job.WorkerKey {
 	return job.WorkerKey{
 		ID:          l.registration.ID,
@@ -253,7 +268,7 @@
 	w.ID, w.Incarnation, w.Service = r.ID, r.Incarnation, r.Service
 	w.Zone, w.Rack, w.Labels = r.Zone, r.Rack, r.Labels
 	w.Capacity = r.Capacity
-	w.Usable = l.answered && l.listed && !l.provisional && !r.Draining && now.Sub(l.lastAnswer) < unresponsiveAfter && now.After(l.quarantinedUntil)
+	w.Usable = l.answered && l.listed && !l.provisional && !r.Draining && now.Sub(l.lastAnswer) < l.shard.unresponsiveAfter() && now.After(l.quarantinedUntil)
 	w.Penalty = l.failures
 	return w
 }
@@ -262,7 +277,7 @@
 // clock, and sets lastExtension, as if the worker had received that end now. It returns
 // zero if the lease must not be extended. The caller holds the shard's mu.
 func (l *link) extendLease() int64 {
-	if !l.answered || l.shard.term.Remaining() < -workerLeaseGrace || time.Since(l.lastAnswer) > unresponsiveAfter {
+	if !l.answered || l.shard.term.Remaining() < -workerLeaseGrace || time.Since(l.lastAnswer) > l.shard.unresponsiveAfter() {
 		return 0
 	}
 	l.lastExtension = time.Now()
@@ -270,7 +285,7 @@
 }
 
 // run polls the worker until the link is closed. After a report with changes, it waits up
-// to half of pollWait until they are durable, so that the next poll acknowledges them; the
+// to half of minPollWait until they are durable, so that the next poll acknowledges them; the
 // worker answers a poll at once while it has unacknowledged ended attempts. After a failed
 // poll it acknowledges none until the next report, since the worker may have restarted.
 func (l *link) run() {
@@ -299,7 +314,7 @@
 		if durable != nil {
 			select {
 			case <-durable:
-			case <-time.After(pollWait / 2):
+			case <-time.After(minPollWait / 2):
 			case <-l.ctx.Done():
 			}
 			sleep(l.ctx, pollPause)
@@ -326,8 +341,8 @@
 		AckedNumber: l.newestDurableEnded,
 		UntilMillis: l.extendLease(),
 	}
-	if l.answered && time.Since(l.lastAnswer) < unresponsiveAfter {
-		poll.WaitMillis = pollWait.Milliseconds()
+	if l.answered && time.Since(l.lastAnswer) < s.unresponsiveAfter() {
+		poll.WaitMillis = s.pollWait().Milliseconds()
 		if s.state.RunsSuspects(l.key()) {
 			poll.WaitMillis = suspectPollWait.Milliseconds()
 		}
@@ -339,7 +354,7 @@
 	s := l.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l.answered && time.Since(l.lastAnswer) < unresponsiveAfter && !errors.Is(err, context.Canceled) {
+	if l.answered && time.Since(l.lastAnswer) < s.unresponsiveAfter() && !errors.Is(err, context.Canceled) {
 		s.log.Warn("lookFailed", "worker", l.registration.ID, "sinceAnswer", time.Since(l.lastAnswer), "error", err)
 	}
 }
--- a/internal/cluster/shard/load.go
+++ b/internal/cluster/shard/load.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/citronbay/citronbay/internal/api/traffic"
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
@@ -21,6 +22,7 @@
 	passes  int
 	total   time.Duration
 	longest time.Duration
+	bytes   traffic.Totals // at since
 }
 
 // add counts a pass. It reports whether the load is due to be logged.
@@ -47,8 +49,12 @@
 	s.log.Info("planningLoad", "interval", time.Since(s.passLoad.since), "passes", s.passLoad.passes,
 		"total", s.passLoad.total, "longest", s.passLoad.longest, "openJobs", len(s.state.OpenJobs()),
 		"waitingJobs", len(s.state.UnplacedJobs()), "cores", capacity.MilliCores/1000, "coresUsed", used.MilliCores/1000,
-		"policyCalls", s.policyCallsInFlight(), "slowPolicyCalls", s.slowCalls, waitCauses(planner, now), isolation(planner))
-	s.passLoad = passLoad{since: time.Now()}
+		"policyCalls", s.policyCallsInFlight(), "slowPolicyCalls", s.slowCalls, waitCauses(planner, now), isolation(planner),
+		traffic.Since(s.passLoad.bytes))
+	s.passLoad = passLoad{
+		since: time.Now(),
+		bytes: traffic.Read(),
+	}
 }
 
 // isolation returns the numbers of jobs with suspects, of workers that are isolated for them
--- a/internal/cluster/shard/orders.go
+++ b/internal/cluster/shard/orders.go
@@ -5,6 +5,9 @@
 	"errors"
 	"time"
 
+	"golang.org/x/time/rate"
+
+	"github.com/citronbay/citronbay/internal/api/traffic"
 	"github.com/citronbay/citronbay/internal/cluster/worker"
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
@@ -16,6 +19,17 @@
 	// maxStartTries is how often a start order is sent without an answer before the
 	// attempt is abandoned or stopped.
 	maxStartTries = 2
+	// startShare is the share of the link that start orders may take. At once they may take
+	// startBurstBytes, or startBurstTime of that share if it is more. On a full link orders and polls are late, and their repetition adds to
+	// the load.
+	startShare      = 0.4
+	startBurstBytes = 8 << 10
+	startBurstTime  = 50 * time.Millisecond
+	// maxStartBacklog is for how long start orders may wait for the link before no further task is
+	// placed.
+	maxStartBacklog = 100 * time.Millisecond
+	// startBytes is what is transmitted for a start order beside its payload.
+	startBytes = 450
 	// stopRetryInterval is the pause between tries of a stop order that fails.
 	stopRetryInterval = 150 * time.Millisecond
 )
@@ -86,7 +100,7 @@
 
 // startOrder extends the worker lease and returns the start order of the placement,
 // or false if the placement has ended or the worker has confirmed the start. UntilMillis
-// is zero if the lease must not be extended.
+// is zero if the lease must not be extended or the ticket has expired.
 func (s *Shard) startOrder(l *link, p *job.Placement) (worker.Start, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -97,6 +111,9 @@
 	step := j.Steps[p.Task.Step]
 	p.Orders++
 	untilMillis := l.extendLease()
+	if step.TicketExpired(&l.worker, s.now()) {
+		untilMillis = 0 // the worker would reject the order
+	}
 	if untilMillis > 0 && p.OrderedMillis == 0 {
 		p.OrderedMillis = s.now()
 	}
@@ -119,6 +136,9 @@
 func (s *Shard) sendStart(l *link, p *job.Placement) {
 	maybeDelivered := false
 	for range maxStartTries {
+		if err := s.awaitLink(l, p); err != nil {
+			break
+		}
 		order, wanted := s.startOrder(l, p)
 		if !wanted {
 			return
@@ -150,12 +170,42 @@
 		return
 	}
 	if !maybeDelivered {
-		s.abandonStart(p, "the worker cannot be reached or its lease cannot be extended")
+		s.abandonStart(p, "the worker cannot be reached, its lease cannot be extended or the ticket has expired")
 		return
 	}
 	s.requestStop(p)
 }
 
+// newStartLimiter returns the limiter of the bytes of start orders.
+func newStartLimiter(link traffic.Link) *rate.Limiter {
+	if link.Mbps <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	perSecond := startShare * link.BytesPerSecond()
+	return rate.NewLimiter(rate.Limit(perSecond), max(startBurstBytes, int(perSecond*startBurstTime.Seconds())))
+}
+
+// linkHasRoom reports whether start orders that are placed now will be sent soon. Placing tasks
+// later leaves the choice to those that are most urgent then.
+func (s *Shard) linkHasRoom() bool {
+	return !s.options.Link.IsSmall() || s.starts.Tokens() > -maxStartBacklog.Seconds()*float64(s.starts.Limit())
+}
+
+// awaitLink waits until the link permits the start order of the placement. It returns an error if
+// the link to the worker is closed first.
+func (s *Shard) awaitLink(l *link, p *job.Placement) error {
+	if !s.options.Link.IsSmall() {
+		return nil
+	}
+	s.mu.Lock()
+	bytes := startBytes
+	if j := s.state.Job(p.Task.Job); j != nil {
+		bytes += len(j.Payload)
+	}
+	s.mu.Unlock()
+	return s.starts.WaitN(l.ctx, min(bytes, s.starts.Burst()))
+}
+
 // handleStartAnswer handles a worker's answer to a start order. maybeDelivered is set if
 // an earlier copy of the order got no answer and may still be carried out.
 func (s *Shard) handleStartAnswer(l *link, p *job.Placement, answer worker.Answer, maybeDelivered bool) {
--- a/internal/cluster/shard/policy.go
+++ b/internal/cluster/shard/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/cluster/worker"
@@ -15,6 +16,8 @@
 	// fastCallAdvisors is the number of nodes kept free of slow calls, as long as one
 	// node remains for these.
 	fastCallAdvisors = 2
+	// unreachableAdvisorPause is how long a node is not asked after it has not answered.
+	unreachableAdvisorPause = time.Second
 	// callTimeoutSlack is what a call may take beyond its expected duration.
 	callTimeoutSlack = 600 * time.Millisecond
 	// ticketTransitMillis is subtracted from a ticket's validity: the time that
@@ -22,6 +25,10 @@
 	ticketTransitMillis = 30
 )
 
+// ErrAdvisorUnreachable reports that a node that should call the policy service has not
+// answered.
+var ErrAdvisorUnreachable = errors.New("shard: the node that calls the policy service has not answered")
+
 // askPolicy sends the policy queries that the planner puts first, at most one through
 // each idle node. The caller holds s.mu.
 func (s *Shard) askPolicy(planner *job.Planner, now int64) {
@@ -62,7 +69,17 @@
 	tickets, err := a.Ask(ctx, q.Step.Job.ID, q.Step.Number, ids)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.busyAdvisors[a.Node] = false
+	if errors.Is(err, ErrAdvisorUnreachable) {
+		// The node would get the next query at once, as would all others that cannot be reached.
+		time.AfterFunc(unreachableAdvisorPause, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			delete(s.busyAdvisors, a.Node)
+			s.requestPass()
+		})
+	} else {
+		delete(s.busyAdvisors, a.Node)
+	}
 	if q.ExpectedMillis > slowCallMillis {
 		s.slowCalls--
 	}
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -9,6 +9,9 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
+	"github.com/citronbay/citronbay/internal/api/traffic"
 	"github.com/citronbay/citronbay/internal/cluster/store"
 	"github.com/citronbay/citronbay/internal/cluster/worker"
 	"github.com/citronbay/citronbay/internal/decide/job"
@@ -63,6 +66,8 @@
 	ChangeInForce time.Duration
 	// NewWorkerClient returns a client of the worker and the function that closes it.
 	NewWorkerClient func(worker.Registration) (worker.Client, func())
+	// Link is the link of this VM.
+	Link traffic.Link
 	// Advisors returns the nodes that can ask the policy service now.
 	Advisors func() []AdvisorNode
 	// JobStateRetention is how long the state of an ended job is kept.
@@ -84,6 +89,7 @@
 	openedAt     time.Time
 	openedMillis int64 // openedAt as a Unix millisecond
 	passRequests chan struct{}
+	starts       *rate.Limiter           // of the bytes of start orders
 	buckets      map[string]*tokenBucket // by team; guarded by mu
 	// gaugesSetMillis is the owner's clock at the last update of the gauges; only Run
 	// uses it.
@@ -132,6 +138,7 @@
 		openedAt:     time.Now(),
 		openedMillis: time.Now().UnixMilli(),
 		passRequests: make(chan struct{}, 1),
+		starts:       newStartLimiter(options.Link),
 		buckets:      map[string]*tokenBucket{},
 		state:        job.NewState(),
 		links:        map[string]*link{},
@@ -151,6 +158,7 @@
 		return nil, fmt.Errorf("shard: recover: %w", err)
 	}
 	s.journal = journal
+	s.journal.SetLink(options.Link)
 	readTime := stepTime()
 	for _, r := range records {
 		if err := s.state.Apply(r); err != nil {
@@ -299,7 +307,7 @@
 		s.setGauges(workers)
 	}
 	planner := job.NewPlanner(s.state, s.agreement.Rules, workers, now).WithCommitMillis(s.journal.CommitLatency().Milliseconds())
-	if s.mayPlace() {
+	if s.mayPlace() && s.linkHasRoom() {
 		if records := planner.Plan(now); len(records) > 0 {
 			s.logPlacements(records, now)
 			placements := s.placementsOf(records)
--- a/internal/cluster/store/codec.go
+++ b/internal/cluster/store/codec.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/zstd"
@@ -69,14 +68,21 @@
 // to all those appended so far; it is called with the lock given to Run held, see
 // Journal.Append.
 func OpenJournal[R any](ctx context.Context, client Client, term *Term, snapshot func() []R, log *slog.Logger) (*Journal[R], []R, error) {
+	c, err := newCodec()
+	if err != nil {
+		return nil, nil, err
+	}
 	j := &Journal[R]{
 		client:    client,
+		codec:     c,
 		term:      term,
 		snapshot:  snapshot,
 		log:       log,
 		wakeup:    make(chan struct{}, 1),
 		results:   make(chan writeResult[R], maxInFlight),
 		revisions: map[string]int64{},
+
+		linkInterval: minSendInterval,
 	}
 	chunks, entries, err := j.readItems(ctx)
 	if err != nil {
@@ -90,43 +96,48 @@
 	return j, records, err
 }
 
-var (
-	encoder = sync.OnceValues(func() (*zstd.Encoder, error) {
-		return zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
-			zstd.WithLowerEncoderMem(true))
-	})
-	decoder = sync.OnceValues(func() (*zstd.Decoder, error) {
-		return zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
-			zstd.WithDecoderMaxMemory(maxDecompressedBytes))
-	})
-)
+// codec encodes and decodes the values of a journal.
+type codec struct {
+	encoder *zstd.Encoder
+	decoder *zstd.Decoder
+}
 
-// encodeValue returns the value in CBOR, compressed: on a small link its size decides how long
-// a takeover lasts.
-func encodeValue(value any) ([]byte, error) {
-	encoded, err := cbor.Marshal(value)
+func newCodec() (codec, error) {
+	e, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
+		zstd.WithLowerEncoderMem(true))
 	if err != nil {
-		return nil, err
+		return codec{}, fmt.Errorf("store: compression: %w", err)
 	}
-	e, err := encoder()
+	d, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
+		zstd.WithDecoderMaxMemory(maxDecompressedBytes))
+	if err != nil {
+		return codec{}, fmt.Errorf("store: decompression: %w", err)
+	}
+	return codec{
+		encoder: e,
+		decoder: d,
+	}, nil
+}
+
+// encode returns the value in CBOR, compressed: on a small link its size decides how long a
+// takeover lasts.
+func (c codec) encode(value any) ([]byte, error) {
+	encoded, err := cbor.Marshal(value)
 	if err != nil {
 		return nil, err
 	}
-	return e.EncodeAll(encoded, nil), nil
+	return c.encoder.EncodeAll(encoded, nil), nil
 }
 
 // zstdMagic begins each zstd frame (RFC 8878, section 3.1.1); no value in CBOR begins so.
 var zstdMagic = []byte{0x28, 0xB5, 0x2F, 0xFD}
 
-// decodeValue decodes what encodeValue returned, or a value that an earlier version of this
-// program has stored without compression.
-func decodeValue(encoded []byte, value any) error {
+// decode decodes what encode returned, or a value that an earlier version of this program has
+// stored without compression.
+func (c codec) decode(encoded []byte, value any) error {
 	if bytes.HasPrefix(encoded, zstdMagic) {
-		d, err := decoder()
-		if err != nil {
-			return err
-		}
-		if encoded, err = d.DecodeAll(encoded, nil); err != nil {
+		var err error
+		if encoded, err = c.decoder.DecodeAll(encoded, nil); err != nil {
 			return err
 		}
 	}
@@ -163,7 +174,7 @@
 	var first snapshotChunk[R]
 	for n, item := range items {
 		var c snapshotChunk[R]
-		if err := decodeValue(item.Value, &c); err != nil {
+		if err := j.codec.decode(item.Value, &c); err != nil {
 			return nil, 0, fmt.Errorf("store: decode %s: %w", item.Key, err)
 		}
 		if n == 0 {
@@ -202,7 +213,7 @@
 			key:   item.Key,
 			bytes: len(item.Value),
 		}
-		if err := decodeValue(item.Value, &e.entry); err != nil {
+		if err := j.codec.decode(item.Value, &e.entry); err != nil {
 			return nil, fmt.Errorf("store: decode %s: %w", item.Key, err)
 		}
 		if other, ok := entries[e.Number]; !ok || other.Token < e.Token {
@@ -217,7 +228,7 @@
 		}
 		records = append(records, e.Records...)
 		token = e.Token
-		j.entryBytes += e.bytes
+		j.entryBytes += e.bytes + entryOverheadBytes
 		// An earlier version of this program chose other keys. A snapshot has to cover such
 		// entries before the next ones overwrite them.
 		j.misplaced = j.misplaced || e.key != entryKey(j.term.shard, e.Number-j.snapshotNumber)
@@ -252,7 +263,7 @@
 }
 
 func (j *Journal[R]) encodeEntry(w *journalWrite[R]) ([]Put, error) {
-	value, err := encodeValue(entry[R]{
+	value, err := j.codec.encode(entry[R]{
 		Number:  w.number,
 		Records: w.records,
 		Token:   j.term.token,
@@ -277,7 +288,7 @@
 	}
 	var puts []Put
 	for n, chunk := range chunks {
-		value, err := encodeValue(snapshotChunk[cbor.RawMessage]{
+		value, err := j.codec.encode(snapshotChunk[cbor.RawMessage]{
 			Number:  number,
 			Records: chunk,
 			Token:   j.term.token,
@@ -326,7 +337,7 @@
 	}
 	// A snapshot chunk decodes as an entry too: both have the same first three fields.
 	var written entry[cbor.RawMessage]
-	if err := decodeValue(item.Value, &written); err != nil {
+	if err := j.codec.decode(item.Value, &written); err != nil {
 		return 0, fmt.Errorf("store: decode %s: %w", item.Key, err)
 	}
 	if written.Number != w.number || written.Token != j.term.token {
--- a/internal/cluster/store/follow.go
+++ b/internal/cluster/store/follow.go
@@ -5,29 +5,66 @@
 	"errors"
 	"log/slog"
 	"time"
+
+	"github.com/citronbay/citronbay/internal/api/traffic"
 )
 
 const (
-	// watchWait is how long one watch call waits for changes. The store charges for
-	// each call, and a call without changes is followed by a read of the whole prefix,
-	// so a shorter wait costs more.
+	// watchWait is how long one watch call waits for changes. The store charges for each call.
 	watchWait = time.Second
 	// watchSlack is the time beyond watchWait after which a watch call times out, as its
 	// connection may no longer deliver responses.
 	watchSlack = 500 * time.Millisecond
 )
 
+const (
+	// minReadInterval is the least time between two reads of a whole prefix.
+	minReadInterval = time.Second
+	// readShare is the share of the link that reads of a whole prefix may take.
+	readShare = 0.02
+	// A watch returns as soon as there is a change. The pause between two watches, at most
+	// maxWatchPause, collects changes, so that watches beside the changes that they return,
+	// watchBytes each, take only watchShare of the link.
+	watchBytes    = 500
+	watchShare    = 0.01
+	maxWatchPause = 250 * time.Millisecond
+	// itemOverheadBytes is what the store transmits for an item beside its value.
+	itemOverheadBytes = 150
+)
+
+// FollowOptions says how a copy is kept.
+type FollowOptions struct {
+	// Prefix is the common prefix of the keys.
+	Prefix string
+	// Link is the link to the store.
+	Link traffic.Link
+	// MaxReadInterval is the longest time between two reads of the whole prefix, which find
+	// what watches miss.
+	MaxReadInterval time.Duration
+}
+
+// readInterval returns the time until the next read of the whole prefix, if there are no changes
+// that only a read can find.
+func (o FollowOptions) readInterval(items map[string]Item) time.Duration {
+	const base64Growth = 4.0 / 3
+	bytes := 0.0
+	for _, item := range items {
+		bytes += itemOverheadBytes + base64Growth*float64(len(item.Value))
+	}
+	return o.Link.Interval(bytes, readShare, minReadInterval, o.MaxReadInterval)
+}
+
 // Follow maintains a copy of all items under the prefix and calls onChange with it
 // after each read and each change, until the context ends. The copy has all changes that
 // the store had acknowledged by asOf. onChange must not keep or modify the map. Besides
-// watching, Follow reads the whole prefix again when a watch call returns no changes or
-// fails, and once watchWait has passed, since a watch can miss changes when the store loses
-// its history.
-func Follow(ctx context.Context, client Client, prefix string, log *slog.Logger, onChange func(items map[string]Item, asOf Instant)) {
+// watching, Follow reads the whole prefix again at intervals, since a watch can miss
+// changes when the store loses its history, and at once when the store says that it has.
+func Follow(ctx context.Context, client Client, options FollowOptions, log *slog.Logger, onChange func(items map[string]Item, asOf Instant)) {
 	f := &follower{
-		client: client,
-		prefix: prefix,
-		log:    log,
+		client:  client,
+		options: options,
+		prefix:  options.Prefix,
+		log:     log,
 	}
 	for ctx.Err() == nil {
 		if err := f.read(ctx); err != nil {
@@ -38,7 +75,7 @@
 		onChange(f.items, f.asOf)
 		if f.failing {
 			f.failing = false
-			log.Info("followRegained", "prefix", prefix, "revision", f.revision)
+			log.Info("followRegained", "prefix", f.prefix, "revision", f.revision)
 		}
 		f.watch(ctx, onChange)
 	}
@@ -47,6 +84,7 @@
 // follower is the state of one call of Follow.
 type follower struct {
 	client   Client
+	options  FollowOptions
 	prefix   string
 	log      *slog.Logger
 	items    map[string]Item
@@ -88,10 +126,11 @@
 	return nil
 }
 
-// watch applies changes until a call returns none or fails, or watchWait has passed.
+// watch applies changes until the next read is due, or the store has lost its history or does
+// not answer.
 func (f *follower) watch(ctx context.Context, onChange func(map[string]Item, Instant)) {
-	started := time.Now()
-	for ctx.Err() == nil && time.Since(started) < watchWait {
+	started, interval := time.Now(), f.options.readInterval(f.items)
+	for ctx.Err() == nil && time.Since(started) < interval {
 		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 		events, revision, err := f.client.Watch(callCtx, f.prefix, f.revision, watchWait)
 		cancel()
@@ -102,8 +141,9 @@
 			}
 			return
 		}
+		f.revision = max(f.revision, revision)
 		if len(events) == 0 {
-			return
+			continue
 		}
 		for _, e := range events {
 			if e.Removed {
@@ -112,8 +152,8 @@
 			}
 			f.items[e.Key] = e
 		}
-		f.revision = max(f.revision, revision)
 		onChange(f.items, f.asOf)
+		sleep(ctx, f.options.Link.Interval(watchBytes, watchShare, 0, maxWatchPause))
 	}
 }
 
--- a/internal/cluster/store/hedge.go
+++ b/internal/cluster/store/hedge.go
@@ -14,6 +14,9 @@
 	// after the factor times the average commit latency, but not before the minimum.
 	minHedgeDelay    = 60 * time.Millisecond
 	hedgeDelayFactor = 3
+	// transmissionFactor times the time in which the link transmits a write is added to the delay:
+	// the link carries other traffic too, and a repeated snapshot would take all of it.
+	transmissionFactor = 5
 )
 
 // attemptResult is the outcome of one attempt to commit a write.
@@ -58,7 +61,7 @@
 		select {
 		case <-ctx.Done():
 			return 0, context.Cause(ctx)
-		case <-time.After(j.hedgeDelay()):
+		case <-time.After(j.hedgeDelay(w)):
 			if inFlight < maxParallelAttempts {
 				send()
 			}
@@ -109,10 +112,14 @@
 	j.commitLatency += (latency - j.commitLatency) / smoothing
 }
 
-// hedgeDelay returns the time to wait for a response before a further attempt is
+// hedgeDelay returns the time to wait for a response to the write before a further attempt is
 // sent.
-func (j *Journal[R]) hedgeDelay() time.Duration {
+func (j *Journal[R]) hedgeDelay(w *journalWrite[R]) time.Duration {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return max(minHedgeDelay, hedgeDelayFactor*j.commitLatency)
+	delay := max(minHedgeDelay, hedgeDelayFactor*j.commitLatency)
+	if perSecond := j.link.BytesPerSecond(); perSecond > 0 {
+		delay += time.Duration(transmissionFactor * float64(w.bytes) / perSecond * float64(time.Second))
+	}
+	return delay
 }
--- a/internal/cluster/store/journal.go
+++ b/internal/cluster/store/journal.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/citronbay/citronbay/internal/api/traffic"
 )
 
 const (
@@ -14,12 +16,19 @@
 	// fit into one page of the store's range response.
 	maxEntriesPerSnapshot = 240
 	// minBytesPerSnapshot is the size of the entries since the last snapshot below which no
-	// snapshot is due, unless there are maxEntriesPerSnapshot. A takeover reads that much in a
-	// quarter of a second over a link of 2 Mbit/s.
+	// snapshot is due. A takeover reads that much in a quarter of a second over a link of
+	// 2 Mbit/s.
 	minBytesPerSnapshot = 48 << 10
+	// entryOverheadBytes is what the store transmits for an entry beside its value.
+	entryOverheadBytes = 200
 	// minSendInterval is the minimum time between entries. It batches the changes of
 	// some milliseconds into one call, since the store charges for each call.
 	minSendInterval = 12 * time.Millisecond
+	// On a small link entries are sent less often, at most maxLinkInterval apart, so that what is
+	// transmitted with each beside its records, commitBytes, takes only commitShare of the link.
+	commitBytes     = 900
+	commitShare     = 0.08
+	maxLinkInterval = 50 * time.Millisecond
 	// maxInFlight bounds the entries in flight at once. With a slow store, the next
 	// entry is sent after 1/maxInFlight of the commit latency instead of all of it.
 	maxInFlight = 6
@@ -37,6 +46,7 @@
 // Create it with OpenJournal.
 type Journal[R any] struct {
 	client   Client
+	codec    codec
 	term     *Term
 	snapshot func() []R
 	log      *slog.Logger
@@ -68,7 +78,11 @@
 	// of a snapshot's chunks after the first are only as read.
 	revisions  map[string]int64
 	lastSentAt time.Time
-	retryAt    time.Time // no new write is started before; retryWrite sets it
+	// link is the link to the store, and linkInterval the least time between entries that it
+	// permits. Neither changes after SetLink.
+	link         traffic.Link
+	linkInterval time.Duration
+	retryAt      time.Time // no new write is started before; retryWrite sets it
 }
 
 // journalWrite is an entry or a snapshot that is written to the store.
@@ -180,7 +194,14 @@
 func (j *Journal[R]) sendDelay() time.Duration {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return max(minSendInterval, j.commitLatency/maxInFlight) - time.Since(j.lastSentAt)
+	return max(j.linkInterval, j.commitLatency/maxInFlight) - time.Since(j.lastSentAt)
+}
+
+// SetLink sets the link to the store, which bounds how often entries are sent and writes are repeated. It must be called
+// before Run.
+func (j *Journal[R]) SetLink(link traffic.Link) {
+	j.link = link
+	j.linkInterval = link.Interval(commitBytes, commitShare, minSendInterval, maxLinkInterval)
 }
 
 // sendNext starts the write that prepareWrite returns, if any. If the write has to wait
@@ -227,7 +248,7 @@
 		return nil, err
 	}
 	if !w.isSnapshot {
-		j.entryBytes += w.bytes
+		j.entryBytes += w.bytes + entryOverheadBytes
 	}
 	j.pending, j.callbacks = nil, nil
 	j.inFlight = append(j.inFlight, w)
@@ -272,6 +293,8 @@
 	j.revisions[w.key] = r.revision
 	if w.isSnapshot {
 		j.snapshotNumber = w.number
+		j.log.Info("snapshotWritten", "shard", j.term.shard, "number", w.number, "bytes", w.bytes,
+			"entryBytes", j.entryBytes, "took", time.Since(w.sentAt))
 		j.snapshotBytes, j.entryBytes = w.bytes, 0
 		j.misplaced = false
 	}
@@ -309,7 +332,7 @@
 	j.callbacks = append(w.callbacks, j.callbacks...)
 	j.nextNumber = w.number
 	if !w.isSnapshot {
-		j.entryBytes -= w.bytes
+		j.entryBytes -= w.bytes + entryOverheadBytes
 	}
 	j.retryAt = time.Now().Add(retryDelay)
 	time.AfterFunc(retryDelay, j.wake)
--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -131,6 +131,13 @@
 	}
 }
 
+// TicketExpired reports whether the step has a ticket for the worker that has expired by the given
+// Unix millisecond. Without a policy there is none.
+func (s *Step) TicketExpired(w *Worker, now int64) bool {
+	t, ok := s.Advice.allowed[w]
+	return ok && t.ExpiresMillis <= now
+}
+
 // TicketValue returns the value of the step's ticket for the worker, which may have
 // expired, or an empty string if there is none.
 func (s *Step) TicketValue(w *Worker) string {
--- a/internal/entry/peer/membership.go
+++ b/internal/entry/peer/membership.go
@@ -184,7 +184,7 @@
 		known.cancel()
 		known.close()
 	}
-	client, closeClient := peer.NewClient(member.Address, m.tlsConfig)
+	client, closeClient := peer.NewClient(member.Address, m.tlsConfig, nil)
 	ctx, cancel := context.WithCancel(ctx)
 	t := &trackedPeer{
 		member: member,
--- a/internal/standin/proxy/tcp.go
+++ b/internal/standin/proxy/tcp.go
@@ -27,6 +27,7 @@
 	silent             bool
 	dropResponses      bool
 	delay              time.Duration
+	link               attachment
 	responseLimitBytes int64
 	connections        map[*connection]struct{}
 }
@@ -191,6 +192,17 @@
 	p.delay = delay
 }
 
+// SetLink sends all data over the link. The VM of the link is the target of the proxy if
+// vmIsTarget is set, and otherwise its client.
+func (p *TCP) SetLink(link *Link, vmIsTarget bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.link = attachment{
+		link:       link,
+		vmIsTarget: vmIsTarget,
+	}
+}
+
 // SetResponseLimitBytes closes each new connection after it has forwarded limitBytes
 // bytes from the target; zero means no limit.
 func (p *TCP) SetResponseLimitBytes(limitBytes int64) {
@@ -298,9 +310,10 @@
 // forward, whether to forward it, and whether to close the connection afterwards.
 func (p *TCP) applyFaults(c *connection, read []byte, fromServer bool) (forwarded []byte, forward, closeAfter bool) {
 	p.mu.Lock()
-	delay := p.delay
+	delay, link := p.delay, p.link
 	p.mu.Unlock()
-	time.Sleep(delay)
+	transmission, _ := link.enqueue(len(read), fromServer, false)
+	time.Sleep(delay + transmission)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if fromServer && p.dropResponses {
--- a/internal/standin/proxy/udp.go
+++ b/internal/standin/proxy/udp.go
@@ -20,6 +20,7 @@
 	silent    bool
 	delay     time.Duration
 	duplicate bool
+	link      attachment
 	sessions  map[string]*session
 }
 
@@ -93,6 +94,17 @@
 	p.delay = delay
 }
 
+// SetLink sends all packets over the link. The VM of the link is the target of the proxy if
+// vmIsTarget is set, and otherwise its client.
+func (p *UDP) SetLink(link *Link, vmIsTarget bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.link = attachment{
+		link:       link,
+		vmIsTarget: vmIsTarget,
+	}
+}
+
 // SetDuplicate sends each packet twice until it is unset.
 func (p *UDP) SetDuplicate(duplicate bool) {
 	p.mu.Lock()
@@ -121,7 +133,7 @@
 			continue
 		}
 		packet := append([]byte(nil), buffer[:n]...)
-		p.sendWithFaults(s, func() { p.countBytes(s.toTarget.Write(packet)) })
+		p.sendWithFaults(s, n, false, func() { p.countBytes(s.toTarget.Write(packet)) })
 	}
 }
 
@@ -158,16 +170,16 @@
 			continue
 		}
 		packet := append([]byte(nil), buffer[:n]...)
-		p.sendWithFaults(s, func() { p.countBytes(p.socket.WriteToUDP(packet, s.sender)) })
+		p.sendWithFaults(s, n, true, func() { p.countBytes(p.socket.WriteToUDP(packet, s.sender)) })
 	}
 }
 
-// sendWithFaults drops, delays or duplicates a packet according to the faults in
-// force.
-func (p *UDP) sendWithFaults(s *session, send func()) {
+// sendWithFaults drops, delays or duplicates a packet according to the faults in force and to the
+// link.
+func (p *UDP) sendWithFaults(s *session, bytes int, fromTarget bool, send func()) {
 	p.mu.Lock()
 	drop := p.silent || s.silent
-	delay, duplicate := p.delay, p.duplicate
+	delay, duplicate, link := p.delay, p.duplicate, p.link
 	p.mu.Unlock()
 	if drop {
 		return
@@ -177,10 +189,13 @@
 		sends = 2
 	}
 	for range sends {
-		if delay == 0 {
+		transmission, ok := link.enqueue(bytes, fromTarget, true)
+		switch {
+		case !ok:
+		case delay+transmission == 0:
 			send()
-			continue
+		default:
+			time.AfterFunc(delay+transmission, send)
 		}
-		time.AfterFunc(delay, send)
 	}
 }
