Carry only what a small link can: starts by credit, admission, large configurations

An agreement that fills a small link for 0.1 s is brought up to date by watches, which say so if they lack history; all others are dated by reads as before. - A new owner polls workers with placements first, and all at half of its link; links of an ended term are closed at once; connections to workers stay within the descriptors. - Memory, descriptors and link weigh beside cores when an owner is chosen. - Nodes pause between dials that fail; handshakes use X25519 alone and take a third less. - The watchers need most of the others' confirmations, not the answers of dead ones.

--- a/internal/api/peer/client.go
+++ b/internal/api/peer/client.go
@@ -170,12 +170,16 @@
 		c.failedDials = 0
 		return
 	}
+	pause := min(maxDialPause, minDialPause<<min(c.failedDials, maxDialPauseDoublings))
 	c.failedDials++
-	if c.failedDials < freeDials {
-		return
-	}
-	pause := min(maxDialPause, minDialPause<<min(c.failedDials-freeDials, maxDialPauseDoublings))
-	c.dialAfter = time.Now().Add(pause/2 + rand.N(pause))
+	c.dialAfter = time.Now().Add(pause*3/4 + rand.N(pause/2))
+}
+
+// Resume ends the pause after dials that failed. The peer is known to be alive.
+func (c *Client) Resume() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failedDials, c.dialAfter = 0, time.Time{}
 }
 
 func (c *Client) open() (*connection, error) {
--- a/internal/api/peer/frame.go
+++ b/internal/api/peer/frame.go
@@ -23,14 +23,13 @@
 	idleTimeout = 6 * time.Second
 	// handshakeTimeout limits how long opening a connection may take.
 	handshakeTimeout = time.Second
-	// After freeDials dials in a row that failed, the next one begins only after a random pause
-	// of minDialPause on average, which doubles with each further failure up to maxDialPause. The
-	// first packets of a handshake are large and repeated, so that the attempts of all nodes to
-	// reach one on a full link could fill that link.
-	freeDials             = 2
-	minDialPause          = 250 * time.Millisecond
-	maxDialPause          = time.Second
-	maxDialPauseDoublings = 2
+	// After a dial that failed, the next one begins only after a random pause of minDialPause on
+	// average, which doubles with each further failure up to maxDialPause. The first packets of a
+	// handshake are large and repeated, so that the attempts of all nodes to reach one on a full
+	// link could fill that link.
+	minDialPause          = time.Second
+	maxDialPause          = 2 * time.Second
+	maxDialPauseDoublings = 1
 )
 
 // errDialPaused reports that no connection is open and none may be opened yet.
--- a/internal/api/peer/tls.go
+++ b/internal/api/peer/tls.go
@@ -46,9 +46,12 @@
 	}
 	expected := key.Public().(ed25519.PublicKey)
 	return &tls.Config{
-		MinVersion:         tls.VersionTLS13,
-		NextProtos:         []string{protocolName},
-		Certificates:       []tls.Certificate{certificate},
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{protocolName},
+		Certificates: []tls.Certificate{certificate},
+		// The larger key shares that are the default double the packets of a handshake, and all nodes
+		// repeat these at once when an owner does not answer.
+		CurvePreferences:   []tls.CurveID{tls.X25519},
 		ClientAuth:         tls.RequireAnyClientCert,
 		InsecureSkipVerify: true, // VerifyConnection compares the public key instead.
 		VerifyConnection: func(state tls.ConnectionState) error {
--- a/internal/cluster/node/candidate.go
+++ b/internal/cluster/node/candidate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/citronbay/citronbay/internal/api/peer"
+	"github.com/citronbay/citronbay/internal/api/traffic"
 	"github.com/citronbay/citronbay/internal/cluster/store"
 )
 
@@ -20,6 +21,10 @@
 	// ownership is handed over to it. Smaller gains are not worth a handover, which
 	// stops task starts for about 50 ms.
 	strongerFactor = 1.5
+	// ownerMemoryMB and ownerDescriptors are the memory in MiB and the file descriptors with which
+	// a process can own a fleet of 540 workers.
+	ownerMemoryMB    = 256
+	ownerDescriptors = 4096
 	// weakClaimDelay is added to a node's claim delay when a much stronger node is
 	// known, which has usually claimed ownership by then.
 	weakClaimDelay = 500 * time.Millisecond
@@ -51,6 +56,11 @@
 	// cores is the processor capacity that the member may use, in cores of the usual
 	// speed.
 	cores float64
+	// link is the member's link, and descriptors and memoryMB are what its process may use; zero
+	// means unknown.
+	link        traffic.Link
+	descriptors int
+	memoryMB    int64
 }
 
 // lastKnown returns when this node last heard of the member.
@@ -62,28 +72,41 @@
 }
 
 // candidates returns the members that are suitable as the owner: those near the store
-// that are not much weaker than the strongest of these. In a cluster of VMs of
-// different sizes the owner's processor limits the throughput of the whole cluster. If no
-// member has reached the store yet, all count as near.
+// whose link, memory and descriptors can carry the fleet if those of any can, and of these
+// the ones that are not much weaker than the strongest. In a cluster of VMs of different
+// sizes the owner's VM limits the throughput of the whole cluster. If no member has reached the
+// store yet, all count as near.
 func candidates(members []member) []member {
 	shortestMillis := math.Inf(1)
 	for _, m := range members {
 		shortestMillis = min(shortestMillis, m.roundTripMillisOrInf())
 	}
 	limitMillis := max(shortestMillis*nearRoundTripFactor, nearRoundTripMillis)
+	suitable := selectIfAny(members, func(m member) bool {
+		return m.roundTripMillisOrInf() <= limitMillis
+	})
+	suitable = selectIfAny(suitable, func(m member) bool { return !m.link.IsSmall() })
+	suitable = selectIfAny(suitable, func(m member) bool { return m.memoryMB == 0 || m.memoryMB >= ownerMemoryMB })
+	suitable = selectIfAny(suitable, func(m member) bool { return m.descriptors == 0 || m.descriptors >= ownerDescriptors })
 	maxCores := 0.0
-	for _, m := range members {
-		if m.roundTripMillisOrInf() <= limitMillis {
-			maxCores = max(maxCores, m.cores)
-		}
+	for _, m := range suitable {
+		maxCores = max(maxCores, m.cores)
 	}
-	var suitable []member
+	return selectIfAny(suitable, func(m member) bool { return m.cores*strongerFactor > maxCores })
+}
+
+// selectIfAny returns the members for which the function returns true, or all if there are none.
+func selectIfAny(members []member, isSuitable func(member) bool) []member {
+	var selected []member
 	for _, m := range members {
-		if m.roundTripMillisOrInf() <= limitMillis && m.cores*strongerFactor > maxCores {
-			suitable = append(suitable, m)
+		if isSuitable(m) {
+			selected = append(selected, m)
 		}
 	}
-	return suitable
+	if len(selected) == 0 {
+		return members
+	}
+	return selected
 }
 
 // roundTripMillisOrInf returns the member's shortest round trip to the store in
@@ -135,6 +158,9 @@
 		started:              n.started,
 		storeRoundTripMillis: n.storeRoundTrip.Seconds() * 1000,
 		cores:                n.options.Cores,
+		link:                 n.options.Link,
+		descriptors:          n.options.Descriptors,
+		memoryMB:             n.options.MemoryMB,
 	}
 }
 
--- a/internal/cluster/node/directory.go
+++ b/internal/cluster/node/directory.go
@@ -16,6 +16,31 @@
 	Decode func(store.Item) (worker.Registration, error)
 }
 
+const (
+	// maxWorkerConnections is the number of connections to one worker if there are descriptors
+	// enough, and minWorkerConnections the least: one for polls and one for orders.
+	maxWorkerConnections = 8
+	minWorkerConnections = 2
+	// reservedDescriptors is the number of file descriptors for everything but workers: files,
+	// callers, other nodes, the store.
+	reservedDescriptors = 800
+)
+
+// newWorkerClient returns a client of the worker. Clients of all workers together stay within
+// the descriptors that the settings give, as long as these suffice for minWorkerConnections.
+func (n *Node) newWorkerClient(r worker.Registration) (worker.Client, func()) {
+	return n.options.NewWorkerClient(r, workerConnections(n.options.Descriptors, int(n.fleetSize.Load())))
+}
+
+// workerConnections returns the number of connections to each of the workers; zero descriptors
+// means that their number is unknown.
+func workerConnections(descriptors, workers int) int {
+	if descriptors <= 0 || workers <= 0 {
+		return maxWorkerConnections
+	}
+	return max(minWorkerConnections, min(maxWorkerConnections, (descriptors-reservedDescriptors)/workers))
+}
+
 // directoryReader decodes each version of an entry only once, since the whole directory
 // is read every second. It must not be used by more than one goroutine.
 type directoryReader struct {
--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/citronbay/citronbay/internal/api/traffic"
+	"github.com/citronbay/citronbay/internal/cluster/operator"
 	"github.com/citronbay/citronbay/internal/cluster/shard"
 	"github.com/citronbay/citronbay/internal/cluster/store"
 )
@@ -33,13 +34,16 @@
 	// slower than usual takes about 300 ms to answer one.
 	maxRenewalAge        = 500 * time.Millisecond
 	renewalCheckInterval = 50 * time.Millisecond
+	// maxAgreementTimeout bounds the time of a read of the agreement at a takeover.
+	maxAgreementTimeout = 8 * time.Second
 	// maxFirstAgreementAge is the age of the agreement above which a new owner reads it once
 	// more before it serves; a takeover usually takes a fifth of that.
 	maxFirstAgreementAge = 100 * time.Millisecond
 	// successorClaimWindow is how long other nodes leave the claim to a named successor.
 	successorClaimWindow = 600 * time.Millisecond
-	// maxDirectoryReadInterval bounds the time between two reads of the whole list of workers.
-	maxDirectoryReadInterval = 15 * time.Second
+	// maxReadInterval bounds the time between two reads of the whole list of workers, or of the
+	// agreement.
+	maxReadInterval = 15 * time.Second
 	// agreementReadShare is the time between two reads of the agreement as a share of that
 	// within which a change has to be in force. At 0.8 of that time requests wait for a read.
 	agreementReadShare = 0.3
@@ -315,7 +319,7 @@
 		Agreement:         func() shard.DatedAgreement { return n.renewAgreement(term.Context(), <-agreement) },
 		ReadAgreement:     n.readAgreement,
 		ChangeInForce:     n.options.ChangeInForce,
-		NewWorkerClient:   n.options.NewWorkerClient,
+		NewWorkerClient:   n.newWorkerClient,
 		Link:              n.options.Link,
 		Advisors:          n.advisors,
 		JobStateRetention: n.options.JobStateRetention,
@@ -330,16 +334,20 @@
 	go store.Follow(term.Context(), n.options.Store, store.FollowOptions{
 		Prefix:          n.options.Directory.Prefix,
 		Link:            n.options.Link,
-		MaxReadInterval: maxDirectoryReadInterval,
-	}, n.log, func(items map[string]store.Item, _ store.Instant) {
-		s.SetWorkers(directory.read(items))
+		MaxReadInterval: maxReadInterval,
+	}, n.log, func(c store.Copy) {
+		workers := directory.read(c.Items)
+		n.fleetSize.Store(int64(len(workers)))
+		s.SetWorkers(workers)
 	})
 	go store.Follow(term.Context(), n.options.Store, store.FollowOptions{
 		Prefix:          n.options.AgreementSource.Key,
 		Link:            n.options.Link,
-		MaxReadInterval: time.Duration(agreementReadShare * float64(n.options.ChangeInForce)),
-	}, n.log, func(items map[string]store.Item, asOf store.Instant) {
-		n.applyAgreement(s, items, asOf)
+		MaxReadInterval: maxReadInterval,
+		MaxUndated:      time.Duration(agreementReadShare * float64(n.options.ChangeInForce)),
+		Initial:         n.agreementCopy.Load(),
+	}, n.log, func(c store.Copy) {
+		n.applyAgreement(s, c)
 	})
 	if !n.setShard(s, term, self) {
 		return context.Cause(term.Context())
@@ -418,10 +426,15 @@
 }
 
 // awaitAgreement reads the agreement from the store, retrying until it can be decoded,
-// and returns the zero value if the context ends first.
+// and returns the zero value if the context ends first. Retries get more time, since the link
+// may be too small for the agreement in that of the first.
 func (n *Node) awaitAgreement(ctx context.Context) shard.DatedAgreement {
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	timeout := storeTimeout
+	if n.options.Link.IsSmall() {
+		timeout = maxAgreementTimeout // the client gives up reads that make no progress
+	}
+	for ; ctx.Err() == nil; timeout = min(2*timeout, maxAgreementTimeout) {
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		a, err := n.readAgreement(callCtx)
 		cancel()
 		if err == nil {
@@ -432,8 +445,21 @@
 	return shard.DatedAgreement{}
 }
 
-// readAgreement reads the agreement from the store once.
+// readAgreement reads the agreement from the store once. If it is large for the link, the copy
+// of the last read is brought up to date.
 func (n *Node) readAgreement(ctx context.Context) (shard.DatedAgreement, error) {
+	if last := n.agreementCopy.Load(); last != nil && last.IsLargeFor(n.options.Link) {
+		if c, err := last.Refresh(ctx, n.options.Store, n.options.AgreementSource.Key); err == nil {
+			return n.decodeCopy(c)
+		}
+	}
+	if n.options.Link.IsSmall() {
+		c, err := store.ReadCopy(ctx, n.options.Store, n.options.AgreementSource.Key)
+		if err != nil {
+			return shard.DatedAgreement{}, fmt.Errorf("node: read agreement: %w", err)
+		}
+		return n.decodeCopy(c)
+	}
 	asOf := store.Now()
 	item, err := n.options.Store.Get(ctx, n.options.AgreementSource.Key)
 	if err != nil {
@@ -442,26 +468,52 @@
 	return n.decodeAgreement(item, asOf)
 }
 
+// decodeCopy decodes the agreement in the copy and keeps the copy for the next read.
+func (n *Node) decodeCopy(c store.Copy) (shard.DatedAgreement, error) {
+	item, ok := c.Items[n.options.AgreementSource.Key]
+	if !ok {
+		return shard.DatedAgreement{}, fmt.Errorf("node: read agreement: %w", store.ErrNotFound)
+	}
+	n.agreementCopy.Store(&c)
+	return n.decodeAgreement(item, c.AsOf)
+}
+
+// decodedAgreement is the agreement that the store had at a revision.
+type decodedAgreement struct {
+	revision  int64
+	agreement *operator.Agreement
+}
+
 // decodeAgreement decodes the agreement that was read from the store at the given time or
-// later.
+// later. Each version is decoded once.
 func (n *Node) decodeAgreement(item store.Item, asOf store.Instant) (shard.DatedAgreement, error) {
+	if d := n.decoded.Load(); d != nil && d.revision == item.Revision && item.Revision != 0 {
+		return shard.DatedAgreement{
+			Agreement: d.agreement,
+			AsOf:      asOf,
+		}, nil
+	}
 	a, err := n.options.AgreementSource.Decode(item.Value)
 	if err != nil {
 		n.log.Error("agreementUnreadable", "revision", item.Revision, "error", err)
 		return shard.DatedAgreement{}, err
 	}
+	n.decoded.Store(&decodedAgreement{
+		revision:  item.Revision,
+		agreement: a,
+	})
 	return shard.DatedAgreement{
 		Agreement: a,
 		AsOf:      asOf,
 	}, nil
 }
 
-func (n *Node) applyAgreement(s *shard.Shard, items map[string]store.Item, asOf store.Instant) {
-	item, ok := items[n.options.AgreementSource.Key]
+func (n *Node) applyAgreement(s *shard.Shard, c store.Copy) {
+	item, ok := c.Items[n.options.AgreementSource.Key]
 	if !ok {
 		return
 	}
-	if a, err := n.decodeAgreement(item, asOf); err == nil {
+	if a, err := n.decodeAgreement(item, c.AsOf); err == nil {
 		s.SetAgreement(a)
 	}
 }
--- a/internal/cluster/node/hello.go
+++ b/internal/cluster/node/hello.go
@@ -141,14 +141,14 @@
 
 // ownerIsSilent reports whether the owner has given no answer for as long as required, to this
 // node and to the other nodes that watch it. At least one of these has to confirm that, and
-// none may know of a newer owner. The parameter heard tells whether packets of the owner
+// none may know of a newer owner, unless most have confirmed it before. The parameter heard tells whether packets of the owner
 // arrive.
 func (n *Node) ownerIsSilent(ctx context.Context, silent store.Owner, heard bool) bool {
 	n.mu.Lock()
 	patience, ok := n.changes.Patience(time.Now(), owner.Observation{
 		Heard:     heard,
 		SmallLink: n.ownerLink.IsSmall(),
-		Weak:      n.isMuchWeaker(),
+		Weak:      n.isMuchWeaker() && len(n.heirs) == 0,
 	})
 	silence := time.Since(n.lastAnswerOfOwner())
 	n.mu.Unlock()
@@ -170,7 +170,7 @@
 			answers <- response
 		}()
 	}
-	confirmed := false
+	confirmations := 0
 	for range addresses {
 		response := <-answers
 		switch {
@@ -178,10 +178,13 @@
 		case response.Token > silent.Token || response.OwnerSilenceMillis < others.Milliseconds():
 			return false
 		case response.Token == silent.Token:
-			confirmed = true
+			confirmations++
+		}
+		if confirmations > len(addresses)/2 {
+			return true // nodes that failed with the owner would only delay the answer
 		}
 	}
-	return confirmed
+	return confirmations > 0
 }
 
 // replaceOwner names a successor of the silent owner, unless another owner is known by now
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -48,8 +48,9 @@
 	// ChangeInForce is the time after its acknowledgement within which a change of the
 	// agreement has to be in force; zero means no limit.
 	ChangeInForce time.Duration
-	// NewWorkerClient returns a client of the worker and the function that closes it.
-	NewWorkerClient func(worker.Registration) (worker.Client, func())
+	// NewWorkerClient returns a client of the worker that opens at most the given number of
+	// connections, and the function that closes it.
+	NewWorkerClient func(r worker.Registration, connections int) (worker.Client, func())
 	// Advisor calls the policy service.
 	Advisor worker.Advisor
 	// JobStateRetention is how long the state of an ended job can be read.
@@ -85,6 +86,13 @@
 	// goroutine of elect sets it.
 	storeLost atomic.Bool
 
+	// agreementCopy is the last copy of the agreement that was read over a small link, and decoded
+	// the agreement that was last decoded; either may be nil.
+	agreementCopy atomic.Pointer[store.Copy]
+	decoded       atomic.Pointer[decodedAgreement]
+	// fleetSize is the number of workers in the directory as last read.
+	fleetSize atomic.Int64
+
 	mu    sync.Mutex
 	seeds []string
 	owner store.Owner
--- a/internal/cluster/node/peers.go
+++ b/internal/cluster/node/peers.go
@@ -78,6 +78,11 @@
 	// ListedUntil is the last address in the response to the last hello; the next response
 	// continues after it.
 	ListedUntil string `cbor:"12,keyasint,omitempty"`
+	// Link is the node's link, and Descriptors and MemoryMB are the file descriptors and the
+	// memory in MiB that its process may use; zero means unknown.
+	Link        traffic.Link `cbor:"13,keyasint,omitempty"`
+	Descriptors int          `cbor:"14,keyasint,omitempty"`
+	MemoryMB    int64        `cbor:"15,keyasint,omitempty"`
 }
 
 // helloResponse is what the receiver of a hello knows of the owner and the members.
@@ -193,6 +198,9 @@
 		delete(n.members, request.Node)
 		return
 	}
+	if c := n.clients[request.Address]; c != nil {
+		c.Resume()
+	}
 	n.members[request.Node] = member{
 		address:              request.Address,
 		remote:               remote,
@@ -200,6 +208,9 @@
 		started:              time.Now().Add(-time.Duration(request.UptimeMillis) * time.Millisecond),
 		storeRoundTripMillis: request.StoreRoundTripMillis,
 		cores:                request.Cores,
+		link:                 request.Link,
+		descriptors:          request.Descriptors,
+		memoryMB:             request.MemoryMB,
 	}
 }
 
@@ -238,6 +249,9 @@
 		StoreRoundTripMillis: n.storeRoundTrip.Seconds() * 1000,
 		Cores:                n.options.Cores,
 		ListedUntil:          n.listedUntil,
+		Link:                 n.options.Link,
+		Descriptors:          n.options.Descriptors,
+		MemoryMB:             n.options.MemoryMB,
 	}
 }
 
--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -19,6 +19,11 @@
 	maxPollWait = 2 * time.Second
 	pollBytes   = 600
 	pollShare   = 0.1
+	// The first polls of a takeover take firstPollShare of the link. Those of 2,700 workers
+	// are sent within 0.6 s on a large link, and within 30 s on one of 1 Mbit/s.
+	firstPollShare       = 0.5
+	minFirstPollInterval = 200 * time.Microsecond
+	maxFirstPollInterval = 10 * time.Millisecond
 	// suspectPollWait is the same for a worker with suspects, which are to be cleared soon.
 	suspectPollWait = 200 * time.Millisecond
 	// pollTimeoutSlack is what a poll may take beyond its wait. It is also the pause
@@ -82,7 +87,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	listed := map[string]bool{}
-	for _, r := range list {
+	// Workers with placements are polled first after a takeover: their tasks wait for that.
+	ordered := slices.Clone(list)
+	slices.SortStableFunc(ordered, func(a, b worker.Registration) int {
+		return len(s.earlier[b.ID]) - len(s.earlier[a.ID])
+	})
+	for _, r := range ordered {
 		listed[r.ID] = true
 		s.applyRegistration(r)
 	}
@@ -135,7 +145,29 @@
 			go s.retryStop(l, p) // the stop was requested when the worker had no link
 		}
 	}
-	go l.run()
+	go l.runAfter(s.firstPollDelay())
+}
+
+// firstPollDelay returns the delay of a new link's first poll. It spaces those of a takeover, so that
+// they take at most firstPollShare of the link. The caller holds s.mu.
+func (s *Shard) firstPollDelay() time.Duration {
+	now := time.Now()
+	start := s.nextFirstPoll
+	if start.Before(now) {
+		start = now
+	}
+	s.nextFirstPoll = start.Add(s.options.Link.Interval(pollBytes, firstPollShare, minFirstPollInterval, maxFirstPollInterval))
+	return start.Sub(now)
+}
+
+// closeLinks ends all links, whose connections and descriptors the next owner's VM may need
+// elsewhere: workers accept a limited number of connections.
+func (s *Shard) closeLinks() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.links {
+		s.closeLink(l)
+	}
 }
 
 func (s *Shard) newLink(ctx context.Context, r worker.Registration, listed bool) *link {
@@ -284,6 +316,14 @@
 	return l.workerClockMillis + time.Since(l.workerClockAt).Milliseconds() + l.shard.options.WorkerLease.Milliseconds()
 }
 
+// runAfter is run after a delay.
+func (l *link) runAfter(delay time.Duration) {
+	if delay > 0 {
+		sleep(l.ctx, delay)
+	}
+	l.run()
+}
+
 // run polls the worker until the link is closed. After a report with changes, it waits up
 // to half of minPollWait until they are durable, so that the next poll acknowledges them; the
 // worker answers a poll at once while it has unacknowledged ended attempts. After a failed
--- a/internal/cluster/shard/metrics.go
+++ b/internal/cluster/shard/metrics.go
@@ -19,6 +19,7 @@
 	reasonGivenUp          responseReason = "givenUp"
 	reasonOwnershipUnknown responseReason = "ownershipUnknown"
 	reasonUnconfirmed      responseReason = "unconfirmed"
+	reasonOverloaded       responseReason = "overloaded"
 	reasonInvalid          responseReason = "invalid"
 	reasonNoQueue          responseReason = "noQueue"
 	reasonBadKey           responseReason = "badKey"
--- a/internal/cluster/shard/orders.go
+++ b/internal/cluster/shard/orders.go
@@ -25,9 +25,11 @@
 	startShare      = 0.4
 	startBurstBytes = 8 << 10
 	startBurstTime  = 50 * time.Millisecond
-	// maxStartBacklog is for how long start orders may wait for the link before no further task is
-	// placed.
+	// maxStartBacklog is for how long the start orders of a planning pass may take the link.
 	maxStartBacklog = 100 * time.Millisecond
+	// maxStartDelay is how long the start orders of waiting tasks may take before submissions are
+	// refused, twice the usual time of a caller.
+	maxStartDelay = 6 * time.Second
 	// startBytes is what is transmitted for a start order beside its payload.
 	startBytes = 450
 	// stopRetryInterval is the pause between tries of a stop order that fails.
@@ -185,10 +187,72 @@
 	return rate.NewLimiter(rate.Limit(perSecond), max(startBurstBytes, int(perSecond*startBurstTime.Seconds())))
 }
 
-// linkHasRoom reports whether start orders that are placed now will be sent soon. Placing tasks
-// later leaves the choice to those that are most urgent then.
-func (s *Shard) linkHasRoom() bool {
-	return !s.options.Link.IsSmall() || s.starts.Tokens() > -maxStartBacklog.Seconds()*float64(s.starts.Limit())
+// startCost returns about how many bytes a start order of the job takes.
+func startCost(j *job.Job) float64 {
+	return float64(startBytes + len(j.Payload))
+}
+
+// startCredit is what start orders may take of a small link: it grows at startShare of the link, up
+// to maxStartBacklog of that, and each placement uses it up. The zero value is that of a new term.
+type startCredit struct {
+	bytes   float64
+	updated time.Time
+	// waiting holds the bytes of the start orders of tasks that wait, by the priority of their
+	// queue.
+	waiting map[int]float64
+}
+
+// grow returns the credit at the given time.
+func (c startCredit) grow(now time.Time, perSecond float64) startCredit {
+	most := perSecond * maxStartBacklog.Seconds()
+	if c.updated.IsZero() {
+		c.bytes = most
+	} else {
+		c.bytes = min(most, c.bytes+now.Sub(c.updated).Seconds()*perSecond)
+	}
+	c.updated = now
+	return c
+}
+
+// delay returns how long the start orders of tasks of the priority, and of more urgent ones, that
+// wait now will take.
+func (c startCredit) delay(priority int, perSecond float64) time.Duration {
+	bytes := 0.0
+	for p, n := range c.waiting {
+		if p <= priority {
+			bytes += n
+		}
+	}
+	return time.Duration(bytes / perSecond * float64(time.Second))
+}
+
+// startsPerSecond returns the bytes of start orders that a small link permits each second.
+func (s *Shard) startsPerSecond() float64 {
+	return startShare * s.options.Link.BytesPerSecond()
+}
+
+// plan places tasks, on a small link no more than can be ordered soon: the choice is left to those
+// that are most urgent then. The caller holds s.mu.
+func (s *Shard) plan(planner *job.Planner, now int64) []job.Record {
+	if !s.options.Link.IsSmall() {
+		return planner.Plan(now)
+	}
+	s.credit = s.credit.grow(time.Now(), s.startsPerSecond())
+	s.credit.waiting = planner.StartCosts(startCost)
+	records := planner.WithStartBudget(s.credit.bytes, startCost).Plan(now)
+	for _, r := range records {
+		if j := s.state.Job(r.Job); j != nil {
+			s.credit.bytes -= startCost(j)
+		}
+	}
+	return records
+}
+
+// overloaded reports whether the tasks that wait take so long to be ordered over a small link that
+// a further job of the queue could not start in time. The caller holds s.mu.
+func (s *Shard) overloaded(queue string) bool {
+	return s.options.Link.IsSmall() &&
+		s.credit.delay(s.agreement.Rules.Queues[queue].Priority, s.startsPerSecond()) > maxStartDelay
 }
 
 // awaitLink waits until the link permits the start order of the placement. It returns an error if
@@ -200,7 +264,7 @@
 	s.mu.Lock()
 	bytes := startBytes
 	if j := s.state.Job(p.Task.Job); j != nil {
-		bytes += len(j.Payload)
+		bytes = int(startCost(j))
 	}
 	s.mu.Unlock()
 	return s.starts.WaitN(l.ctx, min(bytes, s.starts.Burst()))
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -266,6 +266,10 @@
 			Reason: problem,
 		}
 	}
+	if s.overloaded(a.route.Queue) {
+		s.mu.Unlock()
+		return s.refuse(id, reasonOverloaded)
+	}
 	now := s.now()
 	overRate := s.exceedsRate(a.team, now)
 	s.log.Info("jobAccepted", "job", id, "call", r.Call, "team", a.team, "queue", a.route.Queue, "excess", overRate,
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -90,6 +90,7 @@
 	openedMillis int64 // openedAt as a Unix millisecond
 	passRequests chan struct{}
 	starts       *rate.Limiter           // of the bytes of start orders
+	credit       startCredit             // guarded by mu
 	buckets      map[string]*tokenBucket // by team; guarded by mu
 	// gaugesSetMillis is the owner's clock at the last update of the gauges; only Run
 	// uses it.
@@ -119,6 +120,7 @@
 	agreementReadFailedAt store.Instant
 	links                 map[string]*link // by the ID of the worker
 	linkCount             int64            // links created in this term
+	nextFirstPoll         time.Time        // of the next link that is created
 	// earlier holds the incarnations that had placements before the term, until a link of
 	// their worker takes these over, by the ID of the worker.
 	earlier      map[string][]job.WorkerKey
@@ -205,6 +207,7 @@
 // Run places work until the term of ownership ends, and returns why it ended.
 func (s *Shard) Run() error {
 	ctx := s.term.Context()
+	defer s.closeLinks()
 	done := make(chan error, 1)
 	go func() {
 		done <- s.journal.Run(&s.mu)
@@ -307,8 +310,8 @@
 		s.setGauges(workers)
 	}
 	planner := job.NewPlanner(s.state, s.agreement.Rules, workers, now).WithCommitMillis(s.journal.CommitLatency().Milliseconds())
-	if s.mayPlace() && s.linkHasRoom() {
-		if records := planner.Plan(now); len(records) > 0 {
+	if s.mayPlace() {
+		if records := s.plan(planner, now); len(records) > 0 {
 			s.logPlacements(records, now)
 			placements := s.placementsOf(records)
 			s.appendToJournal(records, func() {
--- a/internal/cluster/store/follow.go
+++ b/internal/cluster/store/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"math"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/api/traffic"
@@ -28,6 +30,10 @@
 	watchBytes    = 500
 	watchShare    = 0.01
 	maxWatchPause = 250 * time.Millisecond
+	// maxReadTime is for how long a read of a prefix that has to be known to be new may fill the
+	// link; maxReadTimeout bounds the time of a read that is repeated because it takes too long.
+	maxReadTime    = 100 * time.Millisecond
+	maxReadTimeout = 8 * time.Second
 	// itemOverheadBytes is what the store transmits for an item beside its value.
 	itemOverheadBytes = 150
 )
@@ -41,30 +47,106 @@
 	// MaxReadInterval is the longest time between two reads of the whole prefix, which find
 	// what watches miss.
 	MaxReadInterval time.Duration
+	// MaxUndated is the age that the copy may reach between two reads; zero means any. If reads
+	// that often would take too much of the link, answered watches date the copy too.
+	MaxUndated time.Duration
+	// Initial is a copy to begin with, or nil.
+	Initial *Copy
 }
 
-// readInterval returns the time until the next read of the whole prefix, if there are no changes
-// that only a read can find.
-func (o FollowOptions) readInterval(items map[string]Item) time.Duration {
+// Copy holds all items under a prefix. It is not changed once it is made.
+type Copy struct {
+	Items map[string]Item
+	// Revision is the revision from which to watch.
+	Revision int64
+	// AsOf is a time at which the store had acknowledged no change that the copy lacks.
+	AsOf Instant
+}
+
+// ReadCopy reads all items under the prefix.
+func ReadCopy(ctx context.Context, client Client, prefix string) (Copy, error) {
+	asOf := Now()
+	items, revision, err := client.Range(ctx, prefix)
+	if err != nil {
+		return Copy{}, err
+	}
+	c := Copy{
+		Items:    make(map[string]Item, len(items)),
+		Revision: revision,
+		AsOf:     asOf,
+	}
+	for _, item := range items {
+		c.Items[item.Key] = item
+	}
+	return c, nil
+}
+
+// Refresh returns the copy with the changes since it was made. It costs a call without a wait
+// instead of a read of all items, and fails if the store no longer has the changes.
+func (c Copy) Refresh(ctx context.Context, client Client, prefix string) (Copy, error) {
+	asOf := Now()
+	events, revision, err := client.Watch(ctx, prefix, c.Revision, 0)
+	if err != nil {
+		return Copy{}, err
+	}
+	return c.withEvents(events, revision, asOf), nil
+}
+
+// withEvents returns the copy with the events, up to the revision.
+func (c Copy) withEvents(events []Item, revision int64, asOf Instant) Copy {
+	next := Copy{
+		Items:    c.Items,
+		Revision: max(c.Revision, revision),
+		AsOf:     asOf,
+	}
+	if len(events) == 0 {
+		return next
+	}
+	next.Items = maps.Clone(c.Items)
+	for _, e := range events {
+		if e.Removed {
+			delete(next.Items, e.Key)
+			continue
+		}
+		next.Items[e.Key] = e
+	}
+	return next
+}
+
+// bytes returns about what the store transmits for a read of all items.
+func (c Copy) bytes() float64 {
 	const base64Growth = 4.0 / 3
 	bytes := 0.0
-	for _, item := range items {
+	for _, item := range c.Items {
 		bytes += itemOverheadBytes + base64Growth*float64(len(item.Value))
 	}
-	return o.Link.Interval(bytes, readShare, minReadInterval, o.MaxReadInterval)
+	return bytes
+}
+
+// IsLargeFor reports whether a read of all items would fill the link for longer than
+// maxReadTime.
+func (c Copy) IsLargeFor(link traffic.Link) bool {
+	return link.Interval(c.bytes(), 1, 0, math.MaxInt64) > maxReadTime
 }
 
 // Follow maintains a copy of all items under the prefix and calls onChange with it
-// after each read and each change, until the context ends. The copy has all changes that
-// the store had acknowledged by asOf. onChange must not keep or modify the map. Besides
-// watching, Follow reads the whole prefix again at intervals, since a watch can miss
-// changes when the store loses its history, and at once when the store says that it has.
-func Follow(ctx context.Context, client Client, options FollowOptions, log *slog.Logger, onChange func(items map[string]Item, asOf Instant)) {
+// after each read and each change, until the context ends. Besides watching, Follow reads the
+// whole prefix again at intervals, since a watch can miss changes when the store loses its
+// history, and at once when the store says that it has.
+func Follow(ctx context.Context, client Client, options FollowOptions, log *slog.Logger, onChange func(Copy)) {
 	f := &follower{
 		client:  client,
 		options: options,
-		prefix:  options.Prefix,
 		log:     log,
+		timeout: callTimeout,
+	}
+	if options.Link.IsSmall() {
+		f.timeout = maxReadTimeout
+	}
+	if options.Initial != nil {
+		f.copy = *options.Initial
+		onChange(f.copy)
+		f.watch(ctx, onChange)
 	}
 	for ctx.Err() == nil {
 		if err := f.read(ctx); err != nil {
@@ -72,10 +154,10 @@
 			sleep(ctx, retryDelay)
 			continue
 		}
-		onChange(f.items, f.asOf)
+		onChange(f.copy)
 		if f.failing {
 			f.failing = false
-			log.Info("followRegained", "prefix", f.prefix, "revision", f.revision)
+			log.Info("followRegained", "prefix", options.Prefix, "revision", f.copy.Revision)
 		}
 		f.watch(ctx, onChange)
 	}
@@ -83,16 +165,14 @@
 
 // follower is the state of one call of Follow.
 type follower struct {
-	client   Client
-	options  FollowOptions
-	prefix   string
-	log      *slog.Logger
-	items    map[string]Item
-	revision int64
-	// asOf is the start of the last read that the store has answered. Watches do not count:
-	// they can miss changes.
-	asOf    Instant
+	client  Client
+	options FollowOptions
+	log     *slog.Logger
+	copy    Copy
 	failing bool
+	// timeout bounds the next read. It grows while reads fail, since all items may take longer than
+	// callTimeout; the client gives up reads that make no progress.
+	timeout time.Duration
 }
 
 // logFailure logs the first of a series of failures; Follow logs its end.
@@ -101,38 +181,41 @@
 		return
 	}
 	f.failing = true
-	f.log.Warn(event, "prefix", f.prefix, "revision", f.revision, "error", err)
+	f.log.Warn(event, "prefix", f.options.Prefix, "revision", f.copy.Revision, "error", err)
 }
 
-// read replaces the items with those of the store, unless the response has an older
+// read replaces the copy by the items in the store, unless the response has an older
 // revision.
 func (f *follower) read(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, f.timeout)
 	defer cancel()
-	asOf := Now()
-	items, revision, err := f.client.Range(callCtx, f.prefix)
+	c, err := ReadCopy(callCtx, f.client, f.options.Prefix)
 	if err != nil {
+		f.timeout = min(2*f.timeout, maxReadTimeout)
 		return err
 	}
-	if revision < f.revision {
-		return nil
+	if c.Revision >= f.copy.Revision {
+		f.copy = c
 	}
-	f.items = map[string]Item{}
-	for _, item := range items {
-		f.items[item.Key] = item
-	}
-	f.revision = revision
-	f.asOf = asOf
 	return nil
 }
 
 // watch applies changes until the next read is due, or the store has lost its history or does
 // not answer.
-func (f *follower) watch(ctx context.Context, onChange func(map[string]Item, Instant)) {
-	started, interval := time.Now(), f.options.readInterval(f.items)
+func (f *follower) watch(ctx context.Context, onChange func(Copy)) {
+	started := time.Now()
+	interval := f.options.Link.Interval(f.copy.bytes(), readShare, minReadInterval, f.options.MaxReadInterval)
+	datedByWatches := false
+	if o := f.options; o.MaxUndated > 0 && interval > o.MaxUndated {
+		interval, datedByWatches = max(minReadInterval, o.MaxUndated), false
+		if f.copy.IsLargeFor(o.Link) {
+			interval, datedByWatches = o.MaxReadInterval, true
+		}
+	}
 	for ctx.Err() == nil && time.Since(started) < interval {
 		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-		events, revision, err := f.client.Watch(callCtx, f.prefix, f.revision, watchWait)
+		asOf := Now()
+		events, revision, err := f.client.Watch(callCtx, f.options.Prefix, f.copy.Revision, watchWait)
 		cancel()
 		if err != nil {
 			if !errors.Is(err, ErrCompacted) {
@@ -141,19 +224,16 @@
 			}
 			return
 		}
-		f.revision = max(f.revision, revision)
-		if len(events) == 0 {
-			continue
+		if !datedByWatches {
+			asOf = f.copy.AsOf
 		}
-		for _, e := range events {
-			if e.Removed {
-				delete(f.items, e.Key)
-				continue
-			}
-			f.items[e.Key] = e
+		f.copy = f.copy.withEvents(events, revision, asOf)
+		if len(events) > 0 || datedByWatches {
+			onChange(f.copy)
+		}
+		if len(events) > 0 {
+			sleep(ctx, f.options.Link.Interval(watchBytes, watchShare, 0, maxWatchPause))
 		}
-		onChange(f.items, f.asOf)
-		sleep(ctx, f.options.Link.Interval(watchBytes, watchShare, 0, maxWatchPause))
 	}
 }
 
--- a/internal/cluster/store/hedge.go
+++ b/internal/cluster/store/hedge.go
@@ -53,7 +53,7 @@
 	inFlight := 0
 	send := func() {
 		inFlight++
-		go j.sendAttempt(ctx, w.txn, results)
+		go j.sendAttempt(ctx, w, results)
 	}
 	outcomeUnknown := false
 	send()
@@ -91,11 +91,11 @@
 	}
 }
 
-func (j *Journal[R]) sendAttempt(ctx context.Context, txn Txn, results chan<- attemptResult) {
+func (j *Journal[R]) sendAttempt(ctx context.Context, w *journalWrite[R], results chan<- attemptResult) {
 	started := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout+j.transmissionTime(w))
 	defer cancel()
-	result, err := j.client.Commit(callCtx, txn)
+	result, err := j.client.Commit(callCtx, w.txn)
 	results <- attemptResult{
 		result:  result,
 		err:     err,
@@ -117,9 +117,14 @@
 func (j *Journal[R]) hedgeDelay(w *journalWrite[R]) time.Duration {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	delay := max(minHedgeDelay, hedgeDelayFactor*j.commitLatency)
-	if perSecond := j.link.BytesPerSecond(); perSecond > 0 {
-		delay += time.Duration(transmissionFactor * float64(w.bytes) / perSecond * float64(time.Second))
+	return max(minHedgeDelay, hedgeDelayFactor*j.commitLatency) + j.transmissionTime(w)
+}
+
+// transmissionTime returns the time by which a write may take longer for its size.
+func (j *Journal[R]) transmissionTime(w *journalWrite[R]) time.Duration {
+	perSecond := j.link.BytesPerSecond()
+	if perSecond == 0 {
+		return 0
 	}
-	return delay
+	return time.Duration(transmissionFactor * float64(w.bytes) / perSecond * float64(time.Second))
 }
--- a/internal/decide/job/planner.go
+++ b/internal/decide/job/planner.go
@@ -65,6 +65,41 @@
 	withoutWorkers map[*Step]bool
 	// commitMillis is the expected time until a placement is durable.
 	commitMillis int64
+	// startBudget is what start orders may cost that are placed in the pass, and startCost returns
+	// the cost of one; nil if there is no limit.
+	startBudget float64
+	startCost   func(*Job) float64
+}
+
+// WithStartBudget returns a copy of the planner that places no further step once the start orders
+// of the pass cost the budget or more, by the cost of one order of a job. Tasks that are placed
+// before their orders can be sent would hold their workers, and their tickets would expire.
+func (p *Planner) WithStartBudget(budget float64, cost func(*Job) float64) *Planner {
+	planner := *p
+	planner.startBudget, planner.startCost = budget, cost
+	return &planner
+}
+
+// StartCosts returns the costs of the start orders of all tasks that could be placed if there were
+// room, by the priority of their queue.
+func (p *Planner) StartCosts(cost func(*Job) float64) map[int]float64 {
+	costs := map[int]float64{}
+	for _, step := range p.steps {
+		costs[p.rules.Queues[step.Job.Queue].Priority] += float64(step.Waiting()) * cost(step.Job)
+	}
+	return costs
+}
+
+// spend deducts the cost of the placements of a step from the budget.
+func (p *Planner) spend(step *Step, placed []Record) {
+	if p.startCost != nil {
+		p.startBudget -= float64(len(placed)) * p.startCost(step.Job)
+	}
+}
+
+// maySpend reports whether the budget permits a further step.
+func (p *Planner) maySpend() bool {
+	return p.startCost == nil || p.startBudget > 0
 }
 
 // WithCommitMillis returns a copy of the planner that expects a placement to become
@@ -286,9 +321,14 @@
 		queue := p.rules.Queues[step.Job.Queue]
 		fits := step.Advice.reserved != nil || step.Spec.Needs.FitsIn(p.largestFree)
 		ticketValid := queue.Policy == nil || step.Advice.validUntil > p.requiredExpiry(now)
+		if !p.maySpend() {
+			fits = false
+		}
 		if !step.Spec.Gang {
 			if fits && ticketValid {
-				records = append(records, p.placeTasks(step, p.startableWorkers(step, queue, gangPriority, now))...)
+				placed := p.placeTasks(step, p.startableWorkers(step, queue, gangPriority, now))
+				p.spend(step, placed)
+				records = append(records, placed...)
 			}
 			continue
 		}
@@ -298,6 +338,7 @@
 		var placed []Record
 		if fits && ticketValid {
 			placed = p.placeGang(step, p.startableWorkers(step, queue, gangPriority, now))
+			p.spend(step, placed)
 			records = append(records, placed...)
 		}
 		if placed == nil {
