--- a/internal/cluster/node/hello.go
+++ b/internal/cluster/node/hello.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/api/peer"
@@ -16,7 +17,9 @@
 	// the time of another node's probe.
 	probeSlack = 100 * time.Millisecond
 	// maxProbes is the number of nodes that are asked at once whether they reach the store.
-	maxProbes = 8
+	// Most of them are candidates, if there are as many.
+	maxProbes          = 8
+	maxCandidateProbes = 6
 	// firstSuspicion is the silence of the owner after which this node examines it.
 	firstSuspicion = 400 * time.Millisecond
 	// maxHellosInFlight bounds the hellos to the owner that wait for an answer.
@@ -299,7 +302,8 @@
 // preferredNodeReachingStore probes some of the other nodes, others in each call, and returns
 // the address that preferredAddress selects from those that reach the store.
 func (n *Node) preferredNodeReachingStore(ctx context.Context) string {
-	addresses := n.samplePeers(maxProbes, "")
+	isCandidate := n.candidateAddresses()
+	addresses := sampleWithCandidates(n.samplePeers(math.MaxInt, ""), isCandidate)
 	found := make(chan string, len(addresses))
 	for _, address := range addresses {
 		go func() {
@@ -310,7 +314,24 @@
 			found <- address
 		}()
 	}
-	return preferredAddress(found, len(addresses), n.candidateAddresses())
+	return preferredAddress(found, len(addresses), isCandidate)
+}
+
+// sampleWithCandidates returns the first maxProbes of the addresses, which are in random order, but
+// at least maxCandidateProbes candidates among them if there are as many: a random sample of a
+// large cluster may hold weak nodes only.
+func sampleWithCandidates(addresses []string, isCandidate map[string]bool) []string {
+	var candidates, others []string
+	for _, address := range addresses {
+		if isCandidate[address] {
+			candidates = append(candidates, address)
+			continue
+		}
+		others = append(others, address)
+	}
+	first := min(len(candidates), max(maxCandidateProbes, maxProbes-len(others)))
+	sample := slices.Concat(candidates[:first], others, candidates[first:])
+	return sample[:min(maxProbes, len(sample))]
 }
 
 // preferredAddress receives up to count answers and returns the first that is the address
--- a/internal/cluster/node/reach_test.go
+++ b/internal/cluster/node/reach_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -89,3 +90,38 @@
 		})
 	}
 }
+
+// TestProbesReachCandidates guards against handing ownership to a weak node because no candidate is
+// among the few nodes that are asked whether they reach the store.
+func TestProbesReachCandidates(t *testing.T) {
+	for name, c := range map[string]struct{ candidates, others, wantCandidates, want int }{
+		"large cluster":   {candidates: 9, others: 87, wantCandidates: maxCandidateProbes, want: maxProbes},
+		"few candidates":  {candidates: 2, others: 87, wantCandidates: 2, want: maxProbes},
+		"none":            {others: 87, want: maxProbes},
+		"candidates only": {candidates: 9, wantCandidates: maxProbes, want: maxProbes},
+		"small cluster":   {candidates: 3, others: 3, wantCandidates: 3, want: 6},
+		"few others":      {candidates: 20, others: 1, wantCandidates: maxProbes - 1, want: maxProbes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			isCandidate := map[string]bool{}
+			var addresses []string
+			for n := range c.others {
+				addresses = append(addresses, fmt.Sprintf("other%d", n))
+			}
+			for n := range c.candidates {
+				address := fmt.Sprintf("candidate%d", n)
+				addresses = append(addresses, address)
+				isCandidate[address] = true
+			}
+			sample := sampleWithCandidates(addresses, isCandidate)
+			found := 0
+			for _, address := range sample {
+				if isCandidate[address] {
+					found++
+				}
+			}
+			assert.Equal(t, len(sample), c.want)
+			assert.Equal(t, found, c.wantCandidates)
+		})
+	}
+}
