--- a/internal/cluster/node/recovery_test.go
+++ b/internal/cluster/node/recovery_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"slices"
-	"sync/atomic"
+	"strings"
 	"testing"
 	"time"
 
@@ -118,13 +118,11 @@
 	const size, gone = 40, 4
 	nodes := map[string]*Node{}
 	var addresses []string
-	calls := map[string]*atomic.Int64{}
 	for range size {
 		n := newTestNode(t, "", "")
 		address := serveNode(t, n)
 		n.options.Name, n.options.Address = address, address
 		nodes[address] = n
-		calls[address] = &atomic.Int64{}
 		addresses = append(addresses, address)
 	}
 	for n := range gone {
@@ -260,3 +258,28 @@
 	assert.NilError(t, err)
 	assert.Equal(t, response.Status, caller.NotOwner)
 }
+
+// TestGoneNodesAreForgotten guards against asking, or announcing to, nodes that were replaced long
+// ago, whose addresses may be in use by others since.
+func TestGoneNodesAreForgotten(t *testing.T) {
+	n := newTestNode(t, "node", "10.0.0.1:7420")
+	n.seeds = []string{"10.0.0.9:7420"}
+	for address, age := range map[string]time.Duration{
+		"10.0.0.2:7420": time.Second,
+		"10.0.0.3:7420": memberMemory + time.Second,
+	} {
+		n.members["heard "+address] = member{
+			address:   address,
+			lastHello: time.Now().Add(-age),
+		}
+		listed := strings.Replace(address, "10.0.0", "10.0.1", 1)
+		n.members[listed] = member{
+			address: listed,
+			listed:  time.Now().Add(-age),
+		}
+	}
+	addresses := n.peerAddresses("")
+	slices.Sort(addresses)
+	assert.DeepEqual(t, addresses, []string{"10.0.0.2:7420", "10.0.0.9:7420", "10.0.1.2:7420"})
+	assert.Equal(t, len(n.members), 2)
+}
--- a/internal/cluster/shard/smalllink_test.go
+++ b/internal/cluster/shard/smalllink_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -11,6 +12,7 @@
 	"github.com/citronbay/citronbay/internal/api/traffic"
 	"github.com/citronbay/citronbay/internal/cluster/caller"
 	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/cluster/worker"
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
@@ -89,3 +91,67 @@
 		})
 	}
 }
+
+// TestExpiredTicketIsNotSent guards against an order that waited for the link until its ticket had
+// expired: the worker would reject it, and the permission to run the task there is over.
+func TestExpiredTicketIsNotSent(t *testing.T) {
+	const validMillis = 500
+	for name, c := range map[string]struct {
+		wait time.Duration
+		sent bool
+	}{
+		"sent in time":    {wait: 100 * time.Millisecond, sent: true},
+		"waited too long": {wait: 600 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := slog.New(slog.NewTextHandler(io.Discard, nil))
+				term, release, err := store.Claim(t.Context(), emptyStore{}, "fleet", store.Owner{}, log)
+				assert.NilError(t, err)
+				defer release()
+				s := newShardWithClient(term, nil, log)
+				s.openedAt = time.Now()
+				s.openedMillis = s.openedAt.UnixMilli()
+				l := s.newLink(t.Context(), worker.Registration{
+					ID:       "w",
+					Service:  "service",
+					Capacity: job.Resources{MilliCores: 1000},
+				}, true)
+				l.answered, l.listed, l.lastAnswer = true, true, time.Now()
+				s.links["w"] = l
+				rules := job.Rules{Queues: map[string]job.Queue{"queue": {
+					Name:    "queue",
+					Service: "service",
+					Policy:  &job.Policy{TicketValidMillis: validMillis},
+				}}}
+				assert.NilError(t, s.state.Apply(job.Record{
+					Kind:  job.RecordAccept,
+					Job:   acceptedID,
+					Queue: "queue",
+					Submission: &job.Submission{Steps: []job.StepSpec{{
+						Count: 1,
+						Needs: job.Resources{MilliCores: 1000},
+					}}},
+				}))
+				workers := []*job.Worker{l.plannerWorker(time.Now())}
+				now := s.now()
+				queries := job.NewPlanner(s.state, rules, workers, now).PolicyQueries(now, job.QueryLimits{
+					Calls:      1,
+					SlowCalls:  1,
+					SlowMillis: 200,
+				})
+				assert.Equal(t, len(queries), 1)
+				queries[0].HandleAnswer(map[*job.Worker]job.Ticket{workers[0]: {
+					Value:         "ticket",
+					ExpiresMillis: now + validMillis,
+				}}, true)
+				placements := s.placementsOf(job.NewPlanner(s.state, rules, workers, now).Plan(now))
+				assert.Equal(t, len(placements), 1)
+				time.Sleep(c.wait)
+				order, wanted := s.startOrder(l, placements[0])
+				assert.Assert(t, wanted)
+				assert.Equal(t, order.UntilMillis != 0, c.sent)
+			})
+		})
+	}
+}
--- a/internal/cluster/store/journal_test.go
+++ b/internal/cluster/store/journal_test.go
@@ -248,8 +248,8 @@
 	}
 }
 
-// TestJournalReusesRingKeys writes more entries than the ring buffer has keys and
-// checks that no record is lost.
+// TestJournalReusesRingKeys writes more entries than there are between two snapshots, so that keys
+// are written again, and checks that no record is lost.
 func TestJournalReusesRingKeys(t *testing.T) {
 	s := newFakeStore(1)
 	term, release := claimOwnership(t, s)
