--- a/internal/cluster/store/follow.go
+++ b/internal/cluster/store/follow.go
@@ -203,13 +203,14 @@
 // watch applies changes until the next read is due, or the store has lost its history or does
 // not answer.
 func (f *follower) watch(ctx context.Context, onChange func(Copy)) {
-	started := time.Now()
-	interval := f.options.Link.Interval(f.copy.bytes(), readShare, minReadInterval, f.options.MaxReadInterval)
+	started, o := time.Now(), f.options
+	interval := o.Link.Interval(f.copy.bytes(), readShare, minReadInterval, o.MaxReadInterval)
 	datedByWatches := false
-	if o := f.options; o.MaxUndated > 0 && interval > o.MaxUndated {
-		interval, datedByWatches = max(minReadInterval, o.MaxUndated), false
-		if f.copy.IsLargeFor(o.Link) {
-			interval, datedByWatches = o.MaxReadInterval, true
+	if o.MaxUndated > 0 && interval > o.MaxUndated {
+		datedByWatches = f.copy.IsLargeFor(o.Link)
+		interval = max(minReadInterval, o.MaxUndated)
+		if datedByWatches {
+			interval = o.MaxReadInterval
 		}
 	}
 	for ctx.Err() == nil && time.Since(started) < interval {
