Send start orders only while the ownership lease holds

An owner extends worker leases for 4 s after its own lease, and startOrder used the same check, so a paused process repeated start orders that its successor had seen completed. A worker rejects them by the fencing token unless it has restarted meanwhile. That this is what the soak met is not shown; its logs were not kept.

Change: sendStart waits until the ownership lease holds; the end of the term ends the wait. Polls extend worker leases as before: an outage of the store must not end running tasks. The promises next to it: the next owner waits for worker leases (TestSuccessorWaitsForLastWorkerLease), a restarted worker runs no task twice (TestTwoRunsAfterWorkerRestart), an expired ticket is not sent (TestExpiredTicketIsNotSent).

--- a/internal/cluster/shard/orders.go
+++ b/internal/cluster/shard/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -30,6 +31,8 @@
 	// maxStartDelay is how long the start orders of waiting tasks may take before submissions are
 	// refused, twice the usual time of a caller.
 	maxStartDelay = 6 * time.Second
+	// leaseCheckInterval is how often a start order that waits for the ownership lease checks it.
+	leaseCheckInterval = 20 * time.Millisecond
 	// startBytes is what is transmitted for a start order beside its payload.
 	startBytes = 450
 	// stopRetryInterval is the pause between tries of a stop order that fails.
@@ -130,7 +133,8 @@
 	}, true
 }
 
-// sendStart sends the start order until it is answered, at most maxStartTries times. If
+// sendStart sends the start order until it is answered, at most maxStartTries times, and only while
+// the ownership lease holds. If
 // the order is refused, gets no answer or is not sent because the lease must not be
 // extended, sendStart stops the attempt when an unanswered copy of the order may still be
 // carried out, and abandons it otherwise. A refusal of the fencing token revokes the term
@@ -141,6 +145,9 @@
 		if err := s.awaitLink(l, p); err != nil {
 			break
 		}
+		if err := s.awaitLease(l); err != nil {
+			return
+		}
 		order, wanted := s.startOrder(l, p)
 		if !wanted {
 			return
@@ -255,6 +262,19 @@
 		s.credit.delay(s.agreement.Rules.Queues[queue].Priority, s.startsPerSecond()) > maxStartDelay
 }
 
+// awaitLease waits until the ownership lease holds. Another owner may have recorded the completion
+// of an attempt whose order has had no answer, and a worker that has restarted since does not know
+// that owner's token. It returns an error if the link to the worker is closed first.
+func (s *Shard) awaitLease(l *link) error {
+	for s.term.Remaining() <= 0 {
+		sleep(l.ctx, leaseCheckInterval)
+		if err := l.ctx.Err(); err != nil {
+			return fmt.Errorf("shard: await the ownership lease: %w", err)
+		}
+	}
+	return nil
+}
+
 // awaitLink waits until the link permits the start order of the placement. It returns an error if
 // the link to the worker is closed first.
 func (s *Shard) awaitLink(l *link, p *job.Placement) error {
--- a/internal/cluster/shard/restart_test.go
+++ b/internal/cluster/shard/restart_test.go
@@ -132,13 +132,18 @@
 // newRestartTest returns a shard with one open job whose worker is the client, and a
 // function that ends its term.
 func newRestartTest(t *testing.T, client worker.Client) (*Shard, func()) {
+	return newRestartTestIn(t, emptyStore{}, client)
+}
+
+// newRestartTestIn is newRestartTest with another store.
+func newRestartTestIn(t *testing.T, granted store.Client, client worker.Client) (*Shard, func()) {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	term, release, err := store.Claim(t.Context(), emptyStore{}, "fleet", store.Owner{}, log)
+	term, release, err := store.Claim(t.Context(), granted, "fleet", store.Owner{}, log)
 	assert.NilError(t, err)
 	s := newShardWithClient(term, client, log)
 	s.options.WorkerLease, s.options.MaxWorkerLease = 6500*time.Millisecond, maxTestLease
 	s.agreement = DatedAgreement{Agreement: &operator.Agreement{}}
-	s.journal, _, err = store.OpenJournal(t.Context(), emptyStore{}, term, s.snapshot, log)
+	s.journal, _, err = store.OpenJournal(t.Context(), granted, term, s.snapshot, log)
 	assert.NilError(t, err)
 	assert.NilError(t, s.state.Apply(job.Record{
 		Kind: job.RecordAccept,
