--- a/internal/cluster/node/hello.go
+++ b/internal/cluster/node/hello.go
@@ -144,8 +144,8 @@
 
 // ownerIsSilent reports whether the owner has given no answer for as long as required, to this
 // node and to the other nodes that watch it. At least one of these has to confirm that, and
-// none may know of a newer owner, unless most have confirmed it before. The parameter heard tells whether packets of the owner
-// arrive.
+// none may know of a newer owner, unless most have confirmed it before. The parameter heard
+// tells whether packets of the owner arrive.
 func (n *Node) ownerIsSilent(ctx context.Context, silent store.Owner, heard bool) bool {
 	n.mu.Lock()
 	patience, ok := n.changes.Patience(time.Now(), owner.Observation{
--- a/internal/cluster/shard/orders.go
+++ b/internal/cluster/shard/orders.go
@@ -21,8 +21,8 @@
 	// attempt is abandoned or stopped.
 	maxStartTries = 2
 	// startShare is the share of the link that start orders may take. At once they may take
-	// startBurstBytes, or startBurstTime of that share if it is more. On a full link orders and polls are late, and their repetition adds to
-	// the load.
+	// startBurstBytes, or startBurstTime of that share if it is more. On a full link orders and
+	// polls are late, and their repetition adds to the load.
 	startShare      = 0.4
 	startBurstBytes = 8 << 10
 	startBurstTime  = 50 * time.Millisecond
--- a/internal/cluster/store/journal.go
+++ b/internal/cluster/store/journal.go
@@ -39,9 +39,10 @@
 
 // Journal is a shard's ordered log of records in the store: a snapshot and the entries after
 // it. A snapshot is due once the entries are as large as the last one, so that what a takeover
-// reads follows the open work, and writing snapshots at most doubles the bytes. A write is conditional on the owner key and on the key that
-// it replaces (for a snapshot, the first of its keys), each at the revision this owner
-// knows, so neither a former owner nor a delayed write can overwrite anything. Several
+// reads follows the open work, and writing snapshots at most doubles the bytes. A write is
+// conditional on the owner key and on the key that it replaces (for a snapshot, the first of
+// its keys), each at the revision this owner knows, so neither a former owner nor a delayed
+// write can overwrite anything. Several
 // entries are in flight at once; an entry is durable only once all entries before it are.
 // Create it with OpenJournal.
 type Journal[R any] struct {
@@ -197,8 +198,8 @@
 	return max(j.linkInterval, j.commitLatency/maxInFlight) - time.Since(j.lastSentAt)
 }
 
-// SetLink sets the link to the store, which bounds how often entries are sent and writes are repeated. It must be called
-// before Run.
+// SetLink sets the link to the store, which bounds how often entries are sent and writes are
+// repeated. It must be called before Run.
 func (j *Journal[R]) SetLink(link traffic.Link) {
 	j.link = link
 	j.linkInterval = link.Interval(commitBytes, commitShare, minSendInterval, maxLinkInterval)
