--- /dev/null
+++ b/review/driver/lease.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/citronbay/citronbay/review/cell"
+)
+
+// lease cuts off a runner while the platform's store is slow, after a report for which the poll
+// had waited almost all of its time.
+func lease(p *play) error {
+	err := p.setUp([]cell.Route{{Name: "batch", Prefix: "/batch/", Attempts: 3}},
+		cell.RunnerSpec{ID: "i-01", Kind: "a", CPU: 16000, ClockRate: 0.98},
+		cell.RunnerSpec{ID: "i-02", Kind: "a", CPU: 16000, ClockRate: 0.98})
+	if err != nil {
+		return err
+	}
+	const (
+		slowFactor = 75 // 300 ms an answer
+		slowTime   = 5 * time.Second
+		cutTime    = 10 * time.Second
+		// endAfter is when the short task ends, counted from the arrival of a poll.
+		endAfter = 960 * time.Millisecond
+	)
+	long, short := cell.ID(1), cell.ID(2)
+	if !p.Submit("/batch/"+long, cell.Job(60*time.Second, cell.Step(1, 1000, 60000))) {
+		return fmt.Errorf("the long job was not accepted")
+	}
+	if err := await("the long job runs", 5*time.Second, func() bool { return len(p.Runs.Of(long)) == 1 }); err != nil {
+		return err
+	}
+	holder := p.Runners[0]
+	if p.Runs.Of(long)[0].Runner != holder.ID() {
+		holder = p.Runners[1]
+	}
+	if !p.Submit("/batch/"+short, cell.Job(0, cell.Step(1, 1000, 3000))) {
+		return fmt.Errorf("the short job was not accepted")
+	}
+	if err := await("the short job runs", 5*time.Second, func() bool { return len(p.Runs.Of(short)) == 1 }); err != nil {
+		return err
+	}
+	if p.Runs.Of(short)[0].Runner != holder.ID() {
+		return fmt.Errorf("the short job runs on another runner")
+	}
+	time.Sleep(2 * time.Second)
+	if p.trouble {
+		p.Store.Slow(slowFactor)
+		p.Log.Add("the store's answers take %d times as long", slowFactor)
+		time.AfterFunc(slowTime, func() {
+			p.Store.Slow(1)
+			p.Log.Add("the store is as fast as usual again")
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	var once, cut sync.Once
+	cutOff := make(chan struct{})
+	holder.SetOnHold(func() {
+		once.Do(func() { holder.EndSoon(short+".0.0.0", endAfter) })
+		if runs := p.Runs.Of(short); !runs[0].End.IsZero() {
+			cut.Do(func() {
+				if p.trouble {
+					holder.Cut()
+				}
+				close(cutOff)
+			})
+		}
+	})
+	select {
+	case <-cutOff:
+	case <-time.After(10 * time.Second):
+		return fmt.Errorf("no poll came after the end of the short task")
+	}
+	time.Sleep(cutTime)
+	if p.trouble {
+		holder.Heal()
+	}
+	time.Sleep(3 * time.Second)
+	for _, overlap := range p.Runs.Overlaps() {
+		p.fail("TWICE: %s", overlap)
+	}
+	p.CopyLogs("attemptLost", "lookFailed", "strayAttempt", "tasksPlaced")
+	return nil
+}
