--- a/review/driver/backlog.go
+++ b/review/driver/backlog.go
@@ -10,11 +10,7 @@
 
 // backlog cuts off the runners while jobs go on coming at the usual rate, and then heals the cut.
 func backlog(p *play) error {
-	err := p.setUp([]cell.Route{{Name: "batch", Prefix: "/batch/", Attempts: 3}},
-		cell.RunnerSpec{ID: "i-01", Kind: "a", CPU: 64000},
-		cell.RunnerSpec{ID: "i-02", Kind: "a", CPU: 64000},
-		cell.RunnerSpec{ID: "i-03", Kind: "a", CPU: 64000},
-		cell.RunnerSpec{ID: "i-04", Kind: "a", CPU: 64000})
+	err := p.setUp([]cell.Route{{Name: "batch", Prefix: "/batch/", Attempts: 3}}, equalRunners(4, 64000, 1)...)
 	if err != nil {
 		return err
 	}
--- a/review/driver/jobs.go
+++ b/review/driver/jobs.go
@@ -98,13 +98,25 @@
 	return nil
 }
 
+// equalRunners returns the specifications of runners of kind "a" and of the given clock rate.
+func equalRunners(count int, cpu int64, clockRate float64) []cell.RunnerSpec {
+	var specs []cell.RunnerSpec
+	for n := range count {
+		specs = append(specs, cell.RunnerSpec{
+			ID:        fmt.Sprintf("i-%02d", n+1),
+			Kind:      "a",
+			CPU:       cpu,
+			ClockRate: clockRate,
+		})
+	}
+	return specs
+}
+
 // droppedRoute withdraws a route whose accepted jobs are still to be run.
 func droppedRoute(p *play) error {
 	queueA := cell.Route{Name: "queue-a", Prefix: "/a/", Attempts: 3}
 	queueB := cell.Route{Name: "queue-b", Prefix: "/b/", Attempts: 3}
-	err := p.setUp([]cell.Route{queueA, queueB},
-		cell.RunnerSpec{ID: "i-01", Kind: "a", CPU: 16000},
-		cell.RunnerSpec{ID: "i-02", Kind: "a", CPU: 16000})
+	err := p.setUp([]cell.Route{queueA, queueB}, equalRunners(2, 16000, 1)...)
 	if err != nil {
 		return err
 	}
@@ -144,19 +156,17 @@
 	err := p.setUp([]cell.Route{
 		{Name: "services", Prefix: "/services/", Attempts: 3},
 		{Name: "batch", Prefix: "/batch/", Attempts: 3},
-	},
-		cell.RunnerSpec{ID: "i-01", Kind: "a", CPU: 32000},
-		cell.RunnerSpec{ID: "i-02", Kind: "a", CPU: 32000},
-		cell.RunnerSpec{ID: "i-03", Kind: "a", CPU: 32000})
+	}, equalRunners(8, 32000, 1)...)
 	if err != nil {
 		return err
 	}
-	daemon := cell.Step(3, 1000, 1000)
+	daemon := cell.Step(len(p.Runners), 1000, 1000)
 	daemon["daemon"], daemon["antiAffinity"] = true, 1
 	if !p.Submit("/services/"+cell.ID(1), cell.Job(0, daemon)) {
 		return fmt.Errorf("the long-running job was not accepted")
 	}
-	if err := await("the long-running job runs", 5*time.Second, func() bool { return len(p.Runs.List()) == 3 }); err != nil {
+	err = await("the long-running job runs", 5*time.Second, func() bool { return len(p.Runs.List()) == len(p.Runners) })
+	if err != nil {
 		return err
 	}
 	const jobs, perSecond = 150, 15
@@ -262,10 +272,7 @@
 	err := p.setUp([]cell.Route{
 		{Name: "urgent", Prefix: "/urgent/", Attempts: 3},
 		{Name: "batch", Prefix: "/batch/", Attempts: 3, Priority: 2},
-	},
-		cell.RunnerSpec{ID: "i-01", Kind: "a", CPU: 32000},
-		cell.RunnerSpec{ID: "i-02", Kind: "a", CPU: 32000},
-		cell.RunnerSpec{ID: "i-03", Kind: "a", CPU: 32000})
+	}, equalRunners(3, 32000, 1)...)
 	if err != nil {
 		return err
 	}
--- a/review/driver/lease.go
+++ b/review/driver/lease.go
@@ -11,9 +11,7 @@
 // lease cuts off a runner while the platform's store is slow, after a report for which the poll
 // had waited almost all of its time.
 func lease(p *play) error {
-	err := p.setUp([]cell.Route{{Name: "batch", Prefix: "/batch/", Attempts: 3}},
-		cell.RunnerSpec{ID: "i-01", Kind: "a", CPU: 16000, ClockRate: 0.98},
-		cell.RunnerSpec{ID: "i-02", Kind: "a", CPU: 16000, ClockRate: 0.98})
+	err := p.setUp([]cell.Route{{Name: "batch", Prefix: "/batch/", Attempts: 3}}, equalRunners(6, 16000, 0.98)...)
 	if err != nil {
 		return err
 	}
@@ -31,9 +29,11 @@
 	if err := await("the long job runs", 5*time.Second, func() bool { return len(p.Runs.Of(long)) == 1 }); err != nil {
 		return err
 	}
-	holder := p.Runners[0]
-	if p.Runs.Of(long)[0].Runner != holder.ID() {
-		holder = p.Runners[1]
+	var holder *cell.Runner
+	for _, r := range p.Runners {
+		if p.Runs.Of(long)[0].Runner == r.ID() {
+			holder = r
+		}
 	}
 	if !p.Submit("/batch/"+short, cell.Job(0, cell.Step(1, 1000, 3000))) {
 		return fmt.Errorf("the short job was not accepted")
