--- a/review/cell/cell.go
+++ b/review/cell/cell.go
@@ -23,6 +23,8 @@
 const (
 	Service = "service-a"
 	Zone    = "zone-a"
+	// FarZone is in another region than the nodes and the store.
+	FarZone = "zone-b"
 	Host    = "jobs.example"
 	Tenant  = "tenant-a"
 	Key     = "0123456789abcdef0123"
@@ -286,6 +288,9 @@
 	if spec.Rack == "" {
 		spec.Rack = "r1"
 	}
+	if spec.Zone == "" {
+		spec.Zone = Zone
+	}
 	r, err := NewRunner(spec, c.Store, c.Runs, c.Log)
 	if err == nil {
 		c.Runners = append(c.Runners, r)
--- a/review/cell/runner.go
+++ b/review/cell/runner.go
@@ -123,12 +123,12 @@
 
 // RunnerSpec describes a runner.
 type RunnerSpec struct {
-	ID     string
-	Kind   string
-	CPU    int64 // thousandths of a core
-	MemMB  int64
-	Rack   string
-	Origin string // the address of its zone
+	ID    string
+	Kind  string
+	CPU   int64 // thousandths of a core
+	MemMB int64
+	Rack  string
+	Zone  string
 	// ClockRate is the speed of the runner's steady clock; zero means 1.
 	ClockRate float64
 }
@@ -178,6 +178,11 @@
 	return r, nil
 }
 
+// Zone returns the runner's zone.
+func (r *Runner) Zone() string {
+	return r.spec.Zone
+}
+
 // SetOnHold sets a function that is called, in a goroutine of its own, when a poll has been
 // carried out and begins to wait.
 func (r *Runner) SetOnHold(f func()) {
@@ -322,7 +327,7 @@
 	entry := map[string]any{
 		"service":    Service,
 		"address":    r.proxy.Address,
-		"zone":       Zone,
+		"zone":       r.spec.Zone,
 		"version":    "1",
 		"slots":      8,
 		"state":      "ready",
--- a/review/driver/backlog.go
+++ b/review/driver/backlog.go
@@ -8,9 +8,13 @@
 	"github.com/citronbay/citronbay/review/cell"
 )
 
-// backlog cuts off the runners while jobs go on coming at the usual rate, and then heals the cut.
+// backlog cuts off the region in which all runners are while jobs go on coming at the usual rate, and then heals the cut.
 func backlog(p *play) error {
-	err := p.setUp([]cell.Route{{Name: "batch", Prefix: "/batch/", Attempts: 3}}, equalRunners(4, 64000, 1)...)
+	specs := equalRunners(4, 64000, 1)
+	for n := range specs {
+		specs[n].Zone = cell.FarZone
+	}
+	err := p.setUp([]cell.Route{{Name: "batch", Prefix: "/batch/", Attempts: 3}}, specs...)
 	if err != nil {
 		return err
 	}
@@ -19,18 +23,14 @@
 	spec, _ := body["spec"].(string)
 	body["spec"] = spec + " " + strings.Repeat("x", 3999-len(spec))
 	if p.trouble {
-		for _, r := range p.Runners {
-			r.Cut()
-		}
+		p.cutRegion()
 	}
 	accepted := time.Now()
 	paths := p.submitAll("/batch/", 1, jobs, perSecond, body)
 	p.Log.Add("%d of %d jobs were accepted", len(paths), jobs)
 	fmt.Println(len(paths), "of", jobs, "jobs were accepted")
 	if p.trouble {
-		for _, r := range p.Runners {
-			r.Heal()
-		}
+		p.healRegion()
 	}
 	time.Sleep(finish + 6*time.Second)
 	lost := 0
