--- a/review/driver/lease.go
+++ b/review/driver/lease.go
@@ -8,10 +8,35 @@
 	"github.com/citronbay/citronbay/review/cell"
 )
 
-// lease cuts off a runner while the platform's store is slow, after a report for which the poll
-// had waited almost all of its time.
+// farRack is a rack of the other region.
+const farRack = "r9"
+
+// cutRegion cuts off the runners of the other region.
+func (p *play) cutRegion() {
+	for _, r := range p.Runners {
+		if r.Zone() == cell.FarZone {
+			r.Cut()
+		}
+	}
+}
+
+// healRegion ends the cut.
+func (p *play) healRegion() {
+	for _, r := range p.Runners {
+		if r.Zone() == cell.FarZone {
+			r.Heal()
+		}
+	}
+}
+
+// lease cuts off the other region's runners while the platform's store is slow, after a report for
+// which the poll had waited almost all of its time.
 func lease(p *play) error {
-	err := p.setUp([]cell.Route{{Name: "batch", Prefix: "/batch/", Attempts: 3}}, equalRunners(6, 16000, 0.98)...)
+	specs := equalRunners(6, 16000, 0.98)
+	for n := range specs[:3] {
+		specs[n].Zone, specs[n].Rack = cell.FarZone, farRack
+	}
+	err := p.setUp([]cell.Route{{Name: "batch", Prefix: "/batch/", Attempts: 3}}, specs...)
 	if err != nil {
 		return err
 	}
@@ -23,7 +48,9 @@
 		endAfter = 960 * time.Millisecond
 	)
 	long, short := cell.ID(1), cell.ID(2)
-	if !p.Submit("/batch/"+long, cell.Job(60*time.Second, cell.Step(1, 1000, 60000))) {
+	step := cell.Step(1, 1000, 60000)
+	step["dataRack"] = farRack
+	if !p.Submit("/batch/"+long, cell.Job(60*time.Second, step)) {
 		return fmt.Errorf("the long job was not accepted")
 	}
 	if err := await("the long job runs", 5*time.Second, func() bool { return len(p.Runs.Of(long)) == 1 }); err != nil {
@@ -35,7 +62,9 @@
 			holder = r
 		}
 	}
-	if !p.Submit("/batch/"+short, cell.Job(0, cell.Step(1, 1000, 3000))) {
+	step = cell.Step(1, 1000, 3000)
+	step["dataRack"] = farRack
+	if !p.Submit("/batch/"+short, cell.Job(0, step)) {
 		return fmt.Errorf("the short job was not accepted")
 	}
 	if err := await("the short job runs", 5*time.Second, func() bool { return len(p.Runs.Of(short)) == 1 }); err != nil {
@@ -61,7 +90,7 @@
 		if runs := p.Runs.Of(short); !runs[0].End.IsZero() {
 			cut.Do(func() {
 				if p.trouble {
-					holder.Cut()
+					p.cutRegion()
 				}
 				close(cutOff)
 			})
@@ -74,7 +103,7 @@
 	}
 	time.Sleep(cutTime)
 	if p.trouble {
-		holder.Heal()
+		p.healRegion()
 	}
 	time.Sleep(3 * time.Second)
 	for _, overlap := range p.Runs.Overlaps() {
