--- a/review/cell/runner.go
+++ b/review/cell/runner.go
@@ -178,6 +178,13 @@
 	return r, nil
 }
 
+// Capacity returns the runner's kind and thousandths of a core, and whether it is up.
+func (r *Runner) Capacity() (kind string, cpu int64, up bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.spec.Kind, r.spec.CPU, r.up
+}
+
 // Zone returns the runner's zone.
 func (r *Runner) Zone() string {
 	return r.spec.Zone
--- a/review/driver/backlog.go
+++ b/review/driver/backlog.go
@@ -33,6 +33,9 @@
 		p.healRegion()
 	}
 	time.Sleep(finish + 6*time.Second)
+	if ok, why := p.hasRoom(); !ok {
+		return fmt.Errorf("the check has no say: %s", why)
+	}
 	lost := 0
 	for n, path := range paths {
 		id := path[len("/batch/"):]
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -9,6 +9,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/citronbay/citronbay/review/cell"
@@ -83,10 +85,14 @@
 		Cell:    c,
 		trouble: os.Getenv("TROUBLE") != "0",
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	done := make(chan error, 1)
 	go func() { done <- s.run(p) }()
 	select {
 	case err = <-done:
+	case s := <-signals:
+		err = fmt.Errorf("stopped by a signal (%s)", s)
 	case <-time.After(maxTime):
 		err = fmt.Errorf("the case has taken longer than %s", maxTime)
 	}
