Log by which reading of a worker's clock its lease expired

Three hypotheses fit: (1) a reading of the worker's clock is paired with a wrong moment of the owner's, (2) the allowance for a slow clock is too small, (3) an extension was sent that the owner does not count. Change: the log line workerLeaseExpired with the latest end of the lease in any request, the reading of the worker's clock by which it was set, the age of that reading and how long its poll took. No behaviour changes.

--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -65,20 +65,21 @@
 	// The fields below are guarded by the shard's mu.
 
 	registration       worker.Registration
-	endedIncarnations  []int64    // earlier incarnations of the worker
-	worker             job.Worker // as the planner sees it; plannerWorker updates it
-	listed             bool       // is in the directory
-	provisional        bool       // registration is that of an earlier incarnation
-	leavesAt           time.Time  // when a draining worker leaves at the earliest; zero otherwise
-	addressReused      bool       // another worker answers at the address
-	answered           bool       // has sent a complete report under the fencing token
-	lastAnswer         time.Time  // to a poll; a refusal does not count
-	lastExtension      time.Time  // the latest time at which the worker lease may have been extended
-	workerClockMillis  int64      // the worker's clock according to its last report
-	workerClockAt      time.Time  // when the poll for that report was sent
-	newestEnded        int64      // the number of the newest ended attempt that was reported
-	newestDurableEnded int64      // the number of the newest one that is durably recorded
-	failures           int        // since the last completed attempt; checkProgress may add more
+	endedIncarnations  []int64      // earlier incarnations of the worker
+	worker             job.Worker   // as the planner sees it; plannerWorker updates it
+	listed             bool         // is in the directory
+	provisional        bool         // registration is that of an earlier incarnation
+	leavesAt           time.Time    // when a draining worker leaves at the earliest; zero otherwise
+	addressReused      bool         // another worker answers at the address
+	answered           bool         // has sent a complete report under the fencing token
+	lastAnswer         time.Time    // to a poll; a refusal does not count
+	lastExtension      time.Time    // the latest time at which the worker lease may have been extended
+	clock              clockReading // of the last report
+	leaseEndMillis     int64        // the latest end of the worker lease in any request, on the worker's clock; zero if none
+	leaseEndClock      clockReading // by which leaseEndMillis was set
+	newestEnded        int64        // the number of the newest ended attempt that was reported
+	newestDurableEnded int64        // the number of the newest one that is durably recorded
+	failures           int          // since the last completed attempt; checkProgress may add more
 	quarantinedUntil   time.Time
 }
 
@@ -261,6 +262,7 @@
 		if now.Sub(l.lastAnswer) < s.unresponsiveAfter() || now.Before(l.lastExtension.Add(s.maxWorkerLease())) {
 			continue
 		}
+		l.logLeaseExpired(now)
 		if now.Before(l.lastExtension.Add(onOwnerClock(s.options.MaxWorkerLease))) {
 			s.losePlacements(l.key(), reason, func(p *job.Placement) bool {
 				return p.Reported
@@ -313,7 +315,11 @@
 		return 0
 	}
 	l.lastExtension = time.Now()
-	return l.workerClockMillis + time.Since(l.workerClockAt).Milliseconds() + l.shard.options.WorkerLease.Milliseconds()
+	end := l.clock.millis + time.Since(l.clock.sent).Milliseconds() + l.shard.options.WorkerLease.Milliseconds()
+	if end > l.leaseEndMillis {
+		l.leaseEndMillis, l.leaseEndClock = end, l.clock
+	}
+	return end
 }
 
 // runAfter is run after a delay.
@@ -350,7 +356,7 @@
 			continue
 		}
 		reported = reported || report.Refused == 0
-		durable := l.handleReport(report, sent)
+		durable := l.handleReport(report, sent, time.Now())
 		if durable != nil {
 			select {
 			case <-durable:
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -20,10 +20,10 @@
 	maxQuarantine      = 8 * time.Second
 )
 
-// handleReport handles the report of a poll that was sent at the given time. If there
-// are changes to make durable, the returned channel closes once they are; otherwise it
+// handleReport handles the report, which has arrived, of a poll that was sent, at the given times. If
+// there are changes to make durable, the returned channel closes once they are; otherwise it
 // is nil.
-func (l *link) handleReport(report worker.Report, sent time.Time) <-chan struct{} {
+func (l *link) handleReport(report worker.Report, sent, arrived time.Time) <-chan struct{} {
 	s := l.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -47,7 +47,11 @@
 	l.answered = l.answered || complete
 	l.addressReused = false
 	l.lastAnswer = time.Now()
-	l.workerClockMillis, l.workerClockAt = report.ClockMillis, sent
+	l.clock = clockReading{
+		millis:  report.ClockMillis,
+		sent:    sent,
+		arrived: arrived,
+	}
 	records, ended := s.recordEnded(l, report.Ended)
 	records = s.reconcile(records, l, report, ended, sent, first)
 	if first {
