Reckon a worker's clock from the arrival of its reading

What callers saw: a task of an accepted job ran twice at the same time, on two workers that were up (TWICE), for about 0.2 s after a cut between regions beside a slow store. Cause: a worker reads its clock when it answers a poll, after waiting up to 1 s (2 s on a small link). The owner paired that reading with the time at which it had sent the poll, so that it took the worker's clock for up to that wait ahead and granted leases longer than it counted by as much. The next extension usually hides this, as it counts for the owner even if it gets lost; a write of 0.3 s before the next poll leaves no time for it. Ruled out: the allowance for slow clocks, and extensions that are not counted. Change: a reading is paired with the arrival of the report, which is never before the reading, and its age counts at the slowest rate that a worker's clock may have. extendLease decides by one reading of the owner's clock. This bounds the lease from above by construction: the worker's clock has reached lowerBound when the owner counts the extension, so the lease ends within WorkerLease on the worker's clock from then.

TestSuccessorWaitsForLastWorkerLease guards the takeover.

--- a/internal/cluster/shard/lease.go
+++ b/internal/cluster/shard/lease.go
@@ -9,6 +9,13 @@
 	sent, arrived time.Time
 }
 
+// lowerBound returns a time that the worker's clock has reached at the given time of the owner's clock, in
+// milliseconds. The worker may have read its clock at any moment until the report arrived: a poll waits
+// for up to maxPollWait before the worker answers.
+func (c clockReading) lowerBound(now time.Time) int64 {
+	return c.millis + int64(float64(now.Sub(c.arrived).Milliseconds())/clockDriftFactor)
+}
+
 // logLeaseExpired logs, if the worker has placements, by which reading of the worker's clock the
 // end of its lease was set. The caller holds the shard's mu.
 func (l *link) logLeaseExpired(now time.Time) {
--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -311,11 +311,13 @@
 // clock, and sets lastExtension, as if the worker had received that end now. It returns
 // zero if the lease must not be extended. The caller holds the shard's mu.
 func (l *link) extendLease() int64 {
-	if !l.answered || l.shard.term.Remaining() < -workerLeaseGrace || time.Since(l.lastAnswer) > l.shard.unresponsiveAfter() {
+	// One reading for all: the process may be paused between any two.
+	now := time.Now()
+	if !l.answered || l.shard.term.Remaining() < -workerLeaseGrace || now.Sub(l.lastAnswer) > l.shard.unresponsiveAfter() {
 		return 0
 	}
-	l.lastExtension = time.Now()
-	end := l.clock.millis + time.Since(l.clock.sent).Milliseconds() + l.shard.options.WorkerLease.Milliseconds()
+	l.lastExtension = now
+	end := l.clock.lowerBound(now) + l.shard.options.WorkerLease.Milliseconds()
 	if end > l.leaseEndMillis {
 		l.leaseEndMillis, l.leaseEndClock = end, l.clock
 	}
