Reserve no workers for a gang that does not fit on them

Cause: a gang that does not fit now reserves workers until their whole capacity would hold it. For a gang that they would never hold that is every worker which it may use, in every pass. The reservation also took the capacity as free of endless tasks, ignored the limit per worker, and reserved workers on which no task of the gang fits. Change: reserveForGang first adds up how many of the gang's tasks the workers hold once all tasks have ended that will end, endless tasks and the limit per worker reckoned with, and reserves nothing if that is too few. canWait, which defers a gang's calls to the policy service until running tasks have ended, uses the same sum.

--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -24,8 +24,8 @@
 	// gangRoomFactor is how many times the free capacity that a gang's discovery query is
 	// expected to yield must suffice for the gang, since others place tasks meanwhile.
 	gangRoomFactor = 1.5
-	// gangCapacityFactor is how many times a gang must fit on the workers that it may use,
-	// if nothing else ran there, so that it can wait for running tasks to end.
+	// gangCapacityFactor is how many times a gang must fit on the workers that it may use, beside
+	// endless tasks, so that it can wait for the other running tasks to end.
 	gangCapacityFactor = 2
 	// prefetchLeadMillis is how long before the expected end of a step the policy
 	// service is asked about the steps that depend on it.
@@ -163,7 +163,7 @@
 // the limits, and marks them as in flight. Calls for steps with tasks to place come first,
 // in the order in which the steps are served; calls for steps that become ready soon
 // follow. Last come those for gangs that would fit on the workers that they may use, if
-// nothing else ran there: in a full fleet such gangs would otherwise ask about all
+// no other than endless tasks ran there: in a full fleet such gangs would otherwise ask about all
 // workers, and the policy service would have no time for other jobs.
 //
 // A discovery query asks about workers on which there is no answer yet, and a renewal
@@ -263,13 +263,13 @@
 }
 
 // canWait reports whether the step is a gang that does not fit now but would fit
-// gangCapacityFactor times on the workers that it may use, if nothing else ran there.
+// gangCapacityFactor times on the workers that it may use, if no other than endless tasks ran there.
 func (p *Planner) canWait(step *Step, queue Queue) bool {
 	if !step.Spec.Gang || !step.Advice.answered {
 		return false
 	}
 	allowed := p.allowedWorkers(step, queue)
-	return taskCapacity(step, allowed) >= gangCapacityFactor*step.Spec.Count && p.packGang(step, allowed) == nil
+	return p.drainedCapacity(step, allowed) >= gangCapacityFactor*step.Spec.Count && p.packGang(step, allowed) == nil
 }
 
 // nextQuery returns the call that the step needs now, which is a discovery query or the
@@ -299,16 +299,6 @@
 	return p.gangRenewalQuery(step, queue, plan, now), true
 }
 
-// taskCapacity returns how many of the step's tasks fit on the workers if nothing else runs
-// there.
-func taskCapacity(step *Step, workers []*Worker) int {
-	total := 0
-	for _, w := range workers {
-		total += step.Spec.Needs.fitCount(w.Capacity, step.Spec.Count)
-	}
-	return total
-}
-
 // discoveryQuery returns a query about workers on which there is no answer for the step
 // yet, those with the most free processors first, or false if there are none. Until a
 // call about the step has succeeded, these include workers on which no task fits now. A
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -135,6 +135,7 @@
 	Worker  WorkerKey
 	Team    string
 	Needs   Resources
+	Endless bool // the task is one of an endless step
 	// The fields below are not in the records; only the present owner knows them.
 
 	Confirmed bool // the worker reported that the attempt runs
--- a/internal/decide/job/planner.go
+++ b/internal/decide/job/planner.go
@@ -525,15 +525,16 @@
 // gang's priority; steps of lower priority do not start there in this pass. Unlike this
 // reservation, the one in Advice.reserved lasts over passes, while tickets are renewed.
 // The first gang can reserve what it needs; further ones reserve nothing once a part of
-// the fleet is reserved, since reserved workers idle until the gang fits.
+// the fleet is reserved, since reserved workers idle until the gang fits. A gang that
+// would not fit even then reserves nothing: it may wait for ever.
 func (p *Planner) reserveForGang(step *Step, queue Queue, gangPriority map[*Worker]int) {
 	if len(gangPriority) > 0 && len(gangPriority) >= len(p.workers)/maxReservedDivisor {
 		return
 	}
-	allowed := slices.DeleteFunc(p.allowedWorkers(step, queue), func(w *Worker) bool {
-		_, reserved := gangPriority[w]
-		return reserved
-	})
+	allowed := p.allowedWorkers(step, queue)
+	if p.drainedCapacity(step, allowed) < step.Spec.Count {
+		return
+	}
 	slices.SortFunc(allowed, func(a, b *Worker) int {
 		return cmp.Or(cmp.Compare(b.free.MilliCores, a.free.MilliCores), cmp.Compare(a.ID, b.ID))
 	})
@@ -542,11 +543,31 @@
 		if remaining <= 0 {
 			return
 		}
+		n := p.drainedCapacityOf(step, w)
+		if _, reserved := gangPriority[w]; reserved || n == 0 {
+			continue
+		}
 		gangPriority[w] = queue.Priority
-		remaining -= step.Spec.Needs.fitCount(w.Capacity, step.Spec.Count)
+		remaining -= n
 	}
 }
 
+// drainedCapacity returns how many of the step's tasks fit on the workers once all tasks there have
+// ended that will end.
+func (p *Planner) drainedCapacity(step *Step, workers []*Worker) int {
+	total := 0
+	for _, w := range workers {
+		total += p.drainedCapacityOf(step, w)
+	}
+	return total
+}
+
+// drainedCapacityOf is drainedCapacity for one worker. Endless tasks keep what they use.
+func (p *Planner) drainedCapacityOf(step *Step, w *Worker) int {
+	room := w.Capacity.Minus(p.state.usedByEndless[w.Key()])
+	return step.Spec.Needs.fitCount(room, min(step.Spec.Count, p.remainingPerWorker(step, w)))
+}
+
 func (p *Planner) placeTask(step *Step, index, attempt int, w *Worker) Record {
 	r := Record{
 		Kind:        RecordPlace,
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -73,6 +73,8 @@
 	// suspects indexes the open jobs with tasks that are suspected of crashing workers.
 	suspects   map[string]*Job
 	placements map[WorkerKey]map[TaskKey]*Placement
+	// usedByEndless is the part of used that endless steps have.
+	usedByEndless map[WorkerKey]Resources
 	// used and teamUsed are the sums of the placements' demands per worker incarnation
 	// and per team.
 	used     map[WorkerKey]Resources
@@ -102,12 +104,13 @@
 		jobs: map[string]*Job{},
 		open: map[string]*Job{},
 
-		unplaced:   map[string]*Job{},
-		suspects:   map[string]*Job{},
-		placements: map[WorkerKey]map[TaskKey]*Placement{},
-		used:       map[WorkerKey]Resources{},
-		teamUsed:   map[string]Resources{},
-		shares:     map[string]*allowedShare{},
+		unplaced:      map[string]*Job{},
+		suspects:      map[string]*Job{},
+		placements:    map[WorkerKey]map[TaskKey]*Placement{},
+		used:          map[WorkerKey]Resources{},
+		usedByEndless: map[WorkerKey]Resources{},
+		teamUsed:      map[string]Resources{},
+		shares:        map[string]*allowedShare{},
 	}
 }
 
@@ -308,8 +311,9 @@
 			ID:          r.Worker,
 			Incarnation: r.Incarnation,
 		},
-		Team:  j.Team,
-		Needs: step.Spec.Needs,
+		Team:    j.Team,
+		Needs:   step.Spec.Needs,
+		Endless: step.Spec.Endless,
 	}
 	t.Placement = p
 	t.Attempt = r.Attempt
@@ -325,6 +329,9 @@
 	}
 	placements[key] = p
 	s.used[p.Worker] = s.used[p.Worker].Plus(p.Needs)
+	if p.Endless {
+		s.usedByEndless[p.Worker] = s.usedByEndless[p.Worker].Plus(p.Needs)
+	}
 	s.teamUsed[p.Team] = s.teamUsed[p.Team].Plus(p.Needs)
 	return nil
 }
@@ -385,9 +392,13 @@
 func (s *State) releasePlacement(p *Placement) {
 	delete(s.placements[p.Worker], p.Task)
 	s.used[p.Worker] = s.used[p.Worker].Minus(p.Needs)
+	if p.Endless {
+		s.usedByEndless[p.Worker] = s.usedByEndless[p.Worker].Minus(p.Needs)
+	}
 	if len(s.placements[p.Worker]) == 0 {
 		delete(s.placements, p.Worker)
 		delete(s.used, p.Worker)
+		delete(s.usedByEndless, p.Worker)
 	}
 	s.teamUsed[p.Team] = s.teamUsed[p.Team].Minus(p.Needs)
 }
@@ -406,8 +417,12 @@
 		s.placements[to][key] = p
 	}
 	s.used[to] = s.used[to].Plus(s.used[from])
+	if lasting, ok := s.usedByEndless[from]; ok {
+		s.usedByEndless[to] = s.usedByEndless[to].Plus(lasting)
+	}
 	delete(s.placements, from)
 	delete(s.used, from)
+	delete(s.usedByEndless, from)
 }
 
 func (s *State) restoreTask(step *Step, t *Task, r Record) {
