Explain that a job fits on no worker, and count such steps

Change: the wait cause "fleet", in explain, in the log line planningLoad and in the new gauge citronbay_steps_waiting{cause}. TestWaitCauses has two more steps; TestExplainJobThatFitsNowhere is new.

--- a/internal/cluster/shard/load.go
+++ b/internal/cluster/shard/load.go
@@ -64,10 +64,13 @@
 	return slog.Group("suspects", "jobs", jobs, "isolatedWorkers", isolated, "placedWorkers", placed)
 }
 
-// waitCauses returns the numbers of waiting steps for the log: by cause for jobs within
+// waitCauses sets the gauges of waiting steps and returns their numbers for the log: by cause for jobs within
 // their team's rate, and one number for jobs over it.
 func waitCauses(planner *job.Planner, now int64) slog.Attr {
 	withinRate, overRate := planner.WaitCauses(now)
+	for _, cause := range job.AllWaitCauses() {
+		setWaitingSteps(cause, withinRate[cause])
+	}
 	counts := []any{slog.Int("overRate", overRate)}
 	for _, cause := range slices.Sorted(maps.Keys(withinRate)) {
 		counts = append(counts, slog.Int(string(cause), withinRate[cause]))
--- a/internal/cluster/shard/metrics.go
+++ b/internal/cluster/shard/metrics.go
@@ -58,6 +58,11 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_jobs_given_up_total{queue=%q}", queue)).Inc()
 }
 
+// setWaitingSteps sets the number of ready steps, of jobs within their team's rate, that wait for the cause.
+func setWaitingSteps(cause job.WaitCause, steps int) {
+	metrics.GetOrCreateGauge(fmt.Sprintf("citronbay_steps_waiting{cause=%q}", cause), nil).Set(float64(steps))
+}
+
 // setGauges updates the gauges from the state; the caller holds s.mu.
 func (s *Shard) setGauges(workers []*job.Worker) {
 	metrics.GetOrCreateGauge("citronbay_open_jobs", nil).Set(float64(len(s.state.OpenJobs())))
--- a/internal/decide/job/explain.go
+++ b/internal/decide/job/explain.go
@@ -51,12 +51,22 @@
 	WaitIsolation   WaitCause = "isolation"   // no worker is isolated for the job
 	WaitEmptyWorker WaitCause = "emptyWorker" // the isolated workers run other jobs
 	WaitWorkers     WaitCause = "workers"     // no usable worker is allowed
-	WaitCapacity    WaitCause = "capacity"    // no allowed worker has room for a task
-	WaitGang        WaitCause = "gang"        // the gang does not fit at once
-	WaitTickets     WaitCause = "tickets"     // tickets must be renewed
-	WaitOrder       WaitCause = "order"       // other steps go first, or a smaller limit applies
+	// The allowed workers have too little capacity, even with no other than endless tasks there.
+	WaitFleet    WaitCause = "fleet"
+	WaitCapacity WaitCause = "capacity" // no allowed worker has room for a task
+	WaitGang     WaitCause = "gang"     // the gang does not fit at once
+	WaitTickets  WaitCause = "tickets"  // tickets must be renewed
+	WaitOrder    WaitCause = "order"    // other steps go first, or a smaller limit applies
 )
 
+// AllWaitCauses returns all causes, in the order in which they are checked.
+func AllWaitCauses() []WaitCause {
+	return []WaitCause{
+		WaitDependency, WaitQueue, WaitCap, WaitPolicy, WaitClearing, WaitIsolation, WaitEmptyWorker, WaitWorkers,
+		WaitFleet, WaitCapacity, WaitGang, WaitTickets, WaitOrder,
+	}
+}
+
 // WaitCauses returns how many ready steps of jobs within their team's rate wait for each
 // cause, and how many of jobs over it wait for any.
 func (p *Planner) WaitCauses(now int64) (withinRate map[WaitCause]int, overRate int) {
@@ -105,6 +115,8 @@
 	switch {
 	case len(allowed) == 0:
 		cause = WaitWorkers
+	case !p.fitsDrained(step, allowed):
+		cause = WaitFleet
 	case !fits:
 		cause = WaitCapacity
 	case step.Spec.Gang && p.packGang(step, allowed) == nil:
@@ -117,6 +129,17 @@
 	return cause, len(allowed)
 }
 
+// fitsDrained reports whether the gang, or one task of another step, fits on the workers once all
+// tasks there have ended that will end.
+func (p *Planner) fitsDrained(step *Step, workers []*Worker) bool {
+	if step.Spec.Gang {
+		return p.drainedCapacity(step, workers) >= step.Spec.Count
+	}
+	return slices.ContainsFunc(workers, func(w *Worker) bool {
+		return step.Spec.Needs.FitsIn(p.drainedRoom(w))
+	})
+}
+
 // waitReason describes the cause for which the step's tasks cannot start.
 func (p *Planner) waitReason(step *Step, now int64) string {
 	cause, allowed := p.waitCause(step, now)
@@ -137,6 +160,12 @@
 		return "tasks of the job are suspected of crashing workers, and the workers that are isolated for it still run other jobs"
 	case WaitWorkers:
 		return "no usable worker has the service, the label and the policy's permission that the step requires"
+	case WaitFleet:
+		needed := "a task"
+		if step.Spec.Gang {
+			needed = fmt.Sprintf("the gang of %d", step.Spec.Count)
+		}
+		return fmt.Sprintf("%s does not fit on the %d allowed workers, even once all but endless tasks there have ended; it holds back no other job", needed, allowed)
 	case WaitCapacity:
 		return fmt.Sprintf("none of the %d allowed workers has free capacity for a task", allowed)
 	case WaitGang:
--- a/internal/decide/job/explain_test.go
+++ b/internal/decide/job/explain_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -34,6 +36,8 @@
 		{team: "team0", queue: "missing", needs: 1},
 		{team: "team1", queue: "plain", needs: 2},
 		{team: "team0", queue: "plain", needs: 40, overRate: true},
+		{team: "team0", queue: "plain", needs: 80},
+		{team: "team0", queue: "plain", needs: 60, gang: true},
 	} {
 		mustApply(t, state, job.Record{
 			Kind:     job.RecordAccept,
@@ -56,8 +60,12 @@
 		job.WaitGang:     1,
 		job.WaitPolicy:   1,
 		job.WaitCap:      1,
+		job.WaitFleet:    2,
 	})
 	assert.Equal(t, overRate, 1)
+	for cause := range withinRate {
+		assert.Assert(t, slices.Contains(job.AllWaitCauses(), cause))
+	}
 }
 
 // TestWaitCausesOfSuspects checks that the log tells a suspect without an isolated worker from
@@ -92,3 +100,31 @@
 	jobs, isolated, placed := p.Isolation()
 	assert.DeepEqual(t, []int{jobs, isolated, placed}, []int{2, 1, 0})
 }
+
+// TestExplainJobThatFitsNowhere guards against a job that waits for ever without its owner being told why.
+func TestExplainJobThatFitsNowhere(t *testing.T) {
+	for name, c := range map[string]struct {
+		spec job.StepSpec
+		want string
+	}{
+		"task": {
+			spec: job.StepSpec{Count: 2, Needs: cores(80)},
+			want: "a task does not fit on the 3 allowed workers",
+		},
+		"gang": {
+			spec: job.StepSpec{Count: 4, Needs: cores(40), Gang: true},
+			want: "the gang of 4 does not fit on the 3 allowed workers",
+		},
+		"limit per worker": {
+			spec: job.StepSpec{Count: 4, Needs: cores(1), Gang: true, MaxPerWorker: 1},
+			want: "the gang of 4 does not fit on the 3 allowed workers",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			acceptJob(t, state, "large", "team0", "plain", 0, c.spec)
+			lines := job.NewPlanner(state, newRules(1), newWorkers(3), 0).Explain(state.Job("large").Steps[0], 0)
+			assert.Assert(t, strings.Contains(strings.Join(lines, "\n"), c.want), "%v", lines)
+		})
+	}
+}
--- a/internal/decide/job/planner.go
+++ b/internal/decide/job/planner.go
@@ -614,10 +614,14 @@
 	return total
 }
 
-// drainedCapacityOf is drainedCapacity for one worker. Endless tasks keep what they use.
+// drainedRoom returns the worker's capacity less what endless tasks use.
+func (p *Planner) drainedRoom(w *Worker) Resources {
+	return w.Capacity.Minus(p.state.usedByEndless[w.Key()])
+}
+
+// drainedCapacityOf is drainedCapacity for one worker.
 func (p *Planner) drainedCapacityOf(step *Step, w *Worker) int {
-	room := w.Capacity.Minus(p.state.usedByEndless[w.Key()])
-	return step.Spec.Needs.fitCount(room, min(step.Spec.Count, p.remainingPerWorker(step, w)))
+	return step.Spec.Needs.fitCount(p.drainedRoom(w), min(step.Spec.Count, p.remainingPerWorker(step, w)))
 }
 
 func (p *Planner) placeTask(step *Step, index, attempt int, w *Worker) Record {
