Start suspects beside endless tasks where no other worker will do

Change: if a step's suspects fit on no permitted worker without endless tasks of other jobs, isolated ones included, workers with such tasks are isolated for them too, once other tasks there have ended. Nothing new starts beside them.

--- a/internal/decide/job/isolation.go
+++ b/internal/decide/job/isolation.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 )
 
@@ -143,65 +142,93 @@
 }
 
 // workersToIsolate returns the workers on which a task of the step, or all members of a
-// gang, will fit once no other job runs there, those first that are empty soonest. It
-// returns none if the tasks fit on no workers.
+// gang, will fit once no other job runs there, those first that are empty soonest. If they
+// fit on no workers without endless tasks of other jobs, which would have to be awaited for
+// ever, workers with such tasks are used too. It returns none if the tasks fit on no workers
+// that are free for isolation.
 func (p *Planner) workersToIsolate(step *Step, queue Queue, now int64) []*Worker {
-	candidates := slices.DeleteFunc(p.permittedWorkers(step, queue), func(w *Worker) bool {
+	workers := p.permittedWorkers(step, queue)
+	withoutEndless := slices.DeleteFunc(slices.Clone(workers), func(w *Worker) bool {
+		return p.runsOtherEndless(w, step.Job.ID)
+	})
+	if p.firstWithRoom(step, withoutEndless) != nil {
+		workers = withoutEndless
+	}
+	workers = slices.DeleteFunc(workers, func(w *Worker) bool {
 		return w.isolatedFor != ""
 	})
 	drainMillis := map[*Worker]int64{}
-	for _, w := range candidates {
+	for _, w := range workers {
 		drainMillis[w] = p.drainMillis(w, step.Job.ID, now)
 	}
-	slices.SortFunc(candidates, func(a, b *Worker) int {
+	slices.SortFunc(workers, func(a, b *Worker) int {
 		return cmp.Or(cmp.Compare(drainMillis[a], drainMillis[b]),
 			cmp.Compare(p.placementCost(step, a), p.placementCost(step, b)), cmp.Compare(a.ID, b.ID))
 	})
+	return p.firstWithRoom(step, workers)
+}
+
+// firstWithRoom returns the first of the workers on which a task of the step, or all members of a
+// gang, will fit beside endless tasks of other jobs, or nil if they do not fit.
+func (p *Planner) firstWithRoom(step *Step, workers []*Worker) []*Worker {
 	remaining := p.tasksAtOnce(step)
-	var workers []*Worker
-	for _, w := range candidates {
-		room := w.Capacity.Minus(p.usedByJob(w, step.Job.ID))
+	var first []*Worker
+	for _, w := range workers {
+		room := w.Capacity.Minus(p.usedByJobAndEndless(w, step.Job.ID))
 		n := step.Spec.Needs.fitCount(room, min(remaining, p.remainingPerWorker(step, w)))
-		if n == 0 || drainMillis[w] == math.MaxInt64 {
+		if n == 0 {
 			continue
 		}
-		workers = append(workers, w)
+		first = append(first, w)
 		if remaining -= n; remaining == 0 {
-			return workers
+			return first
 		}
 	}
 	return nil
 }
 
 // drainMillis returns the expected time in milliseconds until no task of another job runs
-// on the worker; math.MaxInt64 if it runs endless ones.
+// on the worker, except for endless ones.
 func (p *Planner) drainMillis(w *Worker, id string, now int64) int64 {
 	millis := int64(0)
 	for key, placement := range p.state.placements[w.Key()] {
-		if key.Job != id {
+		if key.Job != id && !placement.Endless {
 			millis = max(millis, p.state.jobs[key.Job].Steps[key.Step].RemainingMillis(placement, now))
 		}
 	}
 	return millis
 }
 
-func (p *Planner) usedByJob(w *Worker, id string) Resources {
+// usedByJobAndEndless returns what the tasks of the job and all endless tasks use on the worker.
+func (p *Planner) usedByJobAndEndless(w *Worker, id string) Resources {
 	var used Resources
 	for key, placement := range p.state.placements[w.Key()] {
-		if key.Job == id {
+		if key.Job == id || placement.Endless {
 			used = used.Plus(placement.Needs)
 		}
 	}
 	return used
 }
 
+// runsOtherEndless reports whether endless tasks of other jobs than the given one are placed on
+// the worker.
+func (p *Planner) runsOtherEndless(w *Worker, id string) bool {
+	for key, placement := range p.state.placements[w.Key()] {
+		if key.Job != id && placement.Endless {
+			return true
+		}
+	}
+	return false
+}
+
 // isSuspect reports whether the job has tasks that are suspected of crashing workers.
 func (p *Planner) isSuspect(j *Job) bool {
 	return p.state.suspects[j.ID] != nil
 }
 
 // admits reports whether the isolation of suspects allows tasks of the step on the worker
-// now. Suspects need a worker that is isolated for their job and runs no other.
+// now. Suspects need a worker that is isolated for their job and runs no other, except for endless
+// tasks if workersToIsolate had to admit these.
 func (p *Planner) admits(w *Worker, step *Step) bool {
 	if !p.isSuspect(step.Job) {
 		return w.isolatedFor == ""
@@ -212,10 +239,11 @@
 	return !p.runsOthers(w, step.Job.ID)
 }
 
-// runsOthers reports whether the worker has placements of other jobs than the given one.
+// runsOthers reports whether the worker has placements of other jobs than the given one that will
+// end.
 func (p *Planner) runsOthers(w *Worker, id string) bool {
-	for key := range p.state.placements[w.Key()] {
-		if key.Job != id {
+	for key, placement := range p.state.placements[w.Key()] {
+		if key.Job != id && !placement.Endless {
 			return true
 		}
 	}
--- a/internal/decide/job/isolation_test.go
+++ b/internal/decide/job/isolation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -281,3 +282,58 @@
 		})
 	}
 }
+
+// TestSuspectStartsBesideEndlessTasks guards against a suspect that never starts, since an endless task
+// of another job runs on each worker that it may use. As long as there is a worker without one, the
+// suspect gets that, and nothing else starts beside a suspect.
+func TestSuspectStartsBesideEndlessTasks(t *testing.T) {
+	const workerCount = 8
+	for name, c := range map[string]struct {
+		endless int // workers with an endless task, the first ones
+		spec    job.StepSpec
+		busy    bool // the workers run other tasks too
+		want    int  // placements of the suspect's job in the first pass
+	}{
+		"task, all workers":             {endless: workerCount, spec: job.StepSpec{Count: 1, Needs: cores(4)}, want: 1},
+		"task, all but one":             {endless: workerCount - 1, spec: job.StepSpec{Count: 1, Needs: cores(4)}, want: 1},
+		"gang, all workers":             {endless: workerCount, spec: job.StepSpec{Count: 2, Needs: cores(40), Gang: true}, want: 2},
+		"no room beside endless tasks":  {endless: workerCount, spec: job.StepSpec{Count: 1, Needs: cores(60)}},
+		"tasks that will end run there": {endless: workerCount, spec: job.StepSpec{Count: 1, Needs: cores(4)}, busy: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state, rules, workers := job.NewState(), newRules(1), newWorkers(workerCount)
+			acceptJob(t, state, "endless", "team0", "plain", 0, job.StepSpec{
+				Count:        c.endless,
+				Needs:        cores(8),
+				MaxPerWorker: 1,
+				Endless:      true,
+			})
+			for n := range c.endless {
+				runTask(t, state, workers[n], "endless", n, 0, true)
+			}
+			if c.busy {
+				acceptJob(t, state, "busy", "team0", "plain", 0, job.StepSpec{
+					Count: workerCount,
+					Needs: cores(8),
+				})
+				for n, w := range workers {
+					runTask(t, state, w, "busy", n, 0, true)
+				}
+			}
+			acceptSuspect(t, state, "suspect", "plain", c.spec)
+			acceptJob(t, state, "other", "team0", "plain", 1, job.StepSpec{
+				Count: 40 * workerCount,
+				Needs: cores(1),
+			})
+			placed := placedWorkers(job.NewPlanner(state, rules, workers, 1).Plan(1))
+			assert.Equal(t, len(placed["suspect"]), c.want)
+			for _, w := range placed["suspect"] {
+				assert.Assert(t, !slices.Contains(placed["other"], w))
+				if c.endless < workerCount {
+					assert.Equal(t, w, workers[workerCount-1].ID)
+				}
+			}
+			assert.Assert(t, len(placed["other"]) > 0)
+		})
+	}
+}
