Set the gauges of waiting steps beside the log line, not in its function

Cause: waitCauses built a log attribute and also set gauges, which its name does not say. Change: logLoad asks the planner once and hands the counts to both. No behaviour changes.

--- a/internal/cluster/shard/load.go
+++ b/internal/cluster/shard/load.go
@@ -46,10 +46,12 @@
 	used, capacity, _ := s.fleetUsage(workers)
 	now := s.now()
 	planner := job.NewPlanner(s.state, s.agreement.Rules, workers, now)
+	withinRate, overRate := planner.WaitCauses(now)
+	setWaitingSteps(withinRate)
 	s.log.Info("planningLoad", "interval", time.Since(s.passLoad.since), "passes", s.passLoad.passes,
 		"total", s.passLoad.total, "longest", s.passLoad.longest, "openJobs", len(s.state.OpenJobs()),
 		"waitingJobs", len(s.state.UnplacedJobs()), "cores", capacity.MilliCores/1000, "coresUsed", used.MilliCores/1000,
-		"policyCalls", s.policyCallsInFlight(), "slowPolicyCalls", s.slowCalls, waitCauses(planner, now), isolation(planner),
+		"policyCalls", s.policyCallsInFlight(), "slowPolicyCalls", s.slowCalls, waitCauses(withinRate, overRate), isolation(planner),
 		traffic.Since(s.passLoad.bytes))
 	s.passLoad = passLoad{
 		since: time.Now(),
@@ -64,13 +66,9 @@
 	return slog.Group("suspects", "jobs", jobs, "isolatedWorkers", isolated, "placedWorkers", placed)
 }
 
-// waitCauses sets the gauges of waiting steps and returns their numbers for the log: by cause for jobs within
+// waitCauses returns the numbers of waiting steps for the log: by cause for jobs within
 // their team's rate, and one number for jobs over it.
-func waitCauses(planner *job.Planner, now int64) slog.Attr {
-	withinRate, overRate := planner.WaitCauses(now)
-	for _, cause := range job.AllWaitCauses() {
-		setWaitingSteps(cause, withinRate[cause])
-	}
+func waitCauses(withinRate map[job.WaitCause]int, overRate int) slog.Attr {
 	counts := []any{slog.Int("overRate", overRate)}
 	for _, cause := range slices.Sorted(maps.Keys(withinRate)) {
 		counts = append(counts, slog.Int(string(cause), withinRate[cause]))
--- a/internal/cluster/shard/metrics.go
+++ b/internal/cluster/shard/metrics.go
@@ -58,9 +58,12 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_jobs_given_up_total{queue=%q}", queue)).Inc()
 }
 
-// setWaitingSteps sets the number of ready steps, of jobs within their team's rate, that wait for the cause.
-func setWaitingSteps(cause job.WaitCause, steps int) {
-	metrics.GetOrCreateGauge(fmt.Sprintf("citronbay_steps_waiting{cause=%q}", cause), nil).Set(float64(steps))
+// setWaitingSteps updates the gauges of the ready steps of jobs within their team's rate, by the
+// cause for which they wait.
+func setWaitingSteps(byCause map[job.WaitCause]int) {
+	for _, cause := range job.AllWaitCauses() {
+		metrics.GetOrCreateGauge(fmt.Sprintf("citronbay_steps_waiting{cause=%q}", cause), nil).Set(float64(byCause[cause]))
+	}
 }
 
 // setGauges updates the gauges from the state; the caller holds s.mu.
