--- a/internal/cluster/shard/lease_test.go
+++ b/internal/cluster/shard/lease_test.go
@@ -162,7 +162,7 @@
 				}
 				slow.slow.Store(false)
 
-				for s.placed() {
+				for isPlaced(s) {
 					s.mu.Lock()
 					s.expireLinks()
 					s.mu.Unlock()
@@ -198,8 +198,8 @@
 	}
 }
 
-// placed reports whether the job's task is placed.
-func (s *Shard) placed() bool {
+// isPlaced reports whether the job's task is placed.
+func isPlaced(s *Shard) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.state.Placement(job.TaskKey{Job: acceptedID}) != nil
