Grant worker leases for the wait of the next poll as well

What callers saw: nothing yet. Cause: before, a lease outlasted the count by the wait of a poll, and that surplus carried tasks through partitions. A lease of 6.5 s is up to 1 s old when a partition begins, 2 s on a small link, and the first poll after it can be lost. Change: a request extends the lease by WorkerLease and the wait of a poll, at most by what workers grant. The owner counts what it has granted, and the longest that any owner grants until a worker has answered it.

Promises next to it: TWICE (TestTaskIsNotGivenUpDuringWorkerLease, TestSuccessorWaitsForLastWorkerLease); a task waits no longer than the lease requires (second bound of the first). A task on a worker that falls silent starts elsewhere up to 1 s later than before, 2 s on a small link, and 2 s later if the owner changes and the worker is not listed.

--- a/internal/cluster/settings/settings.go
+++ b/internal/cluster/settings/settings.go
@@ -182,8 +182,8 @@
 // and short enough to restart lost tasks within their objective.
 const workerLeaseFraction = 0.65
 
-// WorkerLease returns the duration of the worker lease: how long a worker keeps tasks
-// running without hearing from the owner.
+// WorkerLease returns how long a worker keeps tasks running without hearing from the owner,
+// counted from when the next poll is due.
 func (s Settings) WorkerLease() time.Duration {
 	return time.Duration(workerLeaseFraction * float64(s.MaxWorkerLease()))
 }
--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -65,21 +65,22 @@
 	// The fields below are guarded by the shard's mu.
 
 	registration       worker.Registration
-	endedIncarnations  []int64      // earlier incarnations of the worker
-	worker             job.Worker   // as the planner sees it; plannerWorker updates it
-	listed             bool         // is in the directory
-	provisional        bool         // registration is that of an earlier incarnation
-	leavesAt           time.Time    // when a draining worker leaves at the earliest; zero otherwise
-	addressReused      bool         // another worker answers at the address
-	answered           bool         // has sent a complete report under the fencing token
-	lastAnswer         time.Time    // to a poll; a refusal does not count
-	lastExtension      time.Time    // the latest time at which the worker lease may have been extended
-	clock              clockReading // of the last report
-	leaseEndMillis     int64        // the latest end of the worker lease in any request, on the worker's clock; zero if none
-	leaseEndClock      clockReading // by which leaseEndMillis was set
-	newestEnded        int64        // the number of the newest ended attempt that was reported
-	newestDurableEnded int64        // the number of the newest one that is durably recorded
-	failures           int          // since the last completed attempt; checkProgress may add more
+	endedIncarnations  []int64       // earlier incarnations of the worker
+	worker             job.Worker    // as the planner sees it; plannerWorker updates it
+	listed             bool          // is in the directory
+	provisional        bool          // registration is that of an earlier incarnation
+	leavesAt           time.Time     // when a draining worker leaves at the earliest; zero otherwise
+	addressReused      bool          // another worker answers at the address
+	answered           bool          // has sent a complete report under the fencing token
+	lastAnswer         time.Time     // to a poll; a refusal does not count
+	lastExtension      time.Time     // the latest time at which the worker lease may have been extended
+	lease              time.Duration // from lastExtension, on the worker's clock, until the lease has ended
+	clock              clockReading  // of the last report
+	leaseEndMillis     int64         // the latest end of the worker lease in any request, on the worker's clock; zero if none
+	leaseEndClock      clockReading  // by which leaseEndMillis was set
+	newestEnded        int64         // the number of the newest ended attempt that was reported
+	newestDurableEnded int64         // the number of the newest one that is durably recorded
+	failures           int           // since the last completed attempt; checkProgress may add more
 	quarantinedUntil   time.Time
 }
 
@@ -185,6 +186,7 @@
 		leavesAt:      departure(r),
 		listed:        listed,
 		lastExtension: time.Now().Add(predecessorExtension),
+		lease:         s.longestLease(),
 	}
 }
 
@@ -239,10 +241,30 @@
 	})
 }
 
-// maxWorkerLease returns how long a worker lease may last on the owner's clock after it
-// was extended.
+// grantedLease returns the duration for which a request extends the worker lease, so that
+// WorkerLease is left when the next poll is due. The caller holds s.mu.
+func (s *Shard) grantedLease() time.Duration {
+	return s.leaseBeyond(s.pollWait())
+}
+
+// longestLease returns the longest duration for which any owner extends the worker lease.
+func (s *Shard) longestLease() time.Duration {
+	return s.leaseBeyond(maxPollWait)
+}
+
+// leaseBeyond returns WorkerLease and the time until the next poll, if workers grant so much.
+func (s *Shard) leaseBeyond(untilPoll time.Duration) time.Duration {
+	lease := s.options.WorkerLease + untilPoll
+	if s.options.MaxWorkerLease > 0 {
+		lease = min(lease, s.options.MaxWorkerLease)
+	}
+	return lease
+}
+
+// maxWorkerLease returns how long a worker lease may last on the owner's clock after any
+// owner has extended it.
 func (s *Shard) maxWorkerLease() time.Duration {
-	return onOwnerClock(s.options.WorkerLease)
+	return onOwnerClock(s.longestLease())
 }
 
 // onOwnerClock returns how long a time span on a worker's clock may last.
@@ -259,7 +281,7 @@
 	const reason = "worker lease expired; the worker does not respond"
 	now := time.Now()
 	for _, l := range s.links {
-		if now.Sub(l.lastAnswer) < s.unresponsiveAfter() || now.Before(l.lastExtension.Add(s.maxWorkerLease())) {
+		if now.Sub(l.lastAnswer) < s.unresponsiveAfter() || now.Before(l.lastExtension.Add(onOwnerClock(l.lease))) {
 			continue
 		}
 		l.logLeaseExpired(now)
@@ -316,8 +338,11 @@
 	if !l.answered || l.shard.term.Remaining() < -workerLeaseGrace || now.Sub(l.lastAnswer) > l.shard.unresponsiveAfter() {
 		return 0
 	}
+	granted := l.shard.grantedLease()
+	// An earlier extension may have been for longer.
+	l.lease = max(granted, l.lease-now.Sub(l.lastExtension))
 	l.lastExtension = now
-	end := l.clock.lowerBound(now) + l.shard.options.WorkerLease.Milliseconds()
+	end := l.clock.lowerBound(now) + granted.Milliseconds()
 	if end > l.leaseEndMillis {
 		l.leaseEndMillis, l.leaseEndClock = end, l.clock
 	}
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -52,6 +52,10 @@
 		sent:    sent,
 		arrived: arrived,
 	}
+	if first {
+		// From now on the worker rejects extensions by earlier owners.
+		l.lastExtension, l.lease = arrived, s.longestLease()
+	}
 	records, ended := s.recordEnded(l, report.Ended)
 	records = s.reconcile(records, l, report, ended, sent, first)
 	if first {
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -72,8 +72,8 @@
 	Advisors func() []AdvisorNode
 	// JobStateRetention is how long the state of an ended job is kept.
 	JobStateRetention time.Duration
-	// WorkerLease is the duration of a worker lease: how long a worker keeps its tasks
-	// running without hearing from the owner.
+	// WorkerLease is how long a worker keeps its tasks running without hearing from the owner,
+	// counted from when the next poll is due.
 	WorkerLease time.Duration
 	// MaxWorkerLease is the longest worker lease that workers grant.
 	MaxWorkerLease time.Duration
