--- a/internal/decide/job/reservation_test.go
+++ b/internal/decide/job/reservation_test.go
@@ -18,6 +18,20 @@
 	return rules
 }
 
+// acceptGangAndSmallTasks accepts a gang of two, and a job of the less urgent queue with small tasks.
+func acceptGangAndSmallTasks(t *testing.T, state *job.State, small int) {
+	t.Helper()
+	acceptJob(t, state, "gang", "team0", "plain", 1, job.StepSpec{
+		Count: 2,
+		Needs: cores(40),
+		Gang:  true,
+	})
+	acceptJob(t, state, "small", "team0", "low", 1, job.StepSpec{
+		Count: small,
+		Needs: cores(10),
+	})
+}
+
 // allowWorkers answers all queries of the pass and allows the workers with the given numbers.
 func allowWorkers(p *job.Planner, workers []*job.Worker, now int64, numbers ...int) {
 	for _, q := range p.PolicyQueries(now, limitCalls(1000, 1000)) {
@@ -143,15 +157,7 @@
 		}
 	}
 	assert.Equal(t, len(job.NewPlanner(state, rules, workers, 0).Plan(0)), 2)
-	acceptJob(t, state, "gang", "team0", "plain", 1, job.StepSpec{
-		Count: 2,
-		Needs: cores(40),
-		Gang:  true,
-	})
-	acceptJob(t, state, "small", "team0", "low", 1, job.StepSpec{
-		Count: 8,
-		Needs: cores(10),
-	})
+	acceptGangAndSmallTasks(t, state, 8)
 	records := job.NewPlanner(state, rules, workers, 2).Plan(2)
 	assert.Equal(t, len(records), 6)
 	for _, r := range records {
@@ -175,15 +181,7 @@
 		w.Incarnation++
 		state.Move(before, w.Key())
 	}
-	acceptJob(t, state, "gang", "team0", "plain", 1, job.StepSpec{
-		Count: 2,
-		Needs: cores(40),
-		Gang:  true,
-	})
-	acceptJob(t, state, "small", "team0", "low", 1, job.StepSpec{
-		Count: 1,
-		Needs: cores(10),
-	})
+	acceptGangAndSmallTasks(t, state, 1)
 	assert.DeepEqual(t, placedJobs(job.NewPlanner(state, rules, workers, 1).Plan(1)), []string{"small"})
 	endTask(t, state, "small", 0, job.AttemptCompleted)
 	mustApply(t, state, job.Record{
