--- a/review/cell2/cases.go
+++ b/review/cell2/cases.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/base64"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -410,89 +409,3 @@
 	c.note("POST %s to %s: %d %v", path, x.name, a.code, a.err)
 	return a
 }
-
-// largeJobsWait hands in jobs with a payload of almost 4,000 bytes, as many as the runners can do.
-// With trouble, many more users come for some time, so that jobs wait.
-func largeJobsWait(c *cell, trouble bool) []string {
-	const (
-		usual, burst = 4.0, 130.0 // jobs a second
-		length       = 60 * time.Second
-		finish       = 14 * time.Second
-		payloadBytes = 2960 // before the encoding as text
-	)
-	c.addRunners(8, 64000, 262144)
-	c.startNodes(3)
-	c.awaitReady()
-	perSecond := usual
-	if trouble {
-		perSecond = burst
-	}
-	var mu sync.Mutex
-	var ids []string
-	var group sync.WaitGroup
-	client := &http.Client{
-		Timeout:   callTimeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 50},
-	}
-	end := time.Now().Add(length)
-	for n := 1; time.Now().Before(end); n++ {
-		time.Sleep(randomPause(time.Duration(float64(time.Second) / perSecond)))
-		group.Go(func() {
-			noise := make([]byte, payloadBytes)
-			for i := range noise {
-				noise[i] = byte(rand.N(256))
-			}
-			w := work{
-				Millis: 5000,
-				Text:   base64.StdEncoding.EncodeToString(noise),
-			}
-			id, x := jobID(n), c.nodes[n%len(c.nodes)]
-			a := c.call(client, x, http.MethodPost, "/batch/"+id, jobOf(w, map[string]any{
-				"count": 2, "cpu": 5600, "memMb": 21000, "estimatedMs": 5000,
-			}))
-			mu.Lock()
-			defer mu.Unlock()
-			if a.code == http.StatusOK {
-				ids = append(ids, id)
-			}
-			if n%100 == 0 || a.code != http.StatusOK && n%20 == 0 {
-				c.note("POST %s to %s: %d %v; %d accepted so far", id, x.name, a.code, a.body, len(ids))
-			}
-		})
-	}
-	group.Wait()
-	time.Sleep(finish)
-	return c.checkAnswers(ids)
-}
-
-// checkAnswers asks for some of the accepted jobs, and watches whether any task is started for 10 s
-// though runners are free and jobs wait.
-func (c *cell) checkAnswers(ids []string) []string {
-	const asked, watched = 20, 10 * time.Second
-	before := c.watch.totalStarts()
-	unanswered, waiting := 0, 0
-	for n := range asked {
-		id := ids[n*len(ids)/asked]
-		a := c.call(sharedClient, c.nodes[n%len(c.nodes)], http.MethodGet, "/batch/"+id, nil)
-		c.note("GET %s: %d %v", id, a.code, a.body)
-		if a.code != http.StatusOK {
-			unanswered++
-		}
-	}
-	time.Sleep(watched)
-	for _, id := range ids {
-		if c.watch.startsOf(id+".0.0.0") == 0 {
-			waiting++
-		}
-	}
-	starts, running := c.watch.totalStarts()-before, c.watch.totalRunning()
-	c.note("%d jobs accepted, %d have not begun; %d tasks run, %d were started in the last 10 s", len(ids), waiting, running, starts)
-	var broken []string
-	if unanswered > 0 {
-		broken = append(broken, fmt.Sprintf("LOST: %d of %d accepted jobs that were asked for get no answer", unanswered, asked))
-	}
-	if waiting > 0 && running == 0 && starts == 0 {
-		broken = append(broken, fmt.Sprintf("LOST: nothing runs or is started for 10 s, and %d accepted jobs wait", waiting))
-	}
-	return broken
-}
--- a/review/cell2/main.go
+++ b/review/cell2/main.go
@@ -22,7 +22,6 @@
 	"hangup":   hangupWhileLeaving,
 	"owners":   ownersChange,
 	"again":    requestComesAgain,
-	"payloads": largeJobsWait,
 }
 
 // attempts is the number of attempts in the configuration of each case.
@@ -33,7 +32,6 @@
 	"hangup":   4,
 	"owners":   4,
 	"again":    4,
-	"payloads": 4,
 }
 
 func main() {
--- a/review/cell2/runner.go
+++ b/review/cell2/runner.go
@@ -24,8 +24,6 @@
 	Millis     int64 `json:"ms"`
 	Gang       int   `json:"gang,omitempty"`
 	FailMillis int64 `json:"failMs,omitempty"`
-	// Text only makes the payload longer.
-	Text string `json:"text,omitempty"`
 }
 
 // run is one attempt that a runner carries out.
--- a/review/cell2/watch.go
+++ b/review/cell2/watch.go
@@ -61,12 +61,6 @@
 	w.cell.note("noted %s attempt %d %s", e.task, e.attempt, e.how)
 }
 
-func (w *watch) isRunning(task string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.running[task] > 0
-}
-
 // startsOf returns how many runs of the task have begun.
 func (w *watch) startsOf(task string) int {
 	w.mu.Lock()
@@ -89,25 +83,3 @@
 	}
 	return time.Since(w.lastEnd[task])
 }
-
-// totalStarts returns how many runs have begun.
-func (w *watch) totalStarts() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	total := 0
-	for _, n := range w.starts {
-		total += n
-	}
-	return total
-}
-
-// totalRunning returns how many runs there are now.
-func (w *watch) totalRunning() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	total := 0
-	for _, n := range w.running {
-		total += n
-	}
-	return total
-}
