--- a/review/cell2/cases.go
+++ b/review/cell2/cases.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -273,7 +275,7 @@
 	c.awaitReady()
 	id := jobID(1)
 	if !c.submit(id, jobOf(work{}, map[string]any{
-		"count": tasks, "cpu": 2000, "memMb": 1024, "estimatedMs": 1000, "antiAffinity": 2, "daemon": true,
+		"count": tasks, "cpu": 2000, "memMb": 1024, "estimatedMs": 1000, "antiAffinity": 4, "daemon": true,
 	})) {
 		c.fatal("the job is not accepted")
 		return nil
@@ -281,7 +283,9 @@
 	time.Sleep(5 * time.Second)
 	disturbed := time.Now()
 	if trouble {
-		lost := c.runners[0]
+		lost := slices.MaxFunc(c.runners, func(a, b *runner) int {
+			return cmp.Compare(a.runCount(), b.runCount())
+		})
 		lost.crash()
 		time.AfterFunc(entryExpiry, func() { c.store.remove("servers/" + lost.id) })
 	}
--- a/review/cell2/runner.go
+++ b/review/cell2/runner.go
@@ -178,6 +178,13 @@
 	r.cell.note("restart %s", r.id)
 }
 
+// runCount returns how many runs the runner has now.
+func (r *runner) runCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.runs)
+}
+
 func (r *runner) clock() int64 {
 	return time.Since(r.bootedAt).Milliseconds()
 }
