--- a/review/cell2/cases.go
+++ b/review/cell2/cases.go
@@ -137,12 +137,12 @@
 	return broken
 }
 
-// gangFails hands in a gang whose members need a runner each. With trouble, two of the runners
-// fail all that they start until the first run of the gang has ended.
+// gangFails hands in a gang whose members need a runner each. With trouble, two of the 24 runners
+// fail all that they start.
 func gangFails(c *cell, trouble bool) []string {
-	const members = 3
+	const members, failing = 24, 2
 	c.addRunners(members, 64000, 262144)
-	for _, r := range c.runners[:2] {
+	for _, r := range c.runners[:failing] {
 		r.fails = trouble
 	}
 	c.startNodes(3)
