Let a job take the ID of one that its owner has pruned

Cause: State.Prune removes an ended job from memory and writes no record. Every later owner replays both; State.Apply refused the second, and Open ended the term.

All records of the earlier job precede the second acceptance, so the condition holds in the replay wherever it held for the owner. A record of the pruning would not have helped journals that exist already; this does.

runOwner of the tests ends the term if the shard does not open, so that such a failure is readable.

--- a/internal/cluster/shard/call_test.go
+++ b/internal/cluster/shard/call_test.go
@@ -66,6 +66,9 @@
 		change(&options)
 	}
 	s, err := Open(t.Context(), options)
+	if err != nil {
+		release()
+	}
 	assert.NilError(t, err)
 	go func() { _ = s.Run() }()
 	return s, release
--- a/internal/decide/job/snapshot.go
+++ b/internal/decide/job/snapshot.go
@@ -1,25 +1,27 @@
 package job
 
+import "slices"
+
 // Snapshot returns records that rebuild the state. Ended jobs without placements are
 // kept without payload and steps, and omitted if they ended before the Unix millisecond
 // endedBefore.
 func (s *State) Snapshot(endedBefore int64) []Record {
 	var records []Record
 	for _, j := range s.jobs {
-		placed := j.hasPlacements()
-		if j.Outcome != Open && !placed && j.FinishedMillis < endedBefore {
+		if j.forgettable() && j.FinishedMillis < endedBefore {
 			continue
 		}
-		records = append(records, j.snapshot(j.Outcome == Open || placed)...)
+		records = append(records, j.snapshot(!j.forgettable())...)
 	}
 	return records
 }
 
 // Prune removes the jobs without placements that ended before the Unix millisecond
-// endedBefore, the same ones that Snapshot omits.
+// endedBefore, the same ones that Snapshot omits. No record tells of it, so the journal may
+// hold them until the next snapshot.
 func (s *State) Prune(endedBefore int64) {
 	for id, j := range s.jobs {
-		if j.Outcome != Open && j.FinishedMillis < endedBefore && !j.hasPlacements() {
+		if j.forgettable() && j.FinishedMillis < endedBefore {
 			s.removeJob(id)
 		}
 	}
@@ -34,13 +36,11 @@
 	}
 }
 
-func (j *Job) hasPlacements() bool {
-	for _, step := range j.Steps {
-		if step.placed > 0 {
-			return true
-		}
-	}
-	return false
+// forgettable reports whether the job has ended and has no placements.
+func (j *Job) forgettable() bool {
+	return j.Outcome != Open && !slices.ContainsFunc(j.Steps, func(s *Step) bool {
+		return s.placed > 0
+	})
 }
 
 func (j *Job) snapshot(full bool) []Record {
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -181,7 +181,9 @@
 }
 
 // Apply applies the record to the state. It returns an error, and leaves the state as
-// it is, if the record does not match the state.
+// it is, if the record does not match the state. The acceptance of a job whose ID an earlier
+// one had, which has ended and has no placements, replaces that job: its owner has pruned it
+// without a record.
 func (s *State) Apply(r Record) error {
 	if r.Kind == RecordAccept {
 		if err := s.acceptJob(r); err != nil {
@@ -239,7 +241,7 @@
 }
 
 func (s *State) acceptJob(r Record) error {
-	if s.jobs[r.Job] != nil {
+	if earlier := s.jobs[r.Job]; earlier != nil && !earlier.forgettable() {
 		return fmt.Errorf("job %s is already accepted", r.Job)
 	}
 	j := &Job{
--- a/internal/decide/job/state_test.go
+++ b/internal/decide/job/state_test.go
@@ -235,6 +235,83 @@
 	}
 }
 
+// TestAcceptReplacesJobThatMayBePruned checks that a job takes the ID of one that its owner may have
+// pruned, with nothing of that one, and that no other job is replaced.
+func TestAcceptReplacesJobThatMayBePruned(t *testing.T) {
+	spec := job.StepSpec{
+		Count: 1,
+		Needs: job.Resources{MilliCores: 1000},
+	}
+	place := job.Record{
+		Kind:    job.RecordPlace,
+		Job:     "a",
+		Attempt: 1,
+		Worker:  "w",
+	}
+	fail := job.Record{
+		Kind:           job.RecordAttemptEnd,
+		Job:            "a",
+		Attempt:        1,
+		AttemptOutcome: job.AttemptFailed,
+		Checkpoint:     "c",
+	}
+	cancel := job.Record{
+		Kind:    job.RecordJobEnd,
+		Job:     "a",
+		Outcome: job.Cancelled,
+	}
+	for name, c := range map[string]struct {
+		records  []job.Record
+		replaced bool
+	}{
+		"open": {},
+		"open, failed once": {
+			records: []job.Record{place, fail},
+		},
+		"ended, an attempt may run": {
+			records: []job.Record{place, cancel},
+		},
+		"ended": {
+			records:  []job.Record{cancel},
+			replaced: true,
+		},
+		"ended after an attempt": {
+			records:  []job.Record{place, fail, cancel},
+			replaced: true,
+		},
+		"ended before its attempt": {
+			records:  []job.Record{place, cancel, fail},
+			replaced: true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			acceptJob(t, state, "a", "team", "plain", 1, spec)
+			for _, r := range c.records {
+				mustApply(t, state, r)
+			}
+			before := describeState(state, []string{"a"})
+			err := state.Apply(job.Record{
+				Kind:       job.RecordAccept,
+				Job:        "a",
+				Team:       "other",
+				Queue:      "plain",
+				Submission: &job.Submission{Steps: []job.StepSpec{spec, spec}},
+			})
+			assert.Equal(t, err == nil, c.replaced)
+			if !c.replaced {
+				assert.DeepEqual(t, describeState(state, []string{"a"}), before)
+				return
+			}
+			fresh := job.NewState()
+			acceptJob(t, fresh, "a", "other", "plain", 1, spec, spec)
+			assert.DeepEqual(t, describeState(state, []string{"a"}), describeState(fresh, []string{"a"}))
+			assert.Equal(t, len(state.OpenJobs()), 1)
+			checkUnplaced(t, state, []string{"a"})
+		})
+	}
+}
+
 // TestJobStartsWhenAnAttemptRan checks that a job does not count as started when an attempt
 // is placed, which may never run, but once its end shows that it ran, and that a snapshot
 // preserves this.
