--- a/internal/cluster/shard/metrics.go
+++ b/internal/cluster/shard/metrics.go
@@ -58,6 +58,11 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_jobs_given_up_total{queue=%q}", queue)).Inc()
 }
 
+// countJournalMismatch counts a record of the journal that did not match the state at a takeover.
+func countJournalMismatch() {
+	metrics.GetOrCreateCounter("citronbay_journal_mismatches_total").Inc()
+}
+
 // setWaitingSteps updates the gauges of the ready steps of jobs within their team's rate, by the
 // cause for which they wait.
 func setWaitingSteps(byCause map[job.WaitCause]int) {
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -130,7 +130,7 @@
 }
 
 // Open recovers the shard from its journal. It fails if the journal cannot be read or
-// holds an invalid record, or if the term of ownership ends before the agreement in
+// holds a record of an unknown kind, or if the term of ownership ends before the agreement in
 // force has been read.
 func Open(ctx context.Context, options Options) (*Shard, error) {
 	s := &Shard{
@@ -162,10 +162,9 @@
 	s.journal = journal
 	s.journal.SetLink(options.Link)
 	readTime := stepTime()
-	for _, r := range records {
-		if err := s.state.Apply(r); err != nil {
-			return nil, fmt.Errorf("shard: recover: %w", err)
-		}
+	mismatches, err := s.replay(records)
+	if err != nil {
+		return nil, fmt.Errorf("shard: recover: %w", err)
 	}
 	s.state.MarkRecorded()
 	s.inheritPlacements()
@@ -175,11 +174,29 @@
 	}
 	s.agreementVersion.Store(s.agreement.Version)
 	s.log.Info("shardRecovered", "token", s.term.Token(), "records", len(records),
-		"openJobs", len(s.state.OpenJobs()), "agreement", s.agreement.Version,
+		"mismatches", mismatches, "openJobs", len(s.state.OpenJobs()), "agreement", s.agreement.Version,
 		"read", readTime, "apply", applyTime, "agreementWait", stepTime())
 	return s, nil
 }
 
+// replay rebuilds the state from the journal's records. It returns how many of them did not match the
+// state, which it logs, or an error if a record cannot be interpreted.
+func (s *Shard) replay(records []job.Record) (mismatches int, err error) {
+	for _, r := range records {
+		err := s.state.Replay(r)
+		if errors.Is(err, job.ErrUnknownKind) {
+			return mismatches, err
+		}
+		if err != nil {
+			mismatches++
+			countJournalMismatch()
+			s.log.Error("recordMismatch", "kind", r.Kind, "job", r.Job, "step", r.Step, "index", r.Index,
+				"attempt", r.Attempt, "error", err)
+		}
+	}
+	return mismatches, nil
+}
+
 // inheritPlacements prepares the placements of earlier terms for the links of their workers.
 func (s *Shard) inheritPlacements() {
 	for _, key := range s.state.WorkersWithPlacements() {
