Count a run of a gang as one failure, however many members failed

Cause: each member's end that was reported as failed was counted, and Step.Failures added the members up, so that one run used as many attempts as it had failed members. The log shows it: two attemptEnded lines with attempt=1, then jobFailed failures=2. Ruled out: the limit (attempts 2 of the route is in force), a second run (no tasksPlaced with attempt=2).

Change: a failed end counts only if no member of the gang has failed with the same attempt number, which identifies the run: all members of a run have it, and it rises with each run.

An earlier version reads the new records. jobFailed says whether the step is a gang and what the limit is; explain has the failures so far.

--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -136,22 +136,14 @@
 	s.log.Info("lateCompletion", "job", e.Task.Job, "step", e.Task.Step, "index", e.Task.Index, "attempt", e.Attempt)
 	step := j.Steps[e.Task.Step]
 	for n := range step.Tasks {
-		t := &step.Tasks[n]
 		if n != e.Task.Index && !step.Spec.Gang {
 			continue
 		}
-		records = s.apply(records, job.Record{
-			Kind:       job.RecordTaskState,
-			Job:        j.ID,
-			Step:       e.Task.Step,
-			Index:      n,
-			Attempt:    t.Attempt,
-			Failures:   t.Failures,
-			Checkpoint: t.Checkpoint,
-			Done:       true,
-		})
-		if t.Placement != nil {
-			s.requestStop(t.Placement)
+		done := step.TaskState(n)
+		done.Done = true
+		records = s.apply(records, done)
+		if p := step.Tasks[n].Placement; p != nil {
+			s.requestStop(p)
 		}
 	}
 	if j.Complete() {
@@ -195,7 +187,7 @@
 		records = s.finishJob(records, j, job.Completed, 0)
 	case outcome == job.AttemptFailed && !step.Spec.Endless && step.Failures(p.Task.Index) >= s.maxFailures(j):
 		s.log.Info("jobFailed", "job", j.ID, "team", j.Team, "step", p.Task.Step, "index", p.Task.Index,
-			"failures", step.Failures(p.Task.Index))
+			"gang", step.Spec.Gang, "failures", step.Failures(p.Task.Index), "limit", s.maxFailures(j))
 		records = s.finishJob(records, j, job.Failed, 0)
 	case step.Spec.Gang && outcome != job.AttemptCompleted && !step.Done():
 		s.stopGang(step)
@@ -203,8 +195,8 @@
 	return records
 }
 
-// maxFailures returns the number of failures of a task, or of all members of a gang
-// together, at which the job fails. It is math.MaxInt if there is no limit.
+// maxFailures returns the number of failures of a task, or of failed runs of a gang, at which the
+// job fails. It is math.MaxInt if there is no limit.
 func (s *Shard) maxFailures(j *job.Job) int {
 	if q, ok := s.agreement.Rules.Queues[j.Queue]; ok && q.MaxFailures > 0 {
 		return q.MaxFailures
--- a/internal/decide/job/crash.go
+++ b/internal/decide/job/crash.go
@@ -335,7 +335,7 @@
 	if t.Crashes == 0 || t.Done || !p.Confirmed || now-p.StartedMillis < clearMillis {
 		return Record{}, false
 	}
-	r := s.taskState(p.Task.Index)
+	r := s.TaskState(p.Task.Index)
 	r.Crashes, r.CertainCrashes = 0, 0
 	return r, true
 }
--- a/internal/decide/job/explain.go
+++ b/internal/decide/job/explain.go
@@ -22,7 +22,13 @@
 func (p *Planner) Explain(step *Step, now int64) []string {
 	lines := []string{fmt.Sprintf("step %d: %d of %d tasks done, %d placed, %d neither done nor placed",
 		step.Number, step.done, len(step.Tasks), step.placed, step.unplaced)}
+	if step.Spec.Gang && step.Failures(0) > 0 {
+		lines = append(lines, fmt.Sprintf("step %d: %d runs of the gang have failed", step.Number, step.Failures(0)))
+	}
 	for n, t := range step.Tasks {
+		if !step.Spec.Gang && t.Failures > 0 {
+			lines = append(lines, fmt.Sprintf("step %d task %d: %d attempts have failed", step.Number, n, t.Failures))
+		}
 		if t.Crashes > 0 {
 			lines = append(lines, fmt.Sprintf("step %d task %d: suspected of crashing %d workers", step.Number, n, t.Crashes))
 		}
--- a/internal/decide/job/explain_test.go
+++ b/internal/decide/job/explain_test.go
@@ -128,3 +128,47 @@
 		})
 	}
 }
+
+// TestExplainFailures checks that failures are explained as they count against the limit of attempts.
+func TestExplainFailures(t *testing.T) {
+	for name, c := range map[string]struct {
+		gang bool
+		want []string
+	}{
+		"tasks": {
+			want: []string{"step 0 task 0: 1 attempts have failed", "step 0 task 1: 1 attempts have failed"},
+		},
+		"gang": {
+			gang: true,
+			want: []string{"step 0: 1 runs of the gang have failed"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			acceptJob(t, state, "a", "team0", "plain", 0, job.StepSpec{
+				Count: 2,
+				Gang:  c.gang,
+			})
+			for n := range 2 {
+				mustApply(t, state, job.Record{
+					Kind:    job.RecordPlace,
+					Job:     "a",
+					Index:   n,
+					Attempt: 1,
+					Worker:  "w",
+				})
+				mustApply(t, state, job.Record{
+					Kind:           job.RecordAttemptEnd,
+					Job:            "a",
+					Index:          n,
+					Attempt:        1,
+					AttemptOutcome: job.AttemptFailed,
+				})
+			}
+			lines := job.NewPlanner(state, newRules(1), newWorkers(1), 1).Explain(state.Job("a").Steps[0], 1)
+			assert.DeepEqual(t, slices.DeleteFunc(lines, func(line string) bool {
+				return !strings.Contains(line, "failed")
+			}), c.want)
+		})
+	}
+}
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -247,9 +247,14 @@
 
 // Task is the state of one task.
 type Task struct {
-	Done     bool
-	Attempt  int // number of the latest attempt; zero before the first
+	Done    bool
+	Attempt int // number of the latest attempt; zero before the first
+	// Failures is the number of attempts that failed. A run of a gang in which several members
+	// failed counts with one of them: see Step.Failures.
 	Failures int
+	// FailedAttempt is the number of the latest attempt that failed; zero if there is none, or it
+	// is not known since an earlier version of this program has recorded it.
+	FailedAttempt int
 	// Crashes is the number of workers that crashed while an attempt of the task was
 	// suspected of causing it, since the task was last cleared. In CertainCrashes of them
 	// the attempt had certainly started.
--- a/internal/decide/job/rules.go
+++ b/internal/decide/job/rules.go
@@ -7,9 +7,8 @@
 	Service string
 	// Priority orders the queues; lower values go first.
 	Priority int
-	// MaxFailures is the number of failures of one task, or of all members of one gang
-	// together, at which its job fails; zero means no limit. Failures of endless tasks do
-	// not end the job.
+	// MaxFailures is the number of failures of one task, or of failed runs of one gang, at
+	// which its job fails; zero means no limit. Failures of endless tasks do not end the job.
 	MaxFailures int
 	// SlackFactor times the estimated run time of a job's critical path, plus
 	// TargetMillis, is the time after its submission within which the job should be done.
--- a/internal/decide/job/snapshot.go
+++ b/internal/decide/job/snapshot.go
@@ -81,7 +81,7 @@
 	var records []Record
 	for n, t := range s.Tasks {
 		if t.Attempt > 0 || t.Done {
-			records = append(records, s.taskState(n))
+			records = append(records, s.TaskState(n))
 		}
 		if t.Placement != nil {
 			records = append(records, Record{
@@ -98,7 +98,8 @@
 	return records
 }
 
-func (s *Step) taskState(index int) Record {
+// TaskState returns the record of the task's state, without its placement.
+func (s *Step) TaskState(index int) Record {
 	t := s.Tasks[index]
 	return Record{
 		Kind:           RecordTaskState,
@@ -107,6 +108,7 @@
 		Index:          index,
 		Attempt:        t.Attempt,
 		Failures:       t.Failures,
+		FailedAttempt:  t.FailedAttempt,
 		Crashes:        t.Crashes,
 		CertainCrashes: t.CertainCrashes,
 		Checkpoint:     t.Checkpoint,
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -63,6 +63,7 @@
 	Crashes        int            `cbor:"18,keyasint,omitempty"`
 	CertainCrashes int            `cbor:"19,keyasint,omitempty"`
 	Call           uint64         `cbor:"20,keyasint,omitempty"`
+	FailedAttempt  int            `cbor:"21,keyasint,omitempty"`
 }
 
 // State is the state of a shard's jobs and their placements. Create it with NewState.
@@ -366,7 +367,7 @@
 	case AttemptCompleted:
 		step.completeTask(t)
 	case AttemptFailed:
-		t.Failures++
+		step.countFailure(t, r.Attempt)
 	case AttemptCrashed:
 		step.setCrashes(t, t.Crashes+1, t.CertainCrashes+1)
 	case AttemptMayHaveCrashed:
@@ -375,6 +376,18 @@
 	return nil
 }
 
+// countFailure counts that the attempt of the task has failed. A run of a gang, whose members have the
+// same attempt number, counts once, with the member that is recorded first.
+func (s *Step) countFailure(t *Task, attempt int) {
+	counted := s.Spec.Gang && slices.ContainsFunc(s.Tasks, func(member Task) bool {
+		return member.FailedAttempt == attempt
+	})
+	if !counted {
+		t.Failures++
+	}
+	t.FailedAttempt = attempt
+}
+
 // completeTask marks the task of a completed attempt as done, as are all members if it belongs to a
 // gang. An endless task is never done.
 func (s *Step) completeTask(t *Task) {
@@ -441,6 +454,7 @@
 func (s *State) restoreTask(step *Step, t *Task, r Record) {
 	t.Attempt = r.Attempt
 	t.Failures = r.Failures
+	t.FailedAttempt = r.FailedAttempt
 	t.Checkpoint = r.Checkpoint
 	if !t.Done {
 		step.setCrashes(t, r.Crashes, r.CertainCrashes)
@@ -453,15 +467,17 @@
 	}
 }
 
-// Failures returns the number of failures of the task, or of all members if the step
-// is a gang.
+// Failures returns the number of failures of the task or, if the step is a gang, of the gang's runs
+// in which a member failed. An earlier version of this program counted each of those members; the
+// number of runs is the limit for such counts.
 func (s *Step) Failures(index int) int {
 	if !s.Spec.Gang {
 		return s.Tasks[index].Failures
 	}
-	failures := 0
+	failures, runs := 0, 0
 	for _, t := range s.Tasks {
 		failures += t.Failures
+		runs = max(runs, t.Attempt)
 	}
-	return failures
+	return min(failures, runs)
 }
--- a/internal/decide/job/state_test.go
+++ b/internal/decide/job/state_test.go
@@ -54,7 +54,7 @@
 				if t.Placement != nil {
 					placement = fmt.Sprint(t.Placement.Worker, t.Placement.Attempt)
 				}
-				lines = append(lines, fmt.Sprintf("%s.%d.%d %v %d %d %d %d %q %s", id, step.Number, n, t.Done, t.Attempt, t.Failures, t.Crashes, t.CertainCrashes, t.Checkpoint, placement))
+				lines = append(lines, fmt.Sprintf("%s.%d.%d %v %d %d %d %d %d %q %s", id, step.Number, n, t.Done, t.Attempt, t.Failures, t.FailedAttempt, t.Crashes, t.CertainCrashes, t.Checkpoint, placement))
 			}
 		}
 	}
