Count a failed run of a gang once against its worker

Each member that ended failed counted against its worker, so that one run of a gang with three members on a worker quarantined it, for twice as long with each further member, although nothing shows a fault of the worker. Now the members that a run has on a worker count once.

Failed before: TestGangRunCountsOnceAgainstWorker/gang: 3 (l.failures) != 1, three runs: 9 != 3.

Looked at, counted once already: crash suspicions (the largest count of any member), jobs ended, the time to the first start. attemptEnded stays one line for each member.

--- a/internal/cluster/shard/gang_failure_test.go
+++ b/internal/cluster/shard/gang_failure_test.go
@@ -283,3 +283,88 @@
 		})
 	}
 }
+
+// TestGangRunCountsOnceAgainstWorker guards against the quarantine of a worker because several members
+// of one run of a gang ended failed there. Failures in a row, of runs or of other tasks, still count.
+func TestGangRunCountsOnceAgainstWorker(t *testing.T) {
+	for name, c := range map[string]struct {
+		gang bool
+		runs int // each with gangMembers failed ends
+		done int // a task completes after that many runs; zero means none does
+		want int
+	}{
+		"gang": {
+			gang: true,
+			runs: 1,
+			want: 1,
+		},
+		"gang that fails three times": {
+			gang: true,
+			runs: 3,
+			want: 3,
+		},
+		"gang that fails three times, a success between": {
+			gang: true,
+			runs: 3,
+			done: 1,
+			want: 2,
+		},
+		"other tasks": {
+			runs: 1,
+			want: gangMembers,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, release := newRestartTest(t, newRestartingWorker())
+				defer release()
+				s.SetWorkers([]worker.Registration{{
+					ID:          "w",
+					Incarnation: 1,
+				}})
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				assert.NilError(t, s.state.Apply(job.Record{
+					Kind: job.RecordAccept,
+					Job:  unknownID,
+					Submission: &job.Submission{Steps: []job.StepSpec{{
+						Count: gangMembers,
+						Gang:  c.gang,
+					}}},
+				}))
+				l := s.links["w"]
+				number := int64(0)
+				report := func(id string, index, attempt int, outcome worker.Outcome) {
+					assert.NilError(t, s.state.Apply(job.Record{
+						Kind:        job.RecordPlace,
+						Job:         id,
+						Index:       index,
+						Attempt:     attempt,
+						Worker:      "w",
+						Incarnation: 1,
+					}))
+					number++
+					s.recordEnded(l, []worker.Ended{{
+						Number: number,
+						Task: job.TaskKey{
+							Job:   id,
+							Index: index,
+						},
+						Attempt: attempt,
+						Outcome: outcome,
+					}})
+				}
+				for attempt := 1; attempt <= c.runs; attempt++ {
+					for n := range gangMembers {
+						report(unknownID, n, attempt, worker.Failed)
+					}
+					if attempt == c.done {
+						report(acceptedID, 0, 1, worker.Done)
+					}
+				}
+				assert.Equal(t, l.failures, c.want)
+				assert.Equal(t, l.quarantinedUntil.After(time.Now()), c.want >= quarantineFailures)
+			})
+		})
+	}
+}
--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -65,22 +65,23 @@
 	// The fields below are guarded by the shard's mu.
 
 	registration       worker.Registration
-	endedIncarnations  []int64       // earlier incarnations of the worker
-	worker             job.Worker    // as the planner sees it; plannerWorker updates it
-	listed             bool          // is in the directory
-	provisional        bool          // registration is that of an earlier incarnation
-	leavesAt           time.Time     // when a draining worker leaves at the earliest; zero otherwise
-	addressReused      bool          // another worker answers at the address
-	answered           bool          // has sent a complete report under the fencing token
-	lastAnswer         time.Time     // to a poll; a refusal does not count
-	lastExtension      time.Time     // the latest time at which the worker lease may have been extended
-	lease              time.Duration // from lastExtension, on the worker's clock, until the lease has ended
-	clock              clockReading  // of the last report
-	leaseEndMillis     int64         // the latest end of the worker lease in any request, on the worker's clock; zero if none
-	leaseEndClock      clockReading  // by which leaseEndMillis was set
-	newestEnded        int64         // the number of the newest ended attempt that was reported
-	newestDurableEnded int64         // the number of the newest one that is durably recorded
-	failures           int           // since the last completed attempt; checkProgress may add more
+	endedIncarnations  []int64          // earlier incarnations of the worker
+	worker             job.Worker       // as the planner sees it; plannerWorker updates it
+	listed             bool             // is in the directory
+	provisional        bool             // registration is that of an earlier incarnation
+	leavesAt           time.Time        // when a draining worker leaves at the earliest; zero otherwise
+	addressReused      bool             // another worker answers at the address
+	answered           bool             // has sent a complete report under the fencing token
+	lastAnswer         time.Time        // to a poll; a refusal does not count
+	lastExtension      time.Time        // the latest time at which the worker lease may have been extended
+	lease              time.Duration    // from lastExtension, on the worker's clock, until the lease has ended
+	clock              clockReading     // of the last report
+	leaseEndMillis     int64            // the latest end of the worker lease in any request, on the worker's clock; zero if none
+	leaseEndClock      clockReading     // by which leaseEndMillis was set
+	newestEnded        int64            // the number of the newest ended attempt that was reported
+	newestDurableEnded int64            // the number of the newest one that is durably recorded
+	failures           int              // since the last completed attempt; checkProgress may add more
+	failedRuns         map[gangRun]bool // runs of gangs that failures has counted
 	quarantinedUntil   time.Time
 }
 
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -111,9 +111,10 @@
 		case worker.Done:
 			outcome = job.AttemptCompleted
 			l.failures = 0
+			clear(l.failedRuns)
 		case worker.Failed:
 			outcome = job.AttemptFailed
-			l.countFailure()
+			l.countFailedEnd(e, s.state.Job(e.Task.Job).Steps[e.Task.Step].Spec.Gang)
 		}
 		if outcome != job.AttemptCompleted {
 			s.log.Info("attemptEnded", "job", e.Task.Job, "step", e.Task.Step, "index", e.Task.Index,
@@ -152,6 +153,33 @@
 	return records
 }
 
+// gangRun identifies a run of a gang.
+type gangRun struct {
+	job     string
+	step    int
+	attempt int
+}
+
+// countFailedEnd counts an attempt that ended failed against the worker. The members that a run of a
+// gang has on the worker count once: they end together, and the run may have failed by its own fault.
+func (l *link) countFailedEnd(e worker.Ended, gang bool) {
+	if gang {
+		run := gangRun{
+			job:     e.Task.Job,
+			step:    e.Task.Step,
+			attempt: e.Attempt,
+		}
+		if l.failedRuns[run] {
+			return
+		}
+		if l.failedRuns == nil {
+			l.failedRuns = map[gangRun]bool{}
+		}
+		l.failedRuns[run] = true
+	}
+	l.countFailure()
+}
+
 // countFailure counts a failure of the worker and quarantines it after
 // quarantineFailures in a row.
 func (l *link) countFailure() {
