--- a/internal/decide/job/planner.go
+++ b/internal/decide/job/planner.go
@@ -68,6 +68,17 @@
 	// the cost of one; nil if there is no limit.
 	startBudget float64
 	startCost   func(*Job) float64
+	// preference adds to the placement cost of a step on a worker; nil if there is none.
+	preference func(*Step, *Worker) int64
+}
+
+// WithPreference returns a copy of the planner that adds cost(step, worker), in thousandths of a
+// core, to the cost of placing a task of the step on the worker. It changes which of the workers
+// with room is chosen, not whether one is.
+func (p *Planner) WithPreference(cost func(*Step, *Worker) int64) *Planner {
+	planner := *p
+	planner.preference = cost
+	return &planner
 }
 
 // WithStartBudget returns a copy of the planner that places no further step once the start orders
@@ -410,6 +421,9 @@
 	if step.Spec.DataRack != "" && step.Spec.DataRack != w.Rack {
 		cost += offDataRackCost
 	}
+	if p.preference != nil {
+		cost += p.preference(step, w)
+	}
 	return cost
 }
 
