--- a/internal/proof/process/cell_test.go
+++ b/internal/proof/process/cell_test.go
@@ -124,9 +124,10 @@
 }
 
 // The entries' ports are below the system's ephemeral range, so that no outgoing
-// connection takes one while its entry restarts.
+// connection takes one while its entry restarts, and below the ports that the tests of
+// package platform probe on all addresses at the same time.
 const (
-	firstPort = 12000
+	firstPort = 2000
 	portRange = 18000
 )
 
