Evacuation of a failure domain: no task starts there from the request on

Change: where the deployment has a bound for it, the requests are read and watched together with the agreement, under the prefix that both share, and dated by the same reads. decide/evacuation says by them, and by their age, whether an order may be sent. Workers in an evacuated failure domain are not usable to the planner; placements whose order has not been sent are given back, with the rest of their gang; an order without an answer is not repeated but stopped; an owner whose knowledge is older than the bound less an order's time places nothing, and its orders wait. A successor gets the requests with the agreement before it opens the shard. explain and the wait causes name the evacuation; gauges, log lines.

--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -310,6 +310,7 @@
 		Agreement:         func() shard.DatedAgreement { return n.renewAgreement(term.Context(), <-agreement) },
 		ReadAgreement:     n.readAgreement,
 		ChangeInForce:     n.options.ChangeInForce,
+		EvacuationInForce: n.options.EvacuationInForce,
 		NewWorkerClient:   n.newWorkerClient,
 		Link:              n.options.Link,
 		Advisors:          n.advisors,
@@ -332,10 +333,10 @@
 		s.SetWorkers(workers)
 	})
 	go store.Follow(term.Context(), n.options.Store, store.FollowOptions{
-		Prefix:          n.options.AgreementSource.Key,
+		Prefix:          n.agreementPrefix(),
 		Link:            n.options.Link,
 		MaxReadInterval: maxReadInterval,
-		MaxUndated:      time.Duration(agreementReadShare * float64(n.options.ChangeInForce)),
+		MaxUndated:      n.agreementReadInterval(),
 		Initial:         n.agreementCopy.Load(),
 	}, n.log, func(c store.Copy) {
 		n.applyAgreement(s, c)
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/citronbay/citronbay/internal/cluster/shard"
 	"github.com/citronbay/citronbay/internal/cluster/store"
 	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/evacuation"
 	"github.com/citronbay/citronbay/internal/decide/owner"
 )
 
@@ -29,6 +30,16 @@
 	Decode func([]byte) (*operator.Agreement, error)
 }
 
+// EvacuationSource locates and decodes the operators' requests to evacuate failure domains in the
+// store. Without a prefix there are none.
+type EvacuationSource struct {
+	// Prefix is the common prefix of the keys.
+	Prefix string
+	// Decode returns the request of an item. It also returns the request beside an error: that the
+	// key exists is what counts.
+	Decode func(store.Item) (evacuation.Request, error)
+}
+
 // Options are the settings and dependencies of a node.
 type Options struct {
 	// Name is the node's name, which is unique in the cluster.
@@ -48,6 +59,10 @@
 	// ChangeInForce is the time after its acknowledgement within which a change of the
 	// agreement has to be in force; zero means no limit.
 	ChangeInForce time.Duration
+	// EvacuationSource and EvacuationInForce, the time after its acknowledgement from which no task
+	// may start in an evacuated failure domain, are zero if there are no evacuations.
+	EvacuationSource  EvacuationSource
+	EvacuationInForce time.Duration
 	// NewWorkerClient returns a client of the worker that opens at most the given number of
 	// connections, and the function that closes it.
 	NewWorkerClient func(r worker.Registration, connections int) (worker.Client, func())
@@ -86,10 +101,13 @@
 	// goroutine of elect sets it.
 	storeLost atomic.Bool
 
-	// agreementCopy is the last copy of the agreement that was read over a small link, and decoded
-	// the agreement that was last decoded; either may be nil.
+	// agreementCopy is the last copy of the agreement that was read over a small link or with the
+	// requests to evacuate, and decoded the agreement that was last decoded; either may be nil.
 	agreementCopy atomic.Pointer[store.Copy]
 	decoded       atomic.Pointer[decodedAgreement]
+	// unreadableEvacuations holds the revisions of the requests that were logged as unreadable, by
+	// their keys.
+	unreadableEvacuations atomic.Pointer[map[string]int64]
 	// fleetSize is the number of workers in the directory as last read.
 	fleetSize atomic.Int64
 
--- a/internal/cluster/settings/settings.go
+++ b/internal/cluster/settings/settings.go
@@ -60,6 +60,9 @@
 	// ChangeInForceMillis is the time after its acknowledgement within which a change of the
 	// agreement has to be in force, in milliseconds; zero means 2,500.
 	ChangeInForceMillis int64 `yaml:"changeInForceMillis"`
+	// EvacuationInForceMillis is the time after its acknowledgement from which no task starts in
+	// an evacuated failure domain, in milliseconds; zero means that there are no evacuations.
+	EvacuationInForceMillis int64 `yaml:"evacuationInForceMillis"`
 	// GraceSeconds is the time from the request to stop the process until it is
 	// killed; zero means 6.
 	GraceSeconds float64 `yaml:"graceSeconds"`
@@ -207,6 +210,12 @@
 	return time.Duration(s.ChangeInForceMillis) * time.Millisecond
 }
 
+// EvacuationInForce returns the time after its acknowledgement from which no task starts in an
+// evacuated failure domain; zero means that there are no evacuations.
+func (s Settings) EvacuationInForce() time.Duration {
+	return time.Duration(max(0, s.EvacuationInForceMillis)) * time.Millisecond
+}
+
 // JobStateRetention returns how long the state of an ended job is kept.
 func (s Settings) JobStateRetention() time.Duration {
 	const defaultRetention = 120 * time.Second
--- a/internal/cluster/shard/agreement.go
+++ b/internal/cluster/shard/agreement.go
@@ -6,11 +6,12 @@
 
 	"github.com/citronbay/citronbay/internal/cluster/operator"
 	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/decide/evacuation"
 )
 
 const (
-	// refreshFraction is the age of the agreement, as a fraction of Options.ChangeInForce,
-	// above which it is read again before requests are answered by it.
+	// refreshFraction is the age of the agreement, as a fraction of agreementAgeLimit, above
+	// which it is read again before requests are answered by it.
 	refreshFraction = 0.8
 	// agreementReadTimeout bounds a read of the agreement, like other calls to the store.
 	agreementReadTimeout = time.Second
@@ -28,13 +29,24 @@
 // DatedAgreement is the operators' agreement as read from the store.
 type DatedAgreement struct {
 	*operator.Agreement
+	// Evacuations are the requests that were read with it, if there are evacuations.
+	Evacuations evacuation.Requests
 	// AsOf is a time at which no newer version was acknowledged yet.
 	AsOf store.Instant
 }
 
+// evacuations returns the requests that were read with the agreement.
+func (a DatedAgreement) evacuations() Evacuations {
+	return Evacuations{
+		Requests: a.Evacuations,
+		AsOf:     a.AsOf,
+	}
+}
+
 // SetAgreement puts the agreement in force if it is newer than the present one, and notes
 // until when it is known to have been the newest.
 func (s *Shard) SetAgreement(a DatedAgreement) {
+	s.SetEvacuations(a.evacuations())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if a.Version < s.agreement.Version {
@@ -86,7 +98,8 @@
 // returns nil otherwise. The caller holds s.mu.
 func (s *Shard) startAgreementRead(now store.Instant, version int64) *agreementRead {
 	age := now.Sub(s.agreement.AsOf)
-	if s.options.ChangeInForce == 0 || float64(age) <= refreshFraction*float64(s.options.ChangeInForce) && s.agreement.Version >= version {
+	limit := s.agreementAgeLimit()
+	if limit == 0 || float64(age) <= refreshFraction*float64(limit) && s.agreement.Version >= version {
 		return nil
 	}
 	if s.agreementRead != nil {
@@ -108,6 +121,15 @@
 	return s.agreementRead
 }
 
+// agreementAgeLimit returns the age of the agreement, or of the requests that are read with it, from
+// which something may not be decided any more; zero if there is none.
+func (s *Shard) agreementAgeLimit() time.Duration {
+	if limit := s.maxEvacuationAge(); limit > 0 && (s.options.ChangeInForce == 0 || limit < s.options.ChangeInForce) {
+		return limit
+	}
+	return s.options.ChangeInForce
+}
+
 // readAgreement reads the agreement once and puts it in force.
 func (s *Shard) readAgreement(read *agreementRead) {
 	ctx, cancel := context.WithTimeout(s.term.Context(), agreementReadTimeout)
--- a/internal/cluster/shard/explain.go
+++ b/internal/cluster/shard/explain.go
@@ -22,6 +22,9 @@
 	team := s.agreement.Rules.Teams[j.Team]
 	lines = append(lines, fmt.Sprintf("team %s uses %d of %d millicores (0: no cap)",
 		j.Team, s.state.TeamUsed(j.Team).MilliCores, team.Cap.MilliCores))
+	for _, r := range s.evacuations.List() {
+		lines = append(lines, fmt.Sprintf("failure domain %s is evacuated: nothing starts on its %d workers", r.Domain, s.countWorkersIn(r.Domain)))
+	}
 	planner := job.NewPlanner(s.state, s.agreement.Rules, s.plannerWorkers(), now)
 	for _, step := range j.Steps {
 		lines = append(lines, planner.Explain(step, now)...)
--- a/internal/cluster/shard/link.go
+++ b/internal/cluster/shard/link.go
@@ -325,7 +325,8 @@
 	w.ID, w.Incarnation, w.Service = r.ID, r.Incarnation, r.Service
 	w.Zone, w.Rack, w.Labels = r.Zone, r.Rack, r.Labels
 	w.Capacity = r.Capacity
-	w.Usable = l.answered && l.listed && !l.provisional && !r.Draining && now.Sub(l.lastAnswer) < l.shard.unresponsiveAfter() && now.After(l.quarantinedUntil)
+	w.ShutOff = l.shard.evacuations.Covers(r.Zone)
+	w.Usable = l.answered && l.listed && !l.provisional && !r.Draining && !w.ShutOff && now.Sub(l.lastAnswer) < l.shard.unresponsiveAfter() && now.After(l.quarantinedUntil)
 	w.Penalty = l.failures
 	return w
 }
--- a/internal/cluster/shard/orders.go
+++ b/internal/cluster/shard/orders.go
@@ -10,6 +10,7 @@
 
 	"github.com/citronbay/citronbay/internal/api/traffic"
 	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/evacuation"
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
@@ -31,7 +32,7 @@
 	// maxStartDelay is how long the start orders of waiting tasks may take before submissions are
 	// refused, twice the usual time of a caller.
 	maxStartDelay = 6 * time.Second
-	// leaseCheckInterval is how often a start order that waits for the ownership lease checks it.
+	// leaseCheckInterval is how often a start order that waits for permission checks it.
 	leaseCheckInterval = 20 * time.Millisecond
 	// startBytes is what is transmitted for a start order beside its payload.
 	startBytes = 450
@@ -59,10 +60,11 @@
 
 // sendStarts sends the start orders of the placements, whose records must be durable or
 // withdrawn. It ignores placements that have ended or were withdrawn, and abandons those
-// that are stopping or no longer fit on their worker.
+// that are stopping, no longer fit on their worker or are in an evacuated failure domain.
 func (s *Shard) sendStarts(placements []*job.Placement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.giveBackEvacuated(placements)
 	for _, p := range placements {
 		if !s.isCurrent(p) {
 			continue
@@ -105,13 +107,17 @@
 
 // startOrder extends the worker lease and returns the start order of the placement,
 // or false if the placement has ended or the worker has confirmed the start. UntilMillis
-// is zero if the lease must not be extended or the ticket has expired.
+// is zero if the lease must not be extended, the ticket has expired, or the failure domain is
+// evacuated or not known not to be.
 func (s *Shard) startOrder(l *link, p *job.Placement) (worker.Start, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if l.ctx.Err() != nil || !s.isCurrent(p) || p.Confirmed {
 		return worker.Start{}, false
 	}
+	if s.startVerdict(l) != evacuation.Permitted {
+		return worker.Start{}, true
+	}
 	j := s.state.Job(p.Task.Job)
 	step := j.Steps[p.Task.Step]
 	p.Orders++
@@ -134,9 +140,8 @@
 }
 
 // sendStart sends the start order until it is answered, at most maxStartTries times, and only while
-// the ownership lease holds. If
-// the order is refused, gets no answer or is not sent because the lease must not be
-// extended, sendStart stops the attempt when an unanswered copy of the order may still be
+// the ownership lease holds and the failure domain is known not to be evacuated. If
+// the order is refused, gets no answer or must not be sent, sendStart stops the attempt when an unanswered copy of the order may still be
 // carried out, and abandons it otherwise. A refusal of the fencing token revokes the term
 // of ownership instead.
 func (s *Shard) sendStart(l *link, p *job.Placement) {
@@ -145,7 +150,7 @@
 		if err := s.awaitLink(l, p); err != nil {
 			break
 		}
-		if err := s.awaitLease(l); err != nil {
+		if err := s.awaitPermission(l); err != nil {
 			return
 		}
 		order, wanted := s.startOrder(l, p)
@@ -178,11 +183,14 @@
 	if l.ctx.Err() != nil || !s.isCurrent(p) || p.Confirmed {
 		return
 	}
-	if !maybeDelivered {
+	switch {
+	case maybeDelivered:
+		s.requestStop(p)
+	case s.startVerdict(l) != evacuation.Permitted:
+		s.abandonStart(p, reasonEvacuated)
+	default:
 		s.abandonStart(p, "the worker cannot be reached, its lease cannot be extended or the ticket has expired")
-		return
 	}
-	s.requestStop(p)
 }
 
 // newStartLimiter returns the limiter of the bytes of start orders.
@@ -262,14 +270,15 @@
 		s.credit.delay(s.agreement.Rules.Queues[queue].Priority, s.startsPerSecond()) > maxStartDelay
 }
 
-// awaitLease waits until the ownership lease holds. Another owner may have recorded the completion
-// of an attempt whose order has had no answer, and a worker that has restarted since does not know
-// that owner's token. It returns an error if the link to the worker is closed first.
-func (s *Shard) awaitLease(l *link) error {
-	for s.term.Remaining() <= 0 {
+// awaitPermission waits until the ownership lease holds and it is known whether the worker's failure
+// domain is evacuated. Without the lease, another owner may have recorded the completion of an
+// attempt whose order has had no answer, and a worker that has restarted since does not know that
+// owner's token. It returns an error if the link to the worker is closed first.
+func (s *Shard) awaitPermission(l *link) error {
+	for s.term.Remaining() <= 0 || s.awaitsRequests(l) {
 		sleep(l.ctx, leaseCheckInterval)
 		if err := l.ctx.Err(); err != nil {
-			return fmt.Errorf("shard: await the ownership lease: %w", err)
+			return fmt.Errorf("shard: await permission to start: %w", err)
 		}
 	}
 	return nil
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -64,6 +64,9 @@
 	// ChangeInForce is the time after its acknowledgement within which a change of the
 	// agreement has to be in force; zero means no limit.
 	ChangeInForce time.Duration
+	// EvacuationInForce is the time after its acknowledgement from which no task may start in an
+	// evacuated failure domain; zero means that there are no evacuations.
+	EvacuationInForce time.Duration
 	// NewWorkerClient returns a client of the worker and the function that closes it.
 	NewWorkerClient func(worker.Registration) (worker.Client, func())
 	// Link is the link of this VM.
@@ -110,6 +113,10 @@
 	mu        sync.Mutex
 	state     *job.State
 	agreement DatedAgreement
+	// evacuations are the requests known, and unknownDomains the revisions of those that were
+	// logged since no worker is in their failure domain, by that.
+	evacuations    Evacuations
+	unknownDomains map[string]int64
 	// nextCheck is the check of ownership that begins after the one in progress, or nil, and
 	// checking is set while there is either.
 	nextCheck *ownershipCheck
@@ -173,6 +180,7 @@
 		return nil, errors.New("shard: recover: the term of ownership ended before the agreement was read")
 	}
 	s.agreementVersion.Store(s.agreement.Version)
+	s.SetEvacuations(s.agreement.evacuations())
 	s.log.Info("shardRecovered", "token", s.term.Token(), "records", len(records),
 		"mismatches", mismatches, "openJobs", len(s.state.OpenJobs()), "agreement", s.agreement.Version,
 		"read", readTime, "apply", applyTime, "agreementWait", stepTime())
@@ -325,6 +333,7 @@
 	if now-s.gaugesSetMillis > gaugeIntervalMillis {
 		s.gaugesSetMillis = now
 		s.setGauges(workers)
+		s.reviewEvacuations(workers)
 	}
 	planner := job.NewPlanner(s.state, s.agreement.Rules, workers, now).WithCommitMillis(s.journal.CommitLatency().Milliseconds())
 	if s.mayPlace() {
@@ -341,15 +350,15 @@
 
 // mayPlace reports whether tasks may be placed now. A placement made while the store is
 // unavailable would hold resources without being started, and its tickets could expire. By an
-// outdated agreement it could exceed a cap that was lowered; mayPlace starts a read of a newer
-// one. The caller holds s.mu.
+// outdated agreement it could exceed a cap that was lowered, and by outdated requests it could be in
+// an evacuated failure domain; mayPlace starts a read of newer ones. The caller holds s.mu.
 func (s *Shard) mayPlace() bool {
 	if s.term.Remaining() <= 0 || s.journal.StalledFor() >= storeStallLimit {
 		return false
 	}
 	now := store.Now()
 	s.startAgreementRead(now, 0)
-	return s.mayDecide(now)
+	return s.mayDecide(now) && s.knowsEvacuations(now)
 }
 
 // plannerWorkers returns the workers as the planner sees them; the caller holds s.mu.
--- a/internal/decide/job/explain.go
+++ b/internal/decide/job/explain.go
@@ -56,7 +56,9 @@
 	WaitClearing    WaitCause = "clearing"    // the suspects are in other steps
 	WaitIsolation   WaitCause = "isolation"   // no worker is isolated for the job
 	WaitEmptyWorker WaitCause = "emptyWorker" // the isolated workers run other jobs
-	WaitWorkers     WaitCause = "workers"     // no usable worker is allowed
+	// The evacuation of failure domains leaves no allowed worker, or too little capacity.
+	WaitEvacuation WaitCause = "evacuation"
+	WaitWorkers    WaitCause = "workers" // no usable worker is allowed
 	// The allowed workers have too little capacity, even with no other than endless tasks there.
 	WaitFleet    WaitCause = "fleet"
 	WaitCapacity WaitCause = "capacity" // no allowed worker has room for a task
@@ -68,7 +70,7 @@
 // AllWaitCauses returns all causes, in the order in which they are checked.
 func AllWaitCauses() []WaitCause {
 	return []WaitCause{
-		WaitDependency, WaitQueue, WaitCap, WaitPolicy, WaitClearing, WaitIsolation, WaitEmptyWorker, WaitWorkers,
+		WaitDependency, WaitQueue, WaitCap, WaitPolicy, WaitClearing, WaitIsolation, WaitEmptyWorker, WaitEvacuation, WaitWorkers,
 		WaitFleet, WaitCapacity, WaitGang, WaitTickets, WaitOrder,
 	}
 }
@@ -119,6 +121,8 @@
 		return step.Spec.Needs.FitsIn(p.freeFor(step, w))
 	})
 	switch {
+	case p.awaitsEvacuated(step, queue, allowed):
+		cause = WaitEvacuation
 	case len(allowed) == 0:
 		cause = WaitWorkers
 	case !p.fitsDrained(step, allowed):
@@ -135,6 +139,18 @@
 	return cause, len(allowed)
 }
 
+// awaitsEvacuated reports whether the step fits on the allowed workers, once all tasks there have ended
+// that will end, only together with workers that are shut off.
+func (p *Planner) awaitsEvacuated(step *Step, queue Queue, allowed []*Worker) bool {
+	all := slices.Clone(allowed)
+	for _, w := range p.workers {
+		if w.ShutOff && !step.Advice.denied[w] && isSuitable(step, queue, w) {
+			all = append(all, w)
+		}
+	}
+	return len(all) > len(allowed) && !p.fitsDrained(step, allowed) && p.fitsDrained(step, all)
+}
+
 // fitsDrained reports whether the gang, or one task of another step, fits on the workers once all
 // tasks there have ended that will end.
 func (p *Planner) fitsDrained(step *Step, workers []*Worker) bool {
@@ -164,6 +180,8 @@
 		return "tasks of the job are suspected of crashing workers, and no worker is isolated for it yet"
 	case WaitEmptyWorker:
 		return "tasks of the job are suspected of crashing workers, and the workers that are isolated for it still run other jobs"
+	case WaitEvacuation:
+		return fmt.Sprintf("its failure domains are evacuated: with their workers it would fit, but not on the %d other allowed workers", allowed)
 	case WaitWorkers:
 		return "no usable worker has the service, the label and the policy's permission that the step requires"
 	case WaitFleet:
--- a/internal/decide/job/planner.go
+++ b/internal/decide/job/planner.go
@@ -20,8 +20,10 @@
 	Labels      []string
 	Capacity    Resources
 	// Usable is set if the worker is in the directory, answers, has seen the owner's
-	// fencing token, and is neither draining nor in quarantine.
+	// fencing token, and is neither draining nor in quarantine nor shut off.
 	Usable bool
+	// ShutOff is set if the worker's failure domain is evacuated.
+	ShutOff bool
 	// Penalty grows with the failures since the last success; workers with a lower
 	// penalty are preferred.
 	Penalty int
@@ -266,8 +268,12 @@
 // eligible reports whether the worker is usable and has the service and the label that
 // the step requires.
 func (p *Planner) eligible(step *Step, queue Queue, w *Worker) bool {
-	return w.Usable && w.Service == queue.Service &&
-		(step.Spec.Label == "" || slices.Contains(w.Labels, step.Spec.Label))
+	return w.Usable && isSuitable(step, queue, w)
+}
+
+// isSuitable reports whether the worker has the service and the label that the step requires.
+func isSuitable(step *Step, queue Queue, w *Worker) bool {
+	return w.Service == queue.Service && (step.Spec.Label == "" || slices.Contains(w.Labels, step.Spec.Label))
 }
 
 // allowedWorkers returns the eligible workers on which the policy, if any, and the
