--- a/internal/decide/job/explain_test.go
+++ b/internal/decide/job/explain_test.go
@@ -68,6 +68,34 @@
 	}
 }
 
+// TestWaitsForEvacuatedWorkers checks that a job that fits only together with workers that are shut off is
+// told from one that fits nowhere, and from one that waits for room on the others.
+func TestWaitsForEvacuatedWorkers(t *testing.T) {
+	for name, c := range map[string]struct {
+		shutOff int
+		spec    job.StepSpec
+		want    job.WaitCause
+	}{
+		"no worker left":           {shutOff: 2, spec: job.StepSpec{Count: 1, Needs: cores(1)}, want: job.WaitEvacuation},
+		"gang needs both":          {shutOff: 1, spec: job.StepSpec{Count: 2, Needs: cores(40), Gang: true}, want: job.WaitEvacuation},
+		"fits nowhere":             {shutOff: 1, spec: job.StepSpec{Count: 1, Needs: cores(80)}, want: job.WaitFleet},
+		"label that no worker has": {shutOff: 2, spec: job.StepSpec{Count: 1, Needs: cores(1), Label: "none"}, want: job.WaitWorkers},
+		"room on the other":        {shutOff: 1, spec: job.StepSpec{Count: 3, Needs: cores(40)}, want: job.WaitCapacity},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := job.NewState()
+			workers := newWorkers(2)
+			for _, w := range workers[:c.shutOff] {
+				w.Usable, w.ShutOff = false, true
+			}
+			acceptJob(t, state, "job", "team0", "plain", 0, c.spec)
+			job.NewPlanner(state, newRules(1), workers, 0).Plan(0)
+			causes, _ := job.NewPlanner(state, newRules(1), workers, 1).WaitCauses(1)
+			assert.DeepEqual(t, causes, map[job.WaitCause]int{c.want: 1})
+		})
+	}
+}
+
 // TestWaitCausesOfSuspects checks that the log tells a suspect without an isolated worker from
 // one whose worker is not empty yet, and from a step that waits for the suspects of another.
 func TestWaitCausesOfSuspects(t *testing.T) {
