--- a/internal/api/peer/client.go
+++ b/internal/api/peer/client.go
@@ -217,6 +217,9 @@
 		HandshakeIdleTimeout:  handshakeTimeout,
 		MaxIncomingStreams:    1 << 16,
 		MaxIncomingUniStreams: -1,
+		// What a peer sends ahead of a busy process stays small.
+		MaxStreamReceiveWindow:     maxStreamWindow,
+		MaxConnectionReceiveWindow: maxConnectionWindow,
 	}
 }
 
@@ -247,6 +250,9 @@
 	if err != nil {
 		return response, fmt.Errorf("peer %s: %s: %w", p.name(), method, err)
 	}
+	if reply.IsRefused {
+		return response, fmt.Errorf("peer %s: %s: %w", p.name(), method, ErrRefused)
+	}
 	if reply.Error != "" {
 		return response, fmt.Errorf("peer %s: %s: %w: %s", p.name(), method, ErrRemote, reply.Error)
 	}
--- a/internal/api/peer/frame.go
+++ b/internal/api/peer/frame.go
@@ -16,6 +16,10 @@
 const (
 	// maxMessageBytes is the maximum size of an encoded message that is read.
 	maxMessageBytes = 8 << 20
+	// maxStreamWindow and maxConnectionWindow limit what may arrive of a call, and of all calls of a
+	// peer, before it is read.
+	maxStreamWindow     = 512 << 10
+	maxConnectionWindow = 1 << 20
 	// keepAliveInterval is the interval of keep-alive packets on an idle connection.
 	keepAliveInterval = 500 * time.Millisecond
 	// idleTimeout is how long nothing may arrive on a connection before it is
@@ -43,10 +47,12 @@
 	Body            cbor.RawMessage `json:"body"`
 }
 
-// replyFrame is the response of a call: a body, or the text of an error.
+// replyFrame is the response of a call: a body, or the text of an error. IsRefused is set if the call
+// was not run for want of memory; peers that do not know it see an error.
 type replyFrame struct {
-	Error string          `json:"error,omitempty"`
-	Body  cbor.RawMessage `json:"body,omitempty"`
+	Error     string          `json:"error,omitempty"`
+	IsRefused bool            `json:"isRefused,omitempty"`
+	Body      cbor.RawMessage `json:"body,omitempty"`
 }
 
 // ErrNotSent reports that a call was not sent, so the peer cannot have seen it.
--- a/internal/api/peer/server.go
+++ b/internal/api/peer/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/citronbay/citronbay/internal/api/traffic"
 )
@@ -25,6 +26,8 @@
 // Server serves the calls of peers. Create it with NewServer.
 type Server struct {
 	handlers map[string]handler
+	budget   *semaphore.Weighted // in bytes; nil without a limit
+	limited  map[string]bool     // methods whose calls hold memory until they are answered
 
 	mu       sync.Mutex
 	inFlight int
@@ -59,10 +62,19 @@
 	quicListener *quic.Listener
 }
 
+// ListenLimited is Listen with limits for peers that have not proved the secret.
+func ListenLimited(address string, tlsConfig *tls.Config, limits Limits) (*Listener, func(), error) {
+	return listen(address, tlsConfig, limits)
+}
+
 // Listen listens on the UDP address (IP:port) with a TLS configuration returned by
 // TLSConfig, so that only peers with the same secret can connect. The returned
 // function closes the listener.
 func Listen(address string, tlsConfig *tls.Config) (*Listener, func(), error) {
+	return listen(address, tlsConfig, Limits{})
+}
+
+func listen(address string, tlsConfig *tls.Config, limits Limits) (*Listener, func(), error) {
 	localAddress, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("peer: listen on %s: %w", address, err)
@@ -75,6 +87,8 @@
 		Conn:              socket,
 		StatelessResetKey: statelessResetKey(tlsConfig),
 	}
+	h := &handshakes{limit: int64(limits.Handshakes)}
+	h.limitTransport(transport)
 	listener, err := transport.Listen(tlsConfig, quicConfig())
 	if err != nil {
 		_ = socket.Close()
@@ -112,6 +126,7 @@
 		if err != nil {
 			return fmt.Errorf("peer: accept: %w", err)
 		}
+		completeHandshake(conn)
 		countConnection(conn)
 		go s.serveConnection(conn)
 	}
@@ -171,7 +186,26 @@
 
 func (s *Server) serveStream(stream *quic.Stream, remote *Remote) {
 	var frame callFrame
-	received, err := readMessage(stream, &frame)
+	c := &call{server: s}
+	defer c.end()
+	r := &reader{
+		Reader: stream,
+		call:   c,
+	}
+	received, err := readMessage(r, &frame)
+	if err == nil && s.limited[frame.Method] {
+		err = c.hold(callBytes + decodedCost*int64(received))
+	}
+	if errors.Is(err, ErrRefused) {
+		stream.CancelRead(0)
+		if _, err := writeMessage(stream, replyFrame{
+			Error:     ErrRefused.Error(),
+			IsRefused: true,
+		}); err != nil {
+			stream.CancelWrite(0)
+		}
+		return
+	}
 	if err != nil {
 		stream.CancelWrite(0)
 		return
--- a/internal/cluster/node/forward.go
+++ b/internal/cluster/node/forward.go
@@ -65,6 +65,14 @@
 			n.log.Info("attemptUnanswered", "path", r.Path, "verb", r.Verb, "call", r.Call,
 				"owner", owner.Node, "token", owner.Token, "waited", time.Since(start), "error", err)
 		}
+		if errors.Is(err, peer.ErrRefused) && !outcomeUnknown {
+			metrics.GetOrCreateCounter("citronbay_requests_refused_total{reason=\"ownerMemory\"}").Inc()
+			return caller.Response{
+				Status:      caller.Refused,
+				Reason:      "the owner has no memory left for the request",
+				RetryMillis: retryAfterMillis,
+			}
+		}
 		n.triggerElection()
 		if !outcomeUnknown && (time.Since(start) > maxOwnerWait || n.expectsNoOwner()) {
 			break
@@ -124,7 +132,7 @@
 	if err == nil {
 		return response.Status == caller.Unknown
 	}
-	return !errors.Is(err, peer.ErrNotSent) && !errors.Is(err, errNoOwner)
+	return !errors.Is(err, peer.ErrNotSent) && !errors.Is(err, peer.ErrRefused) && !errors.Is(err, errNoOwner)
 }
 
 // expectsNoOwner reports whether requests need not wait for an owner: this node does not
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -67,7 +67,10 @@
 	Link        traffic.Link
 	Descriptors int
 	MemoryMB    int64
-	Log         *slog.Logger
+	// PeerLimits are the limits of what other nodes pass on, and of peers that have not proved
+	// the secret.
+	PeerLimits peer.Limits
+	Log        *slog.Logger
 }
 
 // Node is one process of the cluster. Create it with New.
@@ -172,7 +175,7 @@
 // Run serves peers and takes part in the election of the owner until the context ends.
 // It returns an error if it cannot listen on its address or if serving fails.
 func (n *Node) Run(ctx context.Context) error {
-	listener, closeListener, err := peer.Listen(n.options.Address, n.tlsConfig)
+	listener, closeListener, err := peer.ListenLimited(n.options.Address, n.tlsConfig, n.options.PeerLimits)
 	if err != nil {
 		return fmt.Errorf("node: %w", err)
 	}
--- /dev/null
+++ b/internal/cluster/settings/clients.go
@@ -0,0 +1,96 @@
+package settings
+
+import "cmp"
+
+const (
+	// Where memoryMB is not set, clients and peers get the memory that they get on a machine of
+	// usualMemoryMB.
+	usualMemoryMB = 284
+	// clientShare and peerShare are the parts of the memory for what clients' connections and
+	// unfinished requests hold, and for what other nodes pass on. The collector's garbage and the
+	// state of the jobs need the rest.
+	clientShare, peerShare = 0.2, 0.1
+	// fileDescriptors is the number of descriptors that the platform reserves for files, and
+	// otherSockets the number of those for the listeners, the store and other nodes.
+	fileDescriptors, otherSockets = 200, 64
+	// The ready and metrics addresses have a few callers each, which are the platform's own.
+	defaultReadyConnections, defaultMetricsConnections = 64, 16
+	// defaultClientConnections applies where descriptors is not set.
+	defaultClientConnections = 8192
+	// defaultClientHeaderBytes is the size of a head that most servers and proxies accept.
+	defaultClientHeaderBytes = 8 << 10
+	// defaultClientBytesPerSecond is the least rate of a body: one of 256 KiB may take four minutes.
+	defaultClientBytesPerSecond = 1 << 10
+	// handshakeBytes is what an incomplete handshake with a peer takes.
+	handshakeBytes = 64 << 10
+	// maxPeerHandshakes is more than the nodes of the largest deployments.
+	maxPeerHandshakes = 512
+)
+
+func (s Settings) memoryBytes() float64 {
+	return float64(cmp.Or(s.MemoryMB, usualMemoryMB) << 20)
+}
+
+// ClientBytes returns the memory that connections and unfinished requests of clients may hold.
+func (s Settings) ClientBytes() int64 {
+	if s.ClientMemoryMBSetting > 0 {
+		return int64(s.ClientMemoryMBSetting * (1 << 20))
+	}
+	return int64(clientShare * s.memoryBytes())
+}
+
+// Sockets returns the number of sockets that clients' connections and those to workers may use
+// together, or zero if the number of descriptors is not known.
+func (s Settings) Sockets() int {
+	if s.Descriptors <= 0 {
+		return 0
+	}
+	return max(1, s.Descriptors-fileDescriptors-otherSockets-s.ReadyConnections()-s.MetricsConnections())
+}
+
+// ClientConnections returns the number of connections that clients may have open.
+func (s Settings) ClientConnections() int {
+	return cmp.Or(s.ClientConnectionsSetting, s.Sockets(), defaultClientConnections)
+}
+
+// ClientHeaderBytes returns the size that the head of a request may have.
+func (s Settings) ClientHeaderBytes() int {
+	return cmp.Or(s.ClientHeaderBytesSetting, defaultClientHeaderBytes)
+}
+
+// ClientBytesPerSecond returns the least rate at which the body of a request has to arrive.
+func (s Settings) ClientBytesPerSecond() int64 {
+	return cmp.Or(s.ClientBytesPerSecondSetting, defaultClientBytesPerSecond)
+}
+
+// ReadyConnections returns the number of connections that may be open for readiness checks.
+func (s Settings) ReadyConnections() int {
+	return cmp.Or(s.ReadyConnectionsSetting, min(defaultReadyConnections, s.smallShare()))
+}
+
+// MetricsConnections returns the number of connections that may be open to the metrics port.
+func (s Settings) MetricsConnections() int {
+	return cmp.Or(s.MetricsConnectionsSetting, min(defaultMetricsConnections, s.smallShare()))
+}
+
+// smallShare returns a number of connections that leaves most sockets to others.
+func (s Settings) smallShare() int {
+	const most, part = 64, 8
+	if s.Descriptors <= 0 {
+		return most
+	}
+	return max(4, (s.Descriptors-fileDescriptors)/part)
+}
+
+// PeerBytes returns the memory that the requests which other nodes pass on may hold.
+func (s Settings) PeerBytes() int64 {
+	if s.PeerMemoryMBSetting > 0 {
+		return int64(s.PeerMemoryMBSetting * (1 << 20))
+	}
+	return int64(peerShare * s.memoryBytes())
+}
+
+// PeerHandshakes returns the number of handshakes with peers that may be incomplete at once.
+func (s Settings) PeerHandshakes() int {
+	return cmp.Or(s.PeerHandshakesSetting, min(maxPeerHandshakes, max(8, int(peerShare*s.memoryBytes()/handshakeBytes))))
+}
--- a/internal/cluster/settings/settings.go
+++ b/internal/cluster/settings/settings.go
@@ -51,6 +51,16 @@
 	MemoryMB    int64   `yaml:"memoryMB"`
 	LinkMbps    float64 `yaml:"linkMbps"`
 	Descriptors int     `yaml:"descriptors"`
+	// Clients are the limits of clients that do not keep to theirs; zero means the default that
+	// the method of the name without Setting returns.
+	ClientMemoryMBSetting       float64 `yaml:"clientMemoryMB"`
+	ClientConnectionsSetting    int     `yaml:"clientConnections"`
+	ClientHeaderBytesSetting    int     `yaml:"clientHeaderBytes"`
+	ClientBytesPerSecondSetting int64   `yaml:"clientBytesPerSecond"`
+	ReadyConnectionsSetting     int     `yaml:"readyConnections"`
+	MetricsConnectionsSetting   int     `yaml:"metricsConnections"`
+	PeerMemoryMBSetting         float64 `yaml:"peerMemoryMB"`
+	PeerHandshakesSetting       int     `yaml:"peerHandshakes"`
 	// JobStateRetentionSeconds is how long the state of an ended job is kept; zero means
 	// 120.
 	JobStateRetentionSeconds float64 `yaml:"statusSeconds"`
@@ -86,13 +96,23 @@
 	return s, errors.Join(s.validate(), validateLimits(text))
 }
 
-// limits are the values that a limit of the process can have, by key. A node below the least
+// limits are the values that a limit can have, by key: of the process, and of its clients and peers.
+// A node below the least
 // memory or number of descriptors cannot serve, and one with a slower link cannot send a hello
 // in time.
 var limits = map[string]struct{ least, most float64 }{
 	"memoryMB":    {least: 32, most: 1 << 24},
 	"linkMbps":    {least: 0.1, most: 1e6},
 	"descriptors": {least: 256, most: 1 << 26},
+
+	"clientMemoryMB":       {least: 2, most: 1 << 24},
+	"clientConnections":    {least: 16, most: 1 << 26},
+	"clientHeaderBytes":    {least: 1024, most: 1 << 20},
+	"clientBytesPerSecond": {least: 1, most: 1 << 30},
+	"readyConnections":     {least: 4, most: 1 << 20},
+	"metricsConnections":   {least: 4, most: 1 << 20},
+	"peerMemoryMB":         {least: 2, most: 1 << 24},
+	"peerHandshakes":       {least: 8, most: 1 << 20},
 }
 
 // validateLimits returns an error that names line and key of each limit in the YAML text that is
--- /dev/null
+++ b/internal/decide/intake/intake.go
@@ -0,0 +1,101 @@
+package intake
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Phase is what a connection does.
+type Phase uint8
+
+// The phases.
+const (
+	// New means that no request has begun yet.
+	New Phase = iota
+	// Idle means that all requests so far are answered.
+	Idle
+	// Receiving means that a request has begun and not all of it has arrived.
+	Receiving
+	// Serving means that a whole request has arrived and is not answered yet.
+	Serving
+	// Answering means that the client has yet to take the answer.
+	Answering
+)
+
+// Stalled is how long nothing moves on a connection that counts as stalled: longer than the
+// usual retransmission of a lost packet, so that clients on a poor link are not taken for it.
+const Stalled = time.Second
+
+// Connection describes one connection.
+type Connection struct {
+	Phase Phase
+	// Held is the number of bytes that the node holds for the connection.
+	Held int64
+	// Quiet is the time since a byte last arrived or was taken.
+	Quiet time.Duration
+}
+
+// rank orders connections by what giving them up costs an honest client. One that has stalled is
+// most likely no loss; an idle connection costs the client a new one; a request that makes progress
+// costs it a refusal. A new connection comes last, or each would be given up for the next.
+func (c Connection) rank() int {
+	stalled := c.Quiet >= Stalled
+	switch {
+	case c.Phase == Answering && stalled:
+		return 0
+	case c.Phase == Receiving && stalled:
+		return 1
+	case c.Phase == New && stalled:
+		return 2
+	case c.Phase == Idle:
+		return 3
+	case c.Phase == Answering:
+		return 4
+	case c.Phase == Receiving:
+		return 5
+	}
+	return 6
+}
+
+// Victims returns the indexes of the connections to give up, so that they free the given numbers
+// of bytes and connections: those of the lowest rank first, of one rank those that have been
+// quiet for longest. A connection whose request is being served is never among them, because the
+// request may take effect. It reports false if they do not suffice; then none is to be given up.
+func Victims(connections []Connection, bytes int64, slots int) ([]int, bool) {
+	var candidates []int
+	for i, c := range connections {
+		if c.Phase != Serving {
+			candidates = append(candidates, i)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b int) int {
+		x, y := connections[a], connections[b]
+		return cmp.Or(cmp.Compare(x.rank(), y.rank()), cmp.Compare(y.Quiet, x.Quiet))
+	})
+	for n, i := range candidates {
+		if bytes <= 0 && slots <= 0 {
+			return candidates[:n], true
+		}
+		bytes -= connections[i].Held
+		slots--
+	}
+	return candidates, bytes <= 0 && slots <= 0
+}
+
+// EndsAfterAnswer reports whether a connection on which a request came before the one ahead of it was
+// answered is to end with the next answer: as soon as half of the connections are in use, since the
+// requests of one client could keep the node from those of others.
+func EndsAfterAnswer(connections, room int) bool {
+	return 2*connections > room
+}
+
+// ServedShare is the part of the budget that requests being served may hold. The rest is for
+// requests that arrive, so that a node whose requests all wait can still read and refuse others.
+const ServedShare = 0.75
+
+// MayServe reports whether another request may be served that holds the given bytes, beside those
+// that hold served bytes of the budget.
+func MayServe(served, held, budget int64) bool {
+	return served == 0 || float64(served+held) <= ServedShare*float64(budget)
+}
