--- a/internal/api/peer/limits.go
+++ b/internal/api/peer/limits.go
@@ -31,9 +31,9 @@
 	// are not refused. Few of them are in progress at once.
 	smallBytes = 4 << 10
 	// callBytes is what a call takes beside its body.
-	callBytes = 16 << 10
+	callBytes = 8 << 10
 	// decodedCost is what a byte of a body takes beside the body once it is decoded.
-	decodedCost = 4
+	decodedCost = 2
 	// retryFraction is the part of the handshakes beyond which addresses have to be proved.
 	retryFraction = 4
 )
--- a/internal/cluster/door/conn.go
+++ b/internal/cluster/door/conn.go
@@ -63,7 +63,7 @@
 
 // Write gives a client limited time to take each part of an answer.
 func (c *conn) Write(p []byte) (int, error) {
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(c.door.limits.Stall)); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
@@ -196,7 +196,7 @@
 	if err := d.reserve(b.conn, int64(len(p))*bodyCost); err != nil {
 		return 0, err
 	}
-	allowed := bodyGrace + time.Duration(float64(b.read)/float64(d.limits.BytesPerSecond)*float64(time.Second))
+	allowed := d.limits.Stall + time.Duration(float64(b.read)/float64(d.limits.BytesPerSecond)*float64(time.Second))
 	if err := b.conn.SetReadDeadline(b.started.Add(allowed)); err != nil {
 		return 0, err
 	}
--- a/internal/cluster/door/door.go
+++ b/internal/cluster/door/door.go
@@ -29,10 +29,6 @@
 	servedBytes = 48 << 10
 	// stepBytes is how much of a body is reserved and read at a time.
 	stepBytes = 8 << 10
-	// bodyGrace is how long a body may take beside the time by the least rate, and writeTimeout
-	// how long a client may take none of an answer's parts, which are 4 KiB or less.
-	bodyGrace    = 5 * time.Second
-	writeTimeout = 10 * time.Second
 	// restTimeout limits the time in which the rest of a body may arrive that no one reads.
 	restTimeout = time.Second
 	// sweepInterval is how often the sockets of the process are compared with its limit.
@@ -62,6 +58,9 @@
 	HeaderBytes int
 	// BytesPerSecond is the least rate at which a body has to arrive.
 	BytesPerSecond int64
+	// Stall is how long a body may take beside the time by the least rate, and how long a client
+	// may take none of an answer's parts, which are 4 KiB or less.
+	Stall time.Duration
 	// Requests is the most requests that are served at once; zero means that only Bytes limits them.
 	Requests int
 }
--- a/internal/cluster/settings/clients.go
+++ b/internal/cluster/settings/clients.go
@@ -1,6 +1,9 @@
 package settings
 
-import "cmp"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// Where memoryMB is not set, clients and peers get the memory that they get on a machine of
@@ -21,6 +24,8 @@
 	defaultClientHeaderBytes = 8 << 10
 	// defaultClientBytesPerSecond is the least rate of a body: one of 256 KiB may take four minutes.
 	defaultClientBytesPerSecond = 1 << 10
+	// defaultClientStallSeconds is longer than the deadlines of most requests.
+	defaultClientStallSeconds = 10
 	// handshakeBytes is what an incomplete handshake with a peer takes.
 	handshakeBytes = 64 << 10
 	// maxPeerHandshakes is more than the nodes of the largest deployments.
@@ -33,8 +38,8 @@
 
 // ClientBytes returns the memory that connections and unfinished requests of clients may hold.
 func (s Settings) ClientBytes() int64 {
-	if s.ClientMemoryMBSetting > 0 {
-		return int64(s.ClientMemoryMBSetting * (1 << 20))
+	if s.ClientMemoryMB > 0 {
+		return int64(s.ClientMemoryMB * (1 << 20))
 	}
 	return int64(clientShare * s.memoryBytes())
 }
@@ -45,32 +50,37 @@
 	if s.Descriptors <= 0 {
 		return 0
 	}
-	return max(1, s.Descriptors-fileDescriptors-otherSockets-s.ReadyConnections()-s.MetricsConnections())
+	return max(1, s.Descriptors-fileDescriptors-otherSockets-s.MaxReadyConnections()-s.MaxMetricsConnections())
+}
+
+// MaxClientConnections returns the number of connections that clients may have open.
+func (s Settings) MaxClientConnections() int {
+	return cmp.Or(s.ClientConnections, s.Sockets(), defaultClientConnections)
 }
 
-// ClientConnections returns the number of connections that clients may have open.
-func (s Settings) ClientConnections() int {
-	return cmp.Or(s.ClientConnectionsSetting, s.Sockets(), defaultClientConnections)
+// MaxHeaderBytes returns the size that the head of a request may have.
+func (s Settings) MaxHeaderBytes() int {
+	return cmp.Or(s.ClientHeaderBytes, defaultClientHeaderBytes)
 }
 
-// ClientHeaderBytes returns the size that the head of a request may have.
-func (s Settings) ClientHeaderBytes() int {
-	return cmp.Or(s.ClientHeaderBytesSetting, defaultClientHeaderBytes)
+// MinBytesPerSecond returns the least rate at which the body of a request has to arrive.
+func (s Settings) MinBytesPerSecond() int64 {
+	return cmp.Or(s.ClientBytesPerSecond, defaultClientBytesPerSecond)
 }
 
-// ClientBytesPerSecond returns the least rate at which the body of a request has to arrive.
-func (s Settings) ClientBytesPerSecond() int64 {
-	return cmp.Or(s.ClientBytesPerSecondSetting, defaultClientBytesPerSecond)
+// MaxClientStall returns how long a client may make no progress.
+func (s Settings) MaxClientStall() time.Duration {
+	return time.Duration(cmp.Or(s.ClientStallSeconds, defaultClientStallSeconds) * float64(time.Second))
 }
 
-// ReadyConnections returns the number of connections that may be open for readiness checks.
-func (s Settings) ReadyConnections() int {
-	return cmp.Or(s.ReadyConnectionsSetting, min(defaultReadyConnections, s.smallShare()))
+// MaxReadyConnections returns the number of connections that may be open for readiness checks.
+func (s Settings) MaxReadyConnections() int {
+	return cmp.Or(s.ReadyConnections, min(defaultReadyConnections, s.smallShare()))
 }
 
-// MetricsConnections returns the number of connections that may be open to the metrics port.
-func (s Settings) MetricsConnections() int {
-	return cmp.Or(s.MetricsConnectionsSetting, min(defaultMetricsConnections, s.smallShare()))
+// MaxMetricsConnections returns the number of connections that may be open to the metrics port.
+func (s Settings) MaxMetricsConnections() int {
+	return cmp.Or(s.MetricsConnections, min(defaultMetricsConnections, s.smallShare()))
 }
 
 // smallShare returns a number of connections that leaves most sockets to others.
@@ -84,13 +94,13 @@
 
 // PeerBytes returns the memory that the requests which other nodes pass on may hold.
 func (s Settings) PeerBytes() int64 {
-	if s.PeerMemoryMBSetting > 0 {
-		return int64(s.PeerMemoryMBSetting * (1 << 20))
+	if s.PeerMemoryMB > 0 {
+		return int64(s.PeerMemoryMB * (1 << 20))
 	}
 	return int64(peerShare * s.memoryBytes())
 }
 
-// PeerHandshakes returns the number of handshakes with peers that may be incomplete at once.
-func (s Settings) PeerHandshakes() int {
-	return cmp.Or(s.PeerHandshakesSetting, min(maxPeerHandshakes, max(8, int(peerShare*s.memoryBytes()/handshakeBytes))))
+// MaxPeerHandshakes returns the number of handshakes with peers that may be incomplete at once.
+func (s Settings) MaxPeerHandshakes() int {
+	return cmp.Or(s.PeerHandshakes, min(maxPeerHandshakes, max(8, int(peerShare*s.memoryBytes()/handshakeBytes))))
 }
--- a/internal/cluster/settings/settings.go
+++ b/internal/cluster/settings/settings.go
@@ -51,16 +51,20 @@
 	MemoryMB    int64   `yaml:"memoryMB"`
 	LinkMbps    float64 `yaml:"linkMbps"`
 	Descriptors int     `yaml:"descriptors"`
-	// Clients are the limits of clients that do not keep to theirs; zero means the default that
-	// the method of the name without Setting returns.
-	ClientMemoryMBSetting       float64 `yaml:"clientMemoryMB"`
-	ClientConnectionsSetting    int     `yaml:"clientConnections"`
-	ClientHeaderBytesSetting    int     `yaml:"clientHeaderBytes"`
-	ClientBytesPerSecondSetting int64   `yaml:"clientBytesPerSecond"`
-	ReadyConnectionsSetting     int     `yaml:"readyConnections"`
-	MetricsConnectionsSetting   int     `yaml:"metricsConnections"`
-	PeerMemoryMBSetting         float64 `yaml:"peerMemoryMB"`
-	PeerHandshakesSetting       int     `yaml:"peerHandshakes"`
+	// These limit what clients outside their limits make the node hold; zero means the default.
+	// ClientMemoryMB and PeerMemoryMB are in MiB: for connections and unfinished requests of
+	// clients, and for requests that other nodes pass on. ClientBytesPerSecond is the least rate
+	// of a request's body, ClientStallSeconds how long a client may make no progress beyond that,
+	// and PeerHandshakes the number of peers that have not proved the secret.
+	ClientMemoryMB       float64 `yaml:"clientMemoryMB"`
+	ClientConnections    int     `yaml:"clientConnections"`
+	ClientHeaderBytes    int     `yaml:"clientHeaderBytes"`
+	ClientBytesPerSecond int64   `yaml:"clientBytesPerSecond"`
+	ClientStallSeconds   float64 `yaml:"clientStallSeconds"`
+	ReadyConnections     int     `yaml:"readyConnections"`
+	MetricsConnections   int     `yaml:"metricsConnections"`
+	PeerMemoryMB         float64 `yaml:"peerMemoryMB"`
+	PeerHandshakes       int     `yaml:"peerHandshakes"`
 	// JobStateRetentionSeconds is how long the state of an ended job is kept; zero means
 	// 120.
 	JobStateRetentionSeconds float64 `yaml:"statusSeconds"`
@@ -109,6 +113,7 @@
 	"clientConnections":    {least: 16, most: 1 << 26},
 	"clientHeaderBytes":    {least: 1024, most: 1 << 20},
 	"clientBytesPerSecond": {least: 1, most: 1 << 30},
+	"clientStallSeconds":   {least: 0.1, most: 3600},
 	"readyConnections":     {least: 4, most: 1 << 20},
 	"metricsConnections":   {least: 4, most: 1 << 20},
 	"peerMemoryMB":         {least: 2, most: 1 << 24},
--- a/internal/cluster/settings/settings_test.go
+++ b/internal/cluster/settings/settings_test.go
@@ -21,18 +21,24 @@
 		text string
 		want string // part of the error; empty if there is none
 	}{
-		"missing":              {},
-		"empty, as a template": {text: "memoryMB: \nlinkMbps: null\ndescriptors:\n"},
-		"usual":                {text: "memoryMB: 284\nlinkMbps: 1000.0\ndescriptors: 4200\n"},
-		"small link":           {text: "linkMbps: 2\n"},
-		"zero memory":          {text: "memoryMB: 0\n", want: "line 7: memoryMB: 0 is not between"},
-		"zero link":            {text: "descriptors: 4200\nlinkMbps: 0\n", want: "line 8: linkMbps: 0 is not between"},
-		"negative link":        {text: "linkMbps: -2\n", want: "line 7: linkMbps"},
-		"absurd link":          {text: "linkMbps: 1e12\n", want: "line 7: linkMbps"},
-		"no number":            {text: "linkMbps: .nan\n", want: "line 7: linkMbps"},
-		"too few descriptors":  {text: "descriptors: 3\n", want: "line 7: descriptors"},
-		"text":                 {text: "descriptors: many\n", want: "descriptors"},
-		"absurd memory":        {text: "memoryMB: 99999999999\n", want: "line 7: memoryMB"},
+		"missing":                  {},
+		"empty, as a template":     {text: "memoryMB: \nlinkMbps: null\ndescriptors:\n"},
+		"usual":                    {text: "memoryMB: 284\nlinkMbps: 1000.0\ndescriptors: 4200\n"},
+		"small link":               {text: "linkMbps: 2\n"},
+		"zero memory":              {text: "memoryMB: 0\n", want: "line 7: memoryMB: 0 is not between"},
+		"zero link":                {text: "descriptors: 4200\nlinkMbps: 0\n", want: "line 8: linkMbps: 0 is not between"},
+		"negative link":            {text: "linkMbps: -2\n", want: "line 7: linkMbps"},
+		"absurd link":              {text: "linkMbps: 1e12\n", want: "line 7: linkMbps"},
+		"no number":                {text: "linkMbps: .nan\n", want: "line 7: linkMbps"},
+		"too few descriptors":      {text: "descriptors: 3\n", want: "line 7: descriptors"},
+		"text":                     {text: "descriptors: many\n", want: "descriptors"},
+		"least of clients' memory": {text: "clientMemoryMB: 2\nclientHeaderBytes: 1024\n"},
+		"too little for clients":   {text: "clientMemoryMB: 1.5\n", want: "line 7: clientMemoryMB: 1.5 is not between"},
+		"no connection":            {text: "memoryMB: 284\nclientConnections: 0\n", want: "line 8: clientConnections: 0 is not between"},
+		"negative rate":            {text: "clientBytesPerSecond: -1\n", want: "line 7: clientBytesPerSecond"},
+		"too short heads":          {text: "clientHeaderBytes: 100\n", want: "line 7: clientHeaderBytes"},
+		"few handshakes":           {text: "peerHandshakes: 1\n", want: "line 7: peerHandshakes"},
+		"absurd memory":            {text: "memoryMB: 99999999999\n", want: "line 7: memoryMB"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := Parse([]byte(validText + c.text))
@@ -44,3 +50,25 @@
 		})
 	}
 }
+
+// TestDefaultsAreWithinTheMachine checks that what the defaults admit fits into the machine, and that
+// clients inside the pages' limits do not meet them: hundreds of bodies of 256 KiB would.
+func TestDefaultsAreWithinTheMachine(t *testing.T) {
+	const bodyBytes, connectionBytes = 256 << 10, 16 << 10
+	for _, s := range []Settings{
+		{MemoryMB: 160, Descriptors: 4100},
+		{MemoryMB: 284, Descriptors: 4200},
+		{MemoryMB: 536, Descriptors: 8192},
+		{},
+	} {
+		assert.Assert(t, s.ClientBytes() >= 100*bodyBytes)
+		assert.Assert(t, s.ClientBytes() >= 2000*connectionBytes)
+		assert.Assert(t, s.MaxClientConnections() >= 3000)
+		assert.Assert(t, s.MaxPeerHandshakes() >= 256)
+		if s.MemoryMB > 0 {
+			assert.Assert(t, s.ClientBytes()+s.PeerBytes() <= s.MemoryMB<<20*35/100)
+			sockets := s.Sockets() + s.MaxReadyConnections() + s.MaxMetricsConnections()
+			assert.Assert(t, s.MaxClientConnections() <= s.Sockets() && sockets < s.Descriptors-fileDescriptors)
+		}
+	}
+}
