--- a/internal/cluster/settings/settings.go
+++ b/internal/cluster/settings/settings.go
@@ -51,6 +51,20 @@
 	MemoryMB    int64   `yaml:"memoryMB"`
 	LinkMbps    float64 `yaml:"linkMbps"`
 	Descriptors int     `yaml:"descriptors"`
+	// These limit what clients outside their limits make the node hold; zero means the default.
+	// ClientMemoryMB and PeerMemoryMB are in MiB: for connections and unfinished requests of
+	// clients, and for requests that other nodes pass on. ClientBytesPerSecond is the least rate
+	// of a request's body, ClientStallSeconds how long a client may make no progress beyond that,
+	// and PeerHandshakes the number of peers that have not proved the secret.
+	ClientMemoryMB       float64 `yaml:"clientMemoryMB"`
+	ClientConnections    int     `yaml:"clientConnections"`
+	ClientHeaderBytes    int     `yaml:"clientHeaderBytes"`
+	ClientBytesPerSecond int64   `yaml:"clientBytesPerSecond"`
+	ClientStallSeconds   float64 `yaml:"clientStallSeconds"`
+	ReadyConnections     int     `yaml:"readyConnections"`
+	MetricsConnections   int     `yaml:"metricsConnections"`
+	PeerMemoryMB         float64 `yaml:"peerMemoryMB"`
+	PeerHandshakes       int     `yaml:"peerHandshakes"`
 	// JobStateRetentionSeconds is how long the state of an ended job is kept; zero means
 	// 120.
 	JobStateRetentionSeconds float64 `yaml:"statusSeconds"`
@@ -89,13 +103,24 @@
 	return s, errors.Join(s.validate(), validateLimits(text))
 }
 
-// limits are the values that a limit of the process can have, by key. A node below the least
+// limits are the values that a limit can have, by key: of the process, and of its clients and peers.
+// A node below the least
 // memory or number of descriptors cannot serve, and one with a slower link cannot send a hello
 // in time.
 var limits = map[string]struct{ least, most float64 }{
 	"memoryMB":    {least: 32, most: 1 << 24},
 	"linkMbps":    {least: 0.1, most: 1e6},
 	"descriptors": {least: 256, most: 1 << 26},
+
+	"clientMemoryMB":       {least: 2, most: 1 << 24},
+	"clientConnections":    {least: 16, most: 1 << 26},
+	"clientHeaderBytes":    {least: 1024, most: 1 << 20},
+	"clientBytesPerSecond": {least: 1, most: 1 << 30},
+	"clientStallSeconds":   {least: 0.1, most: 3600},
+	"readyConnections":     {least: 4, most: 1 << 20},
+	"metricsConnections":   {least: 4, most: 1 << 20},
+	"peerMemoryMB":         {least: 2, most: 1 << 24},
+	"peerHandshakes":       {least: 8, most: 1 << 20},
 }
 
 // validateLimits returns an error that names line and key of each limit in the YAML text that is
