Planning load: calls to the policy service by queue and purpose; further calls to a node whose service is about to be idle

The policy service handles one call at a time for each calling machine, and the owner sent each node one call at a time, so the service waited for the round trip: a call of 11 ms for an urgent job took a node some 78 ms. A node now gets its next call once the unanswered ones take at most 60 ms. Half of the nodes, not two, are kept free of slow calls.

--- a/internal/cluster/shard/policy.go
+++ b/internal/cluster/shard/policy.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/advisor"
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
@@ -13,9 +16,9 @@
 	// slowCallMillis is the expected duration above which a call to the policy
 	// service is slow; fast calls must not wait behind slow ones.
 	slowCallMillis = 200
-	// fastCallAdvisors is the number of nodes kept free of slow calls, as long as one
-	// node remains for these.
-	fastCallAdvisors = 2
+	// Slow calls are made through at most the number of nodes divided by slowCallDivisor at a
+	// time, but at least one.
+	slowCallDivisor = 2
 	// unreachableAdvisorPause is how long a node is not asked after it has not answered.
 	unreachableAdvisorPause = time.Second
 	// callTimeoutSlack is what a call may take beyond its expected duration.
@@ -30,36 +33,37 @@
 var ErrAdvisorUnreachable = errors.New("shard: the node that calls the policy service has not answered")
 
 // askPolicy sends the policy queries that the planner puts first, at most one through
-// each idle node. The caller holds s.mu.
+// each node that can take a further call. The caller holds s.mu.
 func (s *Shard) askPolicy(planner *job.Planner, now int64) {
-	var idle []AdvisorNode
-	advisors := s.options.Advisors()
-	for _, a := range advisors {
-		if !s.busyAdvisors[a.Node] {
-			idle = append(idle, a)
-		}
+	advisors := map[string]AdvisorNode{}
+	for _, a := range s.options.Advisors() {
+		advisors[a.Node] = a
 	}
-	if len(idle) == 0 {
+	available := s.advisors.Available(slices.Sorted(maps.Keys(advisors)), now)
+	if len(available) == 0 {
 		return
 	}
-	maxSlow := max(1, len(advisors)-fastCallAdvisors)
+	maxSlow := max(1, len(advisors)/slowCallDivisor)
 	queries := planner.PolicyQueries(now, job.QueryLimits{
-		Calls:          len(idle),
+		Calls:          len(available),
 		SlowCalls:      max(0, maxSlow-s.slowCalls),
 		SpareSlowCalls: max(0, maxSlow/2-s.slowCalls),
 		SlowMillis:     slowCallMillis,
 	})
 	for n, q := range queries {
-		s.busyAdvisors[idle[n].Node] = true
 		if q.ExpectedMillis > slowCallMillis {
 			s.slowCalls++
 		}
-		go s.askAdvisor(idle[n], q)
+		s.passLoad.addQuery(q)
+		call, millis := s.advisors.Start(available[n], q.ExpectedMillis, now)
+		go s.askAdvisor(advisors[available[n]], q, call, millis)
 	}
 }
 
-func (s *Shard) askAdvisor(a AdvisorNode, q job.PolicyQuery) {
-	timeout := time.Duration(q.ExpectedMillis)*time.Millisecond + callTimeoutSlack
+// askAdvisor makes the call through the node. The call is expected to be answered after the given
+// number of milliseconds.
+func (s *Shard) askAdvisor(a AdvisorNode, q job.PolicyQuery, call *advisor.Call, millis float64) {
+	timeout := time.Duration(millis)*time.Millisecond + callTimeoutSlack
 	ctx, cancel := context.WithTimeout(s.term.Context(), timeout)
 	defer cancel()
 	ids := make([]string, len(q.Workers))
@@ -69,16 +73,11 @@
 	tickets, err := a.Ask(ctx, q.Step.Job.ID, q.Step.Number, ids)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.now()
+	s.advisors.Finish(call, now)
 	if errors.Is(err, ErrAdvisorUnreachable) {
 		// The node would get the next query at once, as would all others that cannot be reached.
-		time.AfterFunc(unreachableAdvisorPause, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			delete(s.busyAdvisors, a.Node)
-			s.requestPass()
-		})
-	} else {
-		delete(s.busyAdvisors, a.Node)
+		s.advisors.Pause(a.Node, now+unreachableAdvisorPause.Milliseconds(), now)
 	}
 	if q.ExpectedMillis > slowCallMillis {
 		s.slowCalls--
--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -52,6 +52,8 @@
 	validUntil    int64
 	answered      bool // whether any call about the step has succeeded
 	queryInFlight bool
+	// fruitless is the number of calls since a task of the step was last placed.
+	fruitless int
 	// examinedRound is the round of examinations in which the step last needed no query.
 	examinedRound int
 	// reserved is the number of tasks per worker for which capacity is reserved while
@@ -67,10 +69,23 @@
 	Workers []*Worker
 	// ExpectedMillis is the expected time of the call.
 	ExpectedMillis float64
+	// Purpose is what the call is for, and Fruitless the number of calls about the step since one of
+	// its tasks was last placed.
+	Purpose   QueryPurpose
+	Fruitless int
 
 	share *allowedShare
 }
 
+// QueryPurpose is what a call to the policy service is for.
+type QueryPurpose string
+
+// The purposes of calls.
+const (
+	QueryDiscovery QueryPurpose = "discovery" // workers about which there is no answer yet
+	QueryRenewal   QueryPurpose = "renewal"   // new tickets for allowed workers
+)
+
 // allowedShare counts the answers about workers for steps of one queue, and those that
 // allowed the worker. Renewals do not count.
 type allowedShare struct {
@@ -285,7 +300,7 @@
 			return PolicyQuery{}, false
 		}
 		if len(renew) > 0 {
-			return p.newQuery(step, queue, renew), true
+			return p.newQuery(step, queue, QueryRenewal, renew), true
 		}
 		return p.discoveryQuery(step, queue)
 	}
@@ -333,7 +348,7 @@
 	if len(workers) == 0 {
 		return PolicyQuery{}, false
 	}
-	return p.newQuery(step, queue, workers), true
+	return p.newQuery(step, queue, QueryDiscovery, workers), true
 }
 
 // workersByFree returns the workers in decreasing order of free processors. They are
@@ -391,18 +406,21 @@
 	slices.SortFunc(workers, func(a, b *Worker) int {
 		return cmp.Compare(a.ID, b.ID)
 	})
-	q := p.newQuery(step, queue, workers)
+	q := p.newQuery(step, queue, QueryRenewal, workers)
 	step.Advice.reservedUntil = now + int64(q.ExpectedMillis) + queryMarginMillis
 	return q
 }
 
 // newQuery returns a query about the workers and marks it as in flight.
-func (p *Planner) newQuery(step *Step, queue Queue, workers []*Worker) PolicyQuery {
+func (p *Planner) newQuery(step *Step, queue Queue, purpose QueryPurpose, workers []*Worker) PolicyQuery {
 	step.Advice.queryInFlight = true
+	step.Advice.fruitless++
 	return PolicyQuery{
 		Step:           step,
 		Workers:        workers,
 		ExpectedMillis: queue.Policy.FixedMillis + queue.Policy.PerWorkerMillis*float64(len(workers)),
+		Purpose:        purpose,
+		Fruitless:      step.Advice.fruitless - 1,
 		share:          p.state.shareOf(step.Job.Queue),
 	}
 }
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -330,7 +330,7 @@
 		step.unplaced--
 	}
 	step.placed++
-	step.suspectsWaitSince, step.heldBackSince = 0, 0
+	step.suspectsWaitSince, step.heldBackSince, step.Advice.fruitless = 0, 0, 0
 	placements := s.placements[p.Worker]
 	if placements == nil {
 		placements = map[TaskKey]*Placement{}
