Order of waiting work: jobs of no further use last, late ones behind the next queue's; gangs hold back only what goes after them

Under overload gangs that had missed three times their objective went before jobs of less urgent queues that could still be in time, and held up to a third of the workers.

--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -282,6 +282,8 @@
 	placed   int
 	// suspects is the number of tasks that are not done and have crashes.
 	suspects int
+	// rank is the step's rank in the present pass: see rankOf.
+	rank int
 	// suspectsWaitSince is the Unix millisecond since which the planner has found suspects to
 	// place, or zero. It is not part of the records.
 	suspectsWaitSince int64
--- a/internal/decide/job/planner.go
+++ b/internal/decide/job/planner.go
@@ -151,17 +151,14 @@
 }
 
 // collectSteps lists the steps with tasks to place, in the order in which they are
-// served, and deducts the capacity that gangs have reserved. Jobs within their team's
-// rate go before those over it; then the order is by the operators' priority, by
-// feasibility and by deadline. Feasibility goes before the deadline because under
-// overload serving the earliest deadline first would make every job late.
+// served, and deducts the capacity that gangs have reserved. The order is by rank and by
+// deadline: see rank.
 func (p *Planner) collectSteps(now int64) {
-	type ranked struct {
+	type candidate struct {
 		step      *Step
-		class     int
 		dueMillis int64
 	}
-	var runnable []ranked
+	var runnable []candidate
 	for _, j := range p.state.unplaced {
 		queue, ok := p.rules.Queues[j.Queue]
 		if !ok {
@@ -172,15 +169,15 @@
 				continue
 			}
 			p.deductReserved(step, now)
-			runnable = append(runnable, ranked{
+			step.rank = rankOf(step, queue, now)
+			runnable = append(runnable, candidate{
 				step:      step,
-				class:     priorityClass(step, queue, now),
 				dueMillis: j.DueMillis(queue),
 			})
 		}
 	}
-	slices.SortFunc(runnable, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.dueMillis, b.dueMillis),
+	slices.SortFunc(runnable, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.step.rank, b.step.rank), cmp.Compare(a.dueMillis, b.dueMillis),
 			cmp.Compare(a.step.Job.ID, b.step.Job.ID), cmp.Compare(a.step.Number, b.step.Number))
 	})
 	p.steps = make([]*Step, len(runnable))
@@ -189,17 +186,6 @@
 	}
 }
 
-// priorityClass combines the criteria that go before the deadline: the team's rate, the
-// operators' priority and feasibility. Lower classes go first.
-func priorityClass(step *Step, queue Queue, now int64) int {
-	const overRateWeight, priorityWeight = 1 << 16, 1 << 2
-	class := queue.Priority*priorityWeight + int(step.feasibility(queue, now))
-	if step.Job.OverRate {
-		class += overRateWeight
-	}
-	return class
-}
-
 // deductReserved deducts the step's reservation, if any, from the workers' free
 // capacity, or drops the reservation if it has expired.
 func (p *Planner) deductReserved(step *Step, now int64) {
@@ -306,13 +292,12 @@
 }
 
 // startableWorkers returns the allowed workers whose tickets are valid and that are not
-// reserved for a gang of higher priority, unless reservations have held the step back for
-// long. The map gangPriority holds the priorities of the gangs for which reserveForGang has
-// reserved workers.
-func (p *Planner) startableWorkers(step *Step, queue Queue, gangPriority map[*Worker]int, now int64) []*Worker {
+// reserved for a gang that goes before the step, unless reservations have held the step back for
+// long.
+func (p *Planner) startableWorkers(step *Step, queue Queue, reserved reservations, now int64) []*Worker {
 	workers := p.allowedWorkers(step, queue)
-	if len(gangPriority) > 0 {
-		workers = p.withoutReserved(step, queue, workers, gangPriority, now)
+	if len(reserved) > 0 {
+		workers = p.withoutReserved(step, queue, workers, reserved, now)
 	}
 	if queue.Policy == nil {
 		return workers
@@ -323,12 +308,12 @@
 }
 
 // Plan returns the placements that can be made now and applies them to the state.
-// While a gang does not fit or lacks valid tickets, steps of lower priority may not start
-// on the workers that it will need, so that wide gangs do not starve; maxHeldBackMillis
+// While a gang does not fit or lacks valid tickets, steps of lower priority and rank may not
+// start on the workers that it will need, so that wide gangs do not starve; maxHeldBackMillis
 // limits this. It does not apply to a gang that would exceed its team's cap.
 func (p *Planner) Plan(now int64) []Record {
 	var records []Record
-	gangPriority := map[*Worker]int{}
+	reserved := reservations{}
 	for _, step := range p.steps {
 		if p.awaitsIsolation(step) {
 			continue
@@ -341,7 +326,7 @@
 		}
 		if !step.Spec.Gang {
 			if fits && ticketValid {
-				placed := p.placeTasks(step, p.startableWorkers(step, queue, gangPriority, now))
+				placed := p.placeTasks(step, p.startableWorkers(step, queue, reserved, now))
 				p.spend(step, placed)
 				records = append(records, placed...)
 			}
@@ -352,12 +337,12 @@
 		}
 		var placed []Record
 		if fits && ticketValid {
-			placed = p.placeGang(step, p.startableWorkers(step, queue, gangPriority, now))
+			placed = p.placeGang(step, p.startableWorkers(step, queue, reserved, now))
 			p.spend(step, placed)
 			records = append(records, placed...)
 		}
 		if placed == nil {
-			p.reserveForGang(step, queue, gangPriority)
+			p.reserveForGang(step, queue, reserved)
 		}
 	}
 	return records
