Calls to the policy service ask for room that no other call in flight is about to use

Each step that waited asked about every worker that became free. Now a call claims the room that it will probably use, against steps that go after its own; renewals and discoveries share a call; steps without room ask only with calls to spare.

--- a/internal/cluster/shard/policy.go
+++ b/internal/cluster/shard/policy.go
@@ -49,6 +49,7 @@
 		SlowCalls:      max(0, maxSlow-s.slowCalls),
 		SpareSlowCalls: max(0, maxSlow/2-s.slowCalls),
 		SlowMillis:     slowCallMillis,
+		SpareCalls:     max(0, len(available)-len(advisors)/2),
 	})
 	for n, q := range queries {
 		if q.ExpectedMillis > slowCallMillis {
--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -24,6 +24,9 @@
 	// gangRoomFactor is how many times the free capacity that a gang's discovery query is
 	// expected to yield must suffice for the gang, since others place tasks meanwhile.
 	gangRoomFactor = 1.5
+	// ampleRoomFactor is how many times the room that a query is expected to yield must suffice, so
+	// that it names no more than minQueryWorkers.
+	ampleRoomFactor = 3
 	// gangCapacityFactor is how many times a gang must fit on the workers that it may use, beside
 	// endless tasks, so that it can wait for the other running tasks to end.
 	gangCapacityFactor = 2
@@ -74,7 +77,8 @@
 	Purpose   QueryPurpose
 	Fruitless int
 
-	share *allowedShare
+	share  *allowedShare
+	claims claims
 }
 
 // QueryPurpose is what a call to the policy service is for.
@@ -113,6 +117,7 @@
 func (q PolicyQuery) HandleAnswer(allowed map[*Worker]Ticket, ok bool) {
 	a := &q.Step.Advice
 	a.queryInFlight = false
+	delete(q.claims, q.Step)
 	if !ok {
 		a.reserved = nil
 		return
@@ -172,6 +177,8 @@
 	// the same for calls that only shorten a gang's wait.
 	SlowCalls, SpareSlowCalls int
 	SlowMillis                float64
+	// SpareCalls is the maximum number of calls about steps for which there is no room now.
+	SpareCalls int
 }
 
 // PolicyQueries returns the calls to the policy service that should be made now, within
@@ -182,10 +189,11 @@
 // workers, and the policy service would have no time for other jobs.
 //
 // A discovery query asks about workers on which there is no answer yet, and a renewal
-// asks for new tickets on allowed workers. The policy service can be the bottleneck, so
-// the workers in a discovery query add at most half of the call's fixed time, unless they
-// are minQueryWorkers or fewer or the step is a gang, and a renewal names only workers that
-// are about to be used.
+// asks for new tickets on allowed workers, and about others if these have too little room. The
+// policy service can be the bottleneck, so the workers in a discovery query add at most half of
+// the call's fixed time, unless they are minQueryWorkers or fewer or the tasks need the room of
+// more, and a call names only workers that are about to be used. What calls in flight will
+// probably use does not count as room, and steps without room ask only with calls to spare.
 //
 // Examining a long backlog takes several passes, which make up a round: a step that needed
 // no query is examined again only in the next round, so that it does not hide those
@@ -195,7 +203,8 @@
 		planner: p,
 		limits:  limits,
 	}
-	var deferred []*Step
+	deduction := p.newClaimDeduction()
+	var deferred, withoutRoom []*Step
 	roundDone := true
 	for _, step := range p.steps {
 		if c.full() {
@@ -203,7 +212,14 @@
 			break
 		}
 		queue := p.rules.Queues[step.Job.Queue]
-		if step.Advice.examinedRound > p.state.examinedRounds || !c.allows(step, queue) || !p.canUseQuery(step) {
+		if step.Advice.examinedRound > p.state.examinedRounds || !c.allows(step, queue) {
+			continue
+		}
+		deduction.deductUpTo(step.rank)
+		if !p.canUseQuery(step) {
+			if !step.Advice.answered && len(withoutRoom) < limits.SpareCalls {
+				withoutRoom = append(withoutRoom, step)
+			}
 			continue
 		}
 		c.examined++
@@ -223,7 +239,7 @@
 	}
 	slowCalls := limits.SlowCalls - c.limits.SlowCalls
 	c.limits.SlowCalls = min(c.limits.SlowCalls, limits.SpareSlowCalls-slowCalls)
-	for _, step := range deferred {
+	for _, step := range append(deferred, withoutRoom...) {
 		c.discover(step)
 	}
 	return c.queries
@@ -266,15 +282,18 @@
 	if !c.allows(step, queue) {
 		return
 	}
-	if q, ok := c.planner.discoveryQuery(step, queue); ok {
+	if q, ok := c.planner.discoveryQuery(step, queue, nil); ok {
 		c.add(q, queue)
 	}
 }
 
-// canUseQuery reports whether an answer about the step could let one of its tasks start
-// now, or no call about the step has succeeded yet.
+// canUseQuery reports whether an answer about the step could let one of its tasks start now. An
+// answer about a gang, which may have to wait until workers are drained for it, is always of use.
 func (p *Planner) canUseQuery(step *Step) bool {
-	return !step.Advice.answered || (step.Spec.Needs.FitsIn(p.largestFree) && p.withinCap(step, 1) && !p.awaitsIsolation(step))
+	if step.Spec.Gang && !step.Advice.answered {
+		return true
+	}
+	return step.Spec.Needs.FitsIn(p.largestFree) && p.withinCap(step, 1) && !p.awaitsIsolation(step)
 }
 
 // canWait reports whether the step is a gang that does not fit now but would fit
@@ -291,7 +310,7 @@
 // renewal of expired tickets, or false if it needs none.
 func (p *Planner) nextQuery(step *Step, queue Queue, now int64) (PolicyQuery, bool) {
 	if !step.Advice.answered {
-		return p.discoveryQuery(step, queue)
+		return p.discoveryQuery(step, queue, nil)
 	}
 	allowed := p.allowedWorkers(step, queue)
 	if !step.Spec.Gang {
@@ -299,56 +318,65 @@
 		if valid {
 			return PolicyQuery{}, false
 		}
-		if len(renew) > 0 {
-			return p.newQuery(step, queue, QueryRenewal, renew), true
-		}
-		return p.discoveryQuery(step, queue)
+		return p.discoveryQuery(step, queue, renew)
 	}
 	plan := p.packGang(step, allowed)
 	switch {
 	case plan == nil:
-		return p.discoveryQuery(step, queue)
+		return p.discoveryQuery(step, queue, nil)
 	case !p.withinCap(step, step.Spec.Count) || p.allTicketsValid(step, plan, now):
 		return PolicyQuery{}, false
 	}
 	return p.gangRenewalQuery(step, queue, plan, now), true
 }
 
-// discoveryQuery returns a query about workers on which there is no answer for the step
-// yet, those with the most free processors first, or false if there are none. Until a
-// call about the step has succeeded, these include workers on which no task fits now. A
-// query for a gang names as many as the gang probably needs to fit at once: in a full fleet
-// it fits on the free capacity of many workers sooner than on a few that have to be drained.
-func (p *Planner) discoveryQuery(step *Step, queue Queue) (PolicyQuery, bool) {
+// discoveryQuery returns a query about the workers whose tickets are to be renewed and about
+// workers on which there is no answer for the step yet, those with the most free processors first, or
+// false if there are none. If no task fits now, the first query about the step names workers all the
+// same. A query names as many workers as the tasks probably need: in a full fleet a gang
+// fits on the free capacity of many workers sooner than on a few that have to be drained.
+func (p *Planner) discoveryQuery(step *Step, queue Queue, renew []*Worker) (PolicyQuery, bool) {
 	limit := minQueryWorkers
 	if queue.Policy.PerWorkerMillis > 0 {
 		limit = max(limit, int(queue.Policy.FixedMillis/queue.Policy.PerWorkerMillis/2))
 	}
 	limit = min(limit, maxQueryWorkers)
-	neededRoom := 0.0 // in tasks
+	share := p.state.shareOf(step.Job.Queue).estimate()
+	needed := float64(step.Waiting()) // in tasks
 	if step.Spec.Gang {
-		neededRoom = gangRoomFactor * float64(step.Spec.Count) / p.state.shareOf(step.Job.Queue).estimate()
+		needed *= gangRoomFactor
+	}
+	needsRoom := step.Advice.answered || step.Spec.Needs.FitsIn(p.largestFree)
+	expected := 0.0
+	for _, w := range renew {
+		expected += p.expectedTasks(step, w, share)
 	}
-	var workers []*Worker
-	room := 0
+	if len(renew) > 0 {
+		limit = 0
+	}
+	purpose, workers := QueryRenewal, renew
 	for _, w := range p.workersByFree() {
-		if len(workers) == maxQueryWorkers || len(workers) >= limit && float64(room) >= neededRoom {
+		if len(workers) >= maxQueryWorkers || len(workers) >= limit && expected >= needed {
+			break
+		}
+		if len(workers) >= minQueryWorkers && expected >= ampleRoomFactor*needed {
 			break
 		}
 		_, allowed := step.Advice.allowed[w]
 		if allowed || step.Advice.denied[w] || !p.eligible(step, queue, w) {
 			continue
 		}
-		if step.Advice.answered && !step.Spec.Needs.FitsIn(w.free) {
+		if needsRoom && !step.Spec.Needs.FitsIn(w.free) {
 			continue
 		}
+		purpose = QueryDiscovery
 		workers = append(workers, w)
-		room += step.Spec.Needs.fitCount(w.free, step.Spec.Count)
+		expected += p.expectedTasks(step, w, share)
 	}
 	if len(workers) == 0 {
 		return PolicyQuery{}, false
 	}
-	return p.newQuery(step, queue, QueryDiscovery, workers), true
+	return p.newQuery(step, queue, purpose, workers), true
 }
 
 // workersByFree returns the workers in decreasing order of free processors. They are
@@ -415,12 +443,17 @@
 func (p *Planner) newQuery(step *Step, queue Queue, purpose QueryPurpose, workers []*Worker) PolicyQuery {
 	step.Advice.queryInFlight = true
 	step.Advice.fruitless++
+	share := p.state.shareOf(step.Job.Queue)
+	if step.Advice.reserved == nil {
+		p.claim(step, workers, share.estimate())
+	}
 	return PolicyQuery{
 		Step:           step,
 		Workers:        workers,
 		ExpectedMillis: queue.Policy.FixedMillis + queue.Policy.PerWorkerMillis*float64(len(workers)),
 		Purpose:        purpose,
 		Fruitless:      step.Advice.fruitless - 1,
-		share:          p.state.shareOf(step.Job.Queue),
+		share:          share,
+		claims:         p.state.claims,
 	}
 }
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -33,6 +33,15 @@
 	}
 }
 
+// scaled returns r multiplied by x, rounded down.
+func (r Resources) scaled(x float64) Resources {
+	return Resources{
+		MilliCores:   int64(float64(r.MilliCores) * x),
+		MemoryMB:     int64(float64(r.MemoryMB) * x),
+		Accelerators: int64(float64(r.Accelerators) * x),
+	}
+}
+
 // FitsIn reports whether r is at most available in each dimension.
 func (r Resources) FitsIn(available Resources) bool {
 	return r.MilliCores <= available.MilliCores && r.MemoryMB <= available.MemoryMB && r.Accelerators <= available.Accelerators
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -87,6 +87,7 @@
 	// shares holds the shares of workers that the policy service allows, by queue. They
 	// are not part of the records.
 	shares map[string]*allowedShare
+	claims claims
 }
 
 // shareOf returns the share of workers that the policy service allows to steps of the
@@ -113,6 +114,7 @@
 		usedByEndless: map[WorkerKey]Resources{},
 		teamUsed:      map[string]Resources{},
 		shares:        map[string]*allowedShare{},
+		claims:        claims{},
 	}
 }
 
