--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -29,7 +29,7 @@
 	ampleRoomFactor = 3
 	// gangCapacityFactor is how many times a gang must fit on the workers that it may use, beside
 	// endless tasks, so that it can wait for the other running tasks to end.
-	gangCapacityFactor = 2
+	gangCapacityFactor = 4
 	// prefetchLeadMillis is how long before the expected end of a step the policy
 	// service is asked about the steps that depend on it.
 	prefetchLeadMillis = 700
@@ -203,7 +203,7 @@
 		planner: p,
 		limits:  limits,
 	}
-	deduction := p.newClaimDeduction()
+	claimed := p.newClaimedBefore()
 	var deferred, withoutRoom []*Step
 	roundDone := true
 	for _, step := range p.steps {
@@ -215,7 +215,7 @@
 		if step.Advice.examinedRound > p.state.examinedRounds || !c.allows(step, queue) {
 			continue
 		}
-		deduction.deductUpTo(step.rank)
+		claimed.addUpTo(step.rank)
 		if !p.canUseQuery(step) {
 			if !step.Advice.answered && len(withoutRoom) < limits.SpareCalls {
 				withoutRoom = append(withoutRoom, step)
@@ -293,7 +293,7 @@
 	if step.Spec.Gang && !step.Advice.answered {
 		return true
 	}
-	return step.Spec.Needs.FitsIn(p.largestFree) && p.withinCap(step, 1) && !p.awaitsIsolation(step)
+	return p.hasRoom(step) && p.withinCap(step, 1) && !p.awaitsIsolation(step)
 }
 
 // canWait reports whether the step is a gang that does not fit now but would fit
@@ -346,7 +346,7 @@
 	if step.Spec.Gang {
 		needed *= gangRoomFactor
 	}
-	needsRoom := step.Advice.answered || step.Spec.Needs.FitsIn(p.largestFree)
+	needsRoom := step.Advice.answered || p.hasRoom(step)
 	expected := 0.0
 	for _, w := range renew {
 		expected += p.expectedTasks(step, w, share)
@@ -366,7 +366,7 @@
 		if allowed || step.Advice.denied[w] || !p.eligible(step, queue, w) {
 			continue
 		}
-		if needsRoom && !step.Spec.Needs.FitsIn(w.free) {
+		if needsRoom && !step.Spec.Needs.FitsIn(step.unclaimed(w)) {
 			continue
 		}
 		purpose = QueryDiscovery
@@ -399,7 +399,7 @@
 	waiting := step.Waiting()
 	var expired []*Worker
 	for _, w := range allowed {
-		if !step.Spec.Needs.FitsIn(w.free) || p.remainingPerWorker(step, w) < 1 {
+		if !step.Spec.Needs.FitsIn(step.unclaimed(w)) || p.remainingPerWorker(step, w) < 1 {
 			continue
 		}
 		if step.Advice.hasValidTicket(w, p.requiredExpiry(now)) {
--- a/internal/decide/job/claims.go
+++ b/internal/decide/job/claims.go
@@ -18,52 +18,76 @@
 	amount Resources
 }
 
-// claimDeduction deducts the claims of the calls in flight from the workers' free capacity, as far as
-// they go before the step that is examined: a call about a step that can wait must not hide the
-// capacity from one that cannot.
-type claimDeduction struct {
+// claimedBefore adds up the claims of the calls in flight, as far as they go before the step that is
+// examined: a call about a step that can wait must not hide capacity from one that cannot.
+type claimedBefore struct {
 	planner *Planner
-	// steps are those with claims that are not deducted yet, in the order of their ranks.
+	// steps are those with claims that are not added yet, in the order of their ranks.
 	steps []*Step
 }
 
-func (p *Planner) newClaimDeduction() *claimDeduction {
-	steps := slices.SortedFunc(maps.Keys(p.state.claims), func(a, b *Step) int {
-		return cmp.Compare(a.rank, b.rank)
-	})
-	return &claimDeduction{
+func (p *Planner) newClaimedBefore() *claimedBefore {
+	for _, w := range p.workers {
+		w.claimed = Resources{}
+	}
+	c := &claimedBefore{
 		planner: p,
-		steps:   steps,
+		steps: slices.SortedFunc(maps.Keys(p.state.claims), func(a, b *Step) int {
+			return cmp.Compare(a.rank, b.rank)
+		}),
 	}
+	p.computeLargestUnclaimed()
+	return c
 }
 
-// deductUpTo deducts the claims of steps of the rank and of those that go before.
-func (d *claimDeduction) deductUpTo(rank int) {
-	p, deducted := d.planner, false
-	for ; len(d.steps) > 0 && d.steps[0].rank <= rank; d.steps = d.steps[1:] {
-		for _, c := range p.state.claims[d.steps[0]] {
-			c.worker.free = c.worker.free.Minus(c.amount)
+// addUpTo adds the claims of steps of the rank and of those that go before.
+func (c *claimedBefore) addUpTo(rank int) {
+	added := false
+	for ; len(c.steps) > 0 && c.steps[0].rank <= rank; c.steps = c.steps[1:] {
+		for _, claim := range c.planner.state.claims[c.steps[0]] {
+			claim.worker.claimed = claim.worker.claimed.Plus(claim.amount)
 		}
-		deducted = true
+		added = true
 	}
-	if !deducted {
-		return
+	if added {
+		c.planner.computeLargestUnclaimed()
 	}
-	p.largestFree = Resources{}
+}
+
+// computeLargestUnclaimed sets largestUnclaimed.
+func (p *Planner) computeLargestUnclaimed() {
+	p.largestUnclaimed = Resources{}
 	for _, w := range p.workers {
 		if w.Usable {
-			p.largestFree = p.largestFree.componentMax(w.free)
+			p.largestUnclaimed = p.largestUnclaimed.componentMax(w.free.Minus(w.claimed))
 		}
 	}
 }
 
+// unclaimed returns the free capacity of the worker that no call in flight will probably use. Gangs
+// ask without regard to it, since they may have to wait until workers are drained.
+func (s *Step) unclaimed(w *Worker) Resources {
+	if s.Spec.Gang {
+		return w.free
+	}
+	return w.free.Minus(w.claimed)
+}
+
+// hasRoom reports whether a task of the step may fit on any worker.
+func (p *Planner) hasRoom(step *Step) bool {
+	if step.Spec.Gang {
+		return step.Spec.Needs.FitsIn(p.largestFree)
+	}
+	return step.Spec.Needs.FitsIn(p.largestUnclaimed)
+}
+
 // expectedTasks returns how many tasks of the step fit on the worker now, times the chance that the
 // policy service allows it.
 func (p *Planner) expectedTasks(step *Step, w *Worker, share float64) float64 {
 	if _, allowed := step.Advice.allowed[w]; allowed {
 		share = 1
 	}
-	return share * float64(step.Spec.Needs.fitCount(w.free, min(step.Waiting(), p.remainingPerWorker(step, w))))
+	return share * float64(step.Spec.Needs.fitCount(step.unclaimed(w), min(step.Waiting(), p.remainingPerWorker(step, w))))
 }
 
 // claim claims the capacity that the step is expected to use on the workers, if all answers come as
@@ -76,7 +100,7 @@
 		total += expected[n]
 	}
 	waiting := float64(step.Waiting())
-	if total == 0 || step.Spec.Gang && total < waiting {
+	if total == 0 || step.Spec.Gang {
 		return
 	}
 	used := min(1, waiting/total)
@@ -86,7 +110,7 @@
 			worker: w,
 			amount: step.Spec.Needs.scaled(used * expected[n]),
 		}
-		w.free = w.free.Minus(list[n].amount)
+		w.claimed = w.claimed.Plus(list[n].amount)
 	}
 	p.state.claims[step] = list
 }
--- a/internal/decide/job/planner.go
+++ b/internal/decide/job/planner.go
@@ -29,6 +29,8 @@
 	// free is the capacity that is neither used nor reserved for a gang, in the
 	// present pass.
 	free Resources
+	// claimed is what calls to the policy service that are in flight will probably use: see claims.
+	claimed Resources
 	// isolatedFor is the ID of the job whose suspects run on the worker or will run there
 	// once it is empty, in the present pass; empty if there is none.
 	isolatedFor string
@@ -53,6 +55,8 @@
 	// at the start of the pass. A task that does not fit in it fits on no worker, unless
 	// capacity is reserved for its own gang.
 	largestFree Resources
+	// largestUnclaimed is the same less what is claimed, while PolicyQueries examines the steps.
+	largestUnclaimed Resources
 	// byFree lists the workers in decreasing order of the processors that were free when
 	// the pass first needed the list; nil before.
 	byFree []*Worker
