--- a/internal/cluster/shard/policy.go
+++ b/internal/cluster/shard/policy.go
@@ -47,7 +47,7 @@
 	queries := planner.PolicyQueries(now, job.QueryLimits{
 		Calls:          len(available),
 		SlowCalls:      max(0, maxSlow-s.slowCalls),
-		SpareSlowCalls: max(0, maxSlow/2-s.slowCalls),
+		SpareSlowCalls: max(0, maxSlow*3/4-s.slowCalls),
 		SlowMillis:     slowCallMillis,
 		SpareCalls:     max(0, len(available)-len(advisors)/2),
 	})
--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -27,9 +27,11 @@
 	// ampleRoomFactor is how many times the room that a query is expected to yield must suffice, so
 	// that it names no more than minQueryWorkers.
 	ampleRoomFactor = 3
+	// maxParallelQueries is the maximum number of calls about a step at a time.
+	maxParallelQueries = 4
 	// gangCapacityFactor is how many times a gang must fit on the workers that it may use, beside
 	// endless tasks, so that it can wait for the other running tasks to end.
-	gangCapacityFactor = 4
+	gangCapacityFactor = 2
 	// prefetchLeadMillis is how long before the expected end of a step the policy
 	// service is asked about the steps that depend on it.
 	prefetchLeadMillis = 700
@@ -53,8 +55,11 @@
 	denied map[*Worker]bool
 	// validUntil is the latest expiry of any ticket so far, as a Unix millisecond.
 	validUntil    int64
-	answered      bool // whether any call about the step has succeeded
-	queryInFlight bool
+	answered bool // whether any call about the step has succeeded
+	// queriesInFlight is the number of unanswered calls about the step, and asked holds the workers
+	// that these name.
+	queriesInFlight int
+	asked           map[*Worker]bool
 	// fruitless is the number of calls since a task of the step was last placed.
 	fruitless int
 	// examinedRound is the round of examinations in which the step last needed no query.
@@ -116,8 +121,13 @@
 // step's reservation is dropped.
 func (q PolicyQuery) HandleAnswer(allowed map[*Worker]Ticket, ok bool) {
 	a := &q.Step.Advice
-	a.queryInFlight = false
-	delete(q.claims, q.Step)
+	a.queriesInFlight--
+	if a.queriesInFlight == 0 {
+		delete(q.claims, q.Step)
+	}
+	for _, w := range q.Workers {
+		delete(a.asked, w)
+	}
 	if !ok {
 		a.reserved = nil
 		return
@@ -227,6 +237,7 @@
 			deferred = append(deferred, step)
 		} else if q, ok := p.nextQuery(step, queue, now); ok {
 			c.add(q, queue)
+			c.askFurther(step, queue, q)
 			continue
 		}
 		step.Advice.examinedRound = p.state.examinedRounds + 1
@@ -261,7 +272,7 @@
 // allows reports whether a query about the step can be added: its queue has a policy
 // service, no query about it is in flight, and the limits allow one more.
 func (c *queryCollector) allows(step *Step, queue Queue) bool {
-	return queue.Policy != nil && !step.Advice.queryInFlight && len(c.queries) < c.limits.Calls &&
+	return queue.Policy != nil && step.Advice.queriesInFlight == 0 && len(c.queries) < c.limits.Calls &&
 		(!c.isSlow(queue) || c.limits.SlowCalls > 0)
 }
 
@@ -276,6 +287,31 @@
 	}
 }
 
+// askFurther adds calls to the first about a gang, as far as the limits allow, until the gang is
+// expected to fit on the workers that the calls name: it can start only once the calls about all of its
+// workers are answered, and its tickets expire meanwhile if they are made one after the other.
+func (c *queryCollector) askFurther(step *Step, queue Queue, q PolicyQuery) {
+	if !step.Spec.Gang || step.Advice.answered {
+		return
+	}
+	p := c.planner
+	share := q.share.estimate()
+	needed := gangRoomFactor * float64(step.Spec.Count)
+	for n := 1; n < maxParallelQueries; n++ {
+		for _, w := range q.Workers {
+			needed -= p.expectedTasks(step, w, share)
+		}
+		if needed <= 0 || len(c.queries) == c.limits.Calls || c.isSlow(queue) && c.limits.SlowCalls <= 0 {
+			return
+		}
+		var ok bool
+		if q, ok = p.discoveryQuery(step, queue, nil); !ok {
+			return
+		}
+		c.add(q, queue)
+	}
+}
+
 // discover adds a discovery query about the step if it needs one and the limits allow it.
 func (c *queryCollector) discover(step *Step) {
 	queue := c.planner.rules.Queues[step.Job.Queue]
@@ -346,7 +382,7 @@
 	if step.Spec.Gang {
 		needed *= gangRoomFactor
 	}
-	needsRoom := step.Advice.answered || p.hasRoom(step)
+	needsRoom := step.Advice.answered || !step.Spec.Gang && p.hasRoom(step)
 	expected := 0.0
 	for _, w := range renew {
 		expected += p.expectedTasks(step, w, share)
@@ -363,7 +399,7 @@
 			break
 		}
 		_, allowed := step.Advice.allowed[w]
-		if allowed || step.Advice.denied[w] || !p.eligible(step, queue, w) {
+		if allowed || step.Advice.denied[w] || step.Advice.asked[w] || !p.eligible(step, queue, w) {
 			continue
 		}
 		if needsRoom && !step.Spec.Needs.FitsIn(step.unclaimed(w)) {
@@ -441,7 +477,13 @@
 
 // newQuery returns a query about the workers and marks it as in flight.
 func (p *Planner) newQuery(step *Step, queue Queue, purpose QueryPurpose, workers []*Worker) PolicyQuery {
-	step.Advice.queryInFlight = true
+	if step.Advice.asked == nil {
+		step.Advice.asked = map[*Worker]bool{}
+	}
+	for _, w := range workers {
+		step.Advice.asked[w] = true
+	}
+	step.Advice.queriesInFlight++
 	step.Advice.fruitless++
 	share := p.state.shareOf(step.Job.Queue)
 	if step.Advice.reserved == nil {
