--- a/internal/cluster/shard/load.go
+++ b/internal/cluster/shard/load.go
@@ -30,6 +30,8 @@
 type queryLoad struct {
 	calls, repeated, workers int
 	millis                   float64
+	answered                 int
+	took                     time.Duration // by the answered calls
 }
 
 // addQuery counts a call to the policy service, by queue and purpose.
@@ -37,25 +39,40 @@
 	if l.queries == nil {
 		l.queries = map[string]queryLoad{}
 	}
-	key := q.Step.Job.Queue + "." + string(q.Purpose)
-	sum := l.queries[key]
+	sum := l.queries[queryKey(q)]
 	sum.calls++
 	if q.Fruitless > 0 {
 		sum.repeated++
 	}
 	sum.workers += len(q.Workers)
 	sum.millis += q.ExpectedMillis
-	l.queries[key] = sum
+	l.queries[queryKey(q)] = sum
+}
+
+// addAnswer counts the answer to a call, which took the given time.
+func (l *passLoad) addAnswer(q job.PolicyQuery, took time.Duration) {
+	if l.queries == nil {
+		l.queries = map[string]queryLoad{}
+	}
+	sum := l.queries[queryKey(q)]
+	sum.answered++
+	sum.took += took
+	l.queries[queryKey(q)] = sum
+}
+
+func queryKey(q job.PolicyQuery) string {
+	return q.Step.Job.Queue + "." + string(q.Purpose)
 }
 
 // attribute returns the calls to the policy service for the log, by queue and purpose. A call is
-// repeated if no task of its step was placed since the call before.
+// repeated if no task of its step was placed since the call before; millis is the expected time at the
+// service of the calls, and took that until the answers.
 func (l *passLoad) attribute() slog.Attr {
 	var groups []any
 	for _, key := range slices.Sorted(maps.Keys(l.queries)) {
 		sum := l.queries[key]
 		groups = append(groups, slog.Group(key, "calls", sum.calls, "repeated", sum.repeated, "workers", sum.workers,
-			"millis", int(sum.millis)))
+			"millis", int(sum.millis), "answered", sum.answered, "took", sum.took.Milliseconds()))
 	}
 	return slog.Group("policy", groups...)
 }
--- a/internal/cluster/shard/policy.go
+++ b/internal/cluster/shard/policy.go
@@ -71,11 +71,13 @@
 	for n, w := range q.Workers {
 		ids[n] = w.ID
 	}
+	start := time.Now()
 	tickets, err := a.Ask(ctx, q.Step.Job.ID, q.Step.Number, ids)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	s.advisors.Finish(call, now)
+	s.passLoad.addAnswer(q, time.Since(start))
 	if errors.Is(err, ErrAdvisorUnreachable) {
 		// The node would get the next query at once, as would all others that cannot be reached.
 		s.advisors.Pause(a.Node, now+unreachableAdvisorPause.Milliseconds(), now)
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -104,7 +104,7 @@
 	// agreementVersion is that of agreement.
 	agreementVersion atomic.Int64
 
-	// passLoad sums up the planning passes for the log; only Run uses it.
+	// passLoad sums up the planning passes for the log; only Run uses it, and mu guards its queries.
 	passLoad passLoad
 
 	// mu guards the fields below. It is also the lock given to the journal's Run.
--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -51,6 +52,8 @@
 	// allowed holds the workers that were allowed when last asked about, with their
 	// tickets, which may have expired.
 	allowed map[*Worker]Ticket
+	// byID lists the keys of allowed by their IDs, or is nil.
+	byID []*Worker
 	// denied holds the workers that were not allowed; they are not asked about again.
 	denied map[*Worker]bool
 	// validUntil is the latest expiry of any ticket so far, as a Unix millisecond.
@@ -142,6 +145,7 @@
 		if _, known := a.allowed[w]; !known {
 			q.share.add(ok)
 		}
+		a.byID = nil
 		if !ok {
 			a.denied[w] = true
 			delete(a.allowed, w)
@@ -174,6 +178,16 @@
 	return s.Advice.allowed[w].Value
 }
 
+// allowedByID returns the workers that were allowed when last asked about, by their IDs.
+func (a *Advice) allowedByID() []*Worker {
+	if a.byID == nil {
+		a.byID = slices.SortedFunc(maps.Keys(a.allowed), func(a, b *Worker) int {
+			return cmp.Compare(a.ID, b.ID)
+		})
+	}
+	return a.byID
+}
+
 func (a *Advice) hasValidTicket(w *Worker, at int64) bool {
 	return a.allowed[w].ExpiresMillis > at
 }
--- a/internal/decide/job/planner.go
+++ b/internal/decide/job/planner.go
@@ -284,14 +284,11 @@
 		}
 		return workers
 	}
-	for w := range step.Advice.allowed {
+	for _, w := range step.Advice.allowedByID() {
 		if p.eligible(step, queue, w) {
 			workers = append(workers, w)
 		}
 	}
-	slices.SortFunc(workers, func(a, b *Worker) int {
-		return cmp.Compare(a.ID, b.ID)
-	})
 	return workers
 }
 
@@ -485,6 +482,22 @@
 	return nil
 }
 
+// fitCount returns how many of the step's tasks fit on the worker.
+func (p *Planner) fitCount(step *Step, w *Worker) int {
+	return step.Spec.Needs.fitCount(p.freeFor(step, w), min(step.Spec.Count, p.remainingPerWorker(step, w)))
+}
+
+// fits reports whether all of the step's tasks fit on the workers.
+func (p *Planner) fits(step *Step, workers []*Worker) bool {
+	total := 0
+	for _, w := range workers {
+		if total += p.fitCount(step, w); total >= step.Spec.Count {
+			return true
+		}
+	}
+	return false
+}
+
 // pack returns the number of the step's tasks for each worker, or nil if they do not all
 // fit. It fills the workers in ascending order of placement cost plus the processors that
 // would remain free; ties go to workers with capacity for more tasks, to use few workers.
@@ -494,23 +507,21 @@
 		tasks  int
 		score  int64
 	}
+	if !p.fits(step, workers) {
+		return nil
+	}
 	var candidates []candidate
-	total := 0
 	for _, w := range workers {
-		n := step.Spec.Needs.fitCount(p.freeFor(step, w), min(step.Spec.Count, p.remainingPerWorker(step, w)))
+		n := p.fitCount(step, w)
 		if n == 0 {
 			continue
 		}
-		total += n
 		candidates = append(candidates, candidate{
 			worker: w,
 			tasks:  n,
 			score:  p.placementCost(step, w) + w.free.MilliCores - int64(n)*step.Spec.Needs.MilliCores,
 		})
 	}
-	if total < step.Spec.Count {
-		return nil
-	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(b.tasks, a.tasks), cmp.Compare(a.worker.ID, b.worker.ID))
 	})
