--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -57,8 +57,8 @@
 	// denied holds the workers that were not allowed; they are not asked about again.
 	denied map[*Worker]bool
 	// validUntil is the latest expiry of any ticket so far, as a Unix millisecond.
-	validUntil    int64
-	answered bool // whether any call about the step has succeeded
+	validUntil int64
+	answered   bool // whether any call about the step has succeeded
 	// queriesInFlight is the number of unanswered calls about the step, and asked holds the workers
 	// that these name.
 	queriesInFlight int
