--- a/internal/cluster/shard/load.go
+++ b/internal/cluster/shard/load.go
@@ -23,58 +23,6 @@
 	total   time.Duration
 	longest time.Duration
 	bytes   traffic.Totals // at since
-	queries map[string]queryLoad
-}
-
-// queryLoad sums up calls to the policy service.
-type queryLoad struct {
-	calls, repeated, workers int
-	millis                   float64
-	answered                 int
-	took                     time.Duration // by the answered calls
-}
-
-// addQuery counts a call to the policy service, by queue and purpose.
-func (l *passLoad) addQuery(q job.PolicyQuery) {
-	if l.queries == nil {
-		l.queries = map[string]queryLoad{}
-	}
-	sum := l.queries[queryKey(q)]
-	sum.calls++
-	if q.Fruitless > 0 {
-		sum.repeated++
-	}
-	sum.workers += len(q.Workers)
-	sum.millis += q.ExpectedMillis
-	l.queries[queryKey(q)] = sum
-}
-
-// addAnswer counts the answer to a call, which took the given time.
-func (l *passLoad) addAnswer(q job.PolicyQuery, took time.Duration) {
-	if l.queries == nil {
-		l.queries = map[string]queryLoad{}
-	}
-	sum := l.queries[queryKey(q)]
-	sum.answered++
-	sum.took += took
-	l.queries[queryKey(q)] = sum
-}
-
-func queryKey(q job.PolicyQuery) string {
-	return q.Step.Job.Queue + "." + string(q.Purpose)
-}
-
-// attribute returns the calls to the policy service for the log, by queue and purpose. A call is
-// repeated if no task of its step was placed since the call before; millis is the expected time at the
-// service of the calls, and took that until the answers.
-func (l *passLoad) attribute() slog.Attr {
-	var groups []any
-	for _, key := range slices.Sorted(maps.Keys(l.queries)) {
-		sum := l.queries[key]
-		groups = append(groups, slog.Group(key, "calls", sum.calls, "repeated", sum.repeated, "workers", sum.workers,
-			"millis", int(sum.millis), "answered", sum.answered, "took", sum.took.Milliseconds()))
-	}
-	return slog.Group("policy", groups...)
 }
 
 // add counts a pass. It reports whether the load is due to be logged.
@@ -103,8 +51,8 @@
 	s.log.Info("planningLoad", "interval", time.Since(s.passLoad.since), "passes", s.passLoad.passes,
 		"total", s.passLoad.total, "longest", s.passLoad.longest, "openJobs", len(s.state.OpenJobs()),
 		"waitingJobs", len(s.state.UnplacedJobs()), "cores", capacity.MilliCores/1000, "coresUsed", used.MilliCores/1000,
-		"policyCalls", s.advisors.BusyNodes(), "slowPolicyCalls", s.slowCalls, waitCauses(withinRate, overRate), isolation(planner),
-		s.passLoad.attribute(), traffic.Since(s.passLoad.bytes))
+		"policyCalls", s.policyCallsInFlight(), "slowPolicyCalls", s.slowCalls, waitCauses(withinRate, overRate), isolation(planner),
+		traffic.Since(s.passLoad.bytes))
 	s.passLoad = passLoad{
 		since: time.Now(),
 		bytes: traffic.Read(),
@@ -127,3 +75,15 @@
 	}
 	return slog.Group("waiting", counts...)
 }
+
+// policyCallsInFlight returns the number of nodes that make a call to the policy service
+// now. The caller holds s.mu.
+func (s *Shard) policyCallsInFlight() int {
+	calls := 0
+	for _, busy := range s.busyAdvisors {
+		if busy {
+			calls++
+		}
+	}
+	return calls
+}
--- a/internal/cluster/shard/policy.go
+++ b/internal/cluster/shard/policy.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"errors"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/cluster/worker"
-	"github.com/citronbay/citronbay/internal/decide/advisor"
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
@@ -16,9 +13,9 @@
 	// slowCallMillis is the expected duration above which a call to the policy
 	// service is slow; fast calls must not wait behind slow ones.
 	slowCallMillis = 200
-	// Slow calls are made through at most the number of nodes divided by slowCallDivisor at a
-	// time, but at least one.
-	slowCallDivisor = 2
+	// fastCallAdvisors is the number of nodes kept free of slow calls, as long as one
+	// node remains for these.
+	fastCallAdvisors = 2
 	// unreachableAdvisorPause is how long a node is not asked after it has not answered.
 	unreachableAdvisorPause = time.Second
 	// callTimeoutSlack is what a call may take beyond its expected duration.
@@ -33,54 +30,55 @@
 var ErrAdvisorUnreachable = errors.New("shard: the node that calls the policy service has not answered")
 
 // askPolicy sends the policy queries that the planner puts first, at most one through
-// each node that can take a further call. The caller holds s.mu.
+// each idle node. The caller holds s.mu.
 func (s *Shard) askPolicy(planner *job.Planner, now int64) {
-	advisors := map[string]AdvisorNode{}
-	for _, a := range s.options.Advisors() {
-		advisors[a.Node] = a
+	var idle []AdvisorNode
+	advisors := s.options.Advisors()
+	for _, a := range advisors {
+		if !s.busyAdvisors[a.Node] {
+			idle = append(idle, a)
+		}
 	}
-	available := s.advisors.Available(slices.Sorted(maps.Keys(advisors)), now)
-	if len(available) == 0 {
+	if len(idle) == 0 {
 		return
 	}
-	maxSlow := max(1, len(advisors)/slowCallDivisor)
+	maxSlow := max(1, len(advisors)-fastCallAdvisors)
 	queries := planner.PolicyQueries(now, job.QueryLimits{
-		Calls:          len(available),
+		Calls:          len(idle),
 		SlowCalls:      max(0, maxSlow-s.slowCalls),
-		SpareSlowCalls: max(0, maxSlow*3/4-s.slowCalls),
+		SpareSlowCalls: max(0, maxSlow/2-s.slowCalls),
 		SlowMillis:     slowCallMillis,
-		SpareCalls:     max(0, len(available)-len(advisors)/2),
 	})
 	for n, q := range queries {
+		s.busyAdvisors[idle[n].Node] = true
 		if q.ExpectedMillis > slowCallMillis {
 			s.slowCalls++
 		}
-		s.passLoad.addQuery(q)
-		call, millis := s.advisors.Start(available[n], q.ExpectedMillis, now)
-		go s.askAdvisor(advisors[available[n]], q, call, millis)
+		go s.askAdvisor(idle[n], q)
 	}
 }
 
-// askAdvisor makes the call through the node. The call is expected to be answered after the given
-// number of milliseconds.
-func (s *Shard) askAdvisor(a AdvisorNode, q job.PolicyQuery, call *advisor.Call, millis float64) {
-	timeout := time.Duration(millis)*time.Millisecond + callTimeoutSlack
+func (s *Shard) askAdvisor(a AdvisorNode, q job.PolicyQuery) {
+	timeout := time.Duration(q.ExpectedMillis)*time.Millisecond + callTimeoutSlack
 	ctx, cancel := context.WithTimeout(s.term.Context(), timeout)
 	defer cancel()
 	ids := make([]string, len(q.Workers))
 	for n, w := range q.Workers {
 		ids[n] = w.ID
 	}
-	start := time.Now()
 	tickets, err := a.Ask(ctx, q.Step.Job.ID, q.Step.Number, ids)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
-	s.advisors.Finish(call, now)
-	s.passLoad.addAnswer(q, time.Since(start))
 	if errors.Is(err, ErrAdvisorUnreachable) {
 		// The node would get the next query at once, as would all others that cannot be reached.
-		s.advisors.Pause(a.Node, now+unreachableAdvisorPause.Milliseconds(), now)
+		time.AfterFunc(unreachableAdvisorPause, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			delete(s.busyAdvisors, a.Node)
+			s.requestPass()
+		})
+	} else {
+		delete(s.busyAdvisors, a.Node)
 	}
 	if q.ExpectedMillis > slowCallMillis {
 		s.slowCalls--
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -14,7 +14,6 @@
 	"github.com/citronbay/citronbay/internal/api/traffic"
 	"github.com/citronbay/citronbay/internal/cluster/store"
 	"github.com/citronbay/citronbay/internal/cluster/worker"
-	"github.com/citronbay/citronbay/internal/decide/advisor"
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
@@ -46,7 +45,7 @@
 
 // AdvisorNode is a node through which the shard can ask the policy service.
 type AdvisorNode struct {
-	// Node is the name of the node, for which the policy service handles one call at a time.
+	// Node is the name of the node, which handles one call at a time.
 	Node string
 	// Ask asks which of the workers may run the step, and returns their tickets.
 	Ask func(ctx context.Context, jobID string, step int, workers []string) ([]worker.Ticket, error)
@@ -107,7 +106,7 @@
 	// agreementVersion is that of agreement.
 	agreementVersion atomic.Int64
 
-	// passLoad sums up the planning passes for the log; only Run uses it, and mu guards its queries.
+	// passLoad sums up the planning passes for the log; only Run uses it.
 	passLoad passLoad
 
 	// mu guards the fields below. It is also the lock given to the journal's Run.
@@ -131,10 +130,10 @@
 	nextFirstPoll         time.Time        // of the next link that is created
 	// earlier holds the incarnations that had placements before the term, until a link of
 	// their worker takes these over, by the ID of the worker.
-	earlier   map[string][]job.WorkerKey
-	crashes   job.CrashLog
-	advisors  *advisor.Schedule // the calls to the policy service in flight
-	slowCalls int               // slow calls to the policy service in flight
+	earlier      map[string][]job.WorkerKey
+	crashes      job.CrashLog
+	busyAdvisors map[string]bool // by the name of the node
+	slowCalls    int             // slow calls to the policy service in flight
 }
 
 // Open recovers the shard from its journal. It fails if the journal cannot be read or
@@ -153,7 +152,7 @@
 		state:        job.NewState(),
 		links:        map[string]*link{},
 		earlier:      map[string][]job.WorkerKey{},
-		advisors:     advisor.NewSchedule(),
+		busyAdvisors: map[string]bool{},
 	}
 	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
--- a/internal/decide/job/advice.go
+++ b/internal/decide/job/advice.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 )
 
@@ -25,11 +24,6 @@
 	// gangRoomFactor is how many times the free capacity that a gang's discovery query is
 	// expected to yield must suffice for the gang, since others place tasks meanwhile.
 	gangRoomFactor = 1.5
-	// ampleRoomFactor is how many times the room that a query is expected to yield must suffice, so
-	// that it names no more than minQueryWorkers.
-	ampleRoomFactor = 3
-	// maxParallelQueries is the maximum number of calls about a step at a time.
-	maxParallelQueries = 4
 	// gangCapacityFactor is how many times a gang must fit on the workers that it may use, beside
 	// endless tasks, so that it can wait for the other running tasks to end.
 	gangCapacityFactor = 2
@@ -52,19 +46,12 @@
 	// allowed holds the workers that were allowed when last asked about, with their
 	// tickets, which may have expired.
 	allowed map[*Worker]Ticket
-	// byID lists the keys of allowed by their IDs, or is nil.
-	byID []*Worker
 	// denied holds the workers that were not allowed; they are not asked about again.
 	denied map[*Worker]bool
 	// validUntil is the latest expiry of any ticket so far, as a Unix millisecond.
-	validUntil int64
-	answered   bool // whether any call about the step has succeeded
-	// queriesInFlight is the number of unanswered calls about the step, and asked holds the workers
-	// that these name.
-	queriesInFlight int
-	asked           map[*Worker]bool
-	// fruitless is the number of calls since a task of the step was last placed.
-	fruitless int
+	validUntil    int64
+	answered      bool // whether any call about the step has succeeded
+	queryInFlight bool
 	// examinedRound is the round of examinations in which the step last needed no query.
 	examinedRound int
 	// reserved is the number of tasks per worker for which capacity is reserved while
@@ -80,24 +67,10 @@
 	Workers []*Worker
 	// ExpectedMillis is the expected time of the call.
 	ExpectedMillis float64
-	// Purpose is what the call is for, and Fruitless the number of calls about the step since one of
-	// its tasks was last placed.
-	Purpose   QueryPurpose
-	Fruitless int
 
-	share  *allowedShare
-	claims claims
+	share *allowedShare
 }
 
-// QueryPurpose is what a call to the policy service is for.
-type QueryPurpose string
-
-// The purposes of calls.
-const (
-	QueryDiscovery QueryPurpose = "discovery" // workers about which there is no answer yet
-	QueryRenewal   QueryPurpose = "renewal"   // new tickets for allowed workers
-)
-
 // allowedShare counts the answers about workers for steps of one queue, and those that
 // allowed the worker. Renewals do not count.
 type allowedShare struct {
@@ -124,13 +97,7 @@
 // step's reservation is dropped.
 func (q PolicyQuery) HandleAnswer(allowed map[*Worker]Ticket, ok bool) {
 	a := &q.Step.Advice
-	a.queriesInFlight--
-	if a.queriesInFlight == 0 {
-		delete(q.claims, q.Step)
-	}
-	for _, w := range q.Workers {
-		delete(a.asked, w)
-	}
+	a.queryInFlight = false
 	if !ok {
 		a.reserved = nil
 		return
@@ -145,7 +112,6 @@
 		if _, known := a.allowed[w]; !known {
 			q.share.add(ok)
 		}
-		a.byID = nil
 		if !ok {
 			a.denied[w] = true
 			delete(a.allowed, w)
@@ -178,16 +144,6 @@
 	return s.Advice.allowed[w].Value
 }
 
-// allowedByID returns the workers that were allowed when last asked about, by their IDs.
-func (a *Advice) allowedByID() []*Worker {
-	if a.byID == nil {
-		a.byID = slices.SortedFunc(maps.Keys(a.allowed), func(a, b *Worker) int {
-			return cmp.Compare(a.ID, b.ID)
-		})
-	}
-	return a.byID
-}
-
 func (a *Advice) hasValidTicket(w *Worker, at int64) bool {
 	return a.allowed[w].ExpiresMillis > at
 }
@@ -201,8 +157,6 @@
 	// the same for calls that only shorten a gang's wait.
 	SlowCalls, SpareSlowCalls int
 	SlowMillis                float64
-	// SpareCalls is the maximum number of calls about steps for which there is no room now.
-	SpareCalls int
 }
 
 // PolicyQueries returns the calls to the policy service that should be made now, within
@@ -213,11 +167,10 @@
 // workers, and the policy service would have no time for other jobs.
 //
 // A discovery query asks about workers on which there is no answer yet, and a renewal
-// asks for new tickets on allowed workers, and about others if these have too little room. The
-// policy service can be the bottleneck, so the workers in a discovery query add at most half of
-// the call's fixed time, unless they are minQueryWorkers or fewer or the tasks need the room of
-// more, and a call names only workers that are about to be used. What calls in flight will
-// probably use does not count as room, and steps without room ask only with calls to spare.
+// asks for new tickets on allowed workers. The policy service can be the bottleneck, so
+// the workers in a discovery query add at most half of the call's fixed time, unless they
+// are minQueryWorkers or fewer or the step is a gang, and a renewal names only workers that
+// are about to be used.
 //
 // Examining a long backlog takes several passes, which make up a round: a step that needed
 // no query is examined again only in the next round, so that it does not hide those
@@ -227,8 +180,7 @@
 		planner: p,
 		limits:  limits,
 	}
-	claimed := p.newClaimedBefore()
-	var deferred, withoutRoom []*Step
+	var deferred []*Step
 	roundDone := true
 	for _, step := range p.steps {
 		if c.full() {
@@ -236,14 +188,7 @@
 			break
 		}
 		queue := p.rules.Queues[step.Job.Queue]
-		if step.Advice.examinedRound > p.state.examinedRounds || !c.allows(step, queue) {
-			continue
-		}
-		claimed.addUpTo(step.rank)
-		if !p.canUseQuery(step) {
-			if !step.Advice.answered && len(withoutRoom) < limits.SpareCalls {
-				withoutRoom = append(withoutRoom, step)
-			}
+		if step.Advice.examinedRound > p.state.examinedRounds || !c.allows(step, queue) || !p.canUseQuery(step) {
 			continue
 		}
 		c.examined++
@@ -251,7 +196,6 @@
 			deferred = append(deferred, step)
 		} else if q, ok := p.nextQuery(step, queue, now); ok {
 			c.add(q, queue)
-			c.askFurther(step, queue, q)
 			continue
 		}
 		step.Advice.examinedRound = p.state.examinedRounds + 1
@@ -264,7 +208,7 @@
 	}
 	slowCalls := limits.SlowCalls - c.limits.SlowCalls
 	c.limits.SlowCalls = min(c.limits.SlowCalls, limits.SpareSlowCalls-slowCalls)
-	for _, step := range append(deferred, withoutRoom...) {
+	for _, step := range deferred {
 		c.discover(step)
 	}
 	return c.queries
@@ -286,7 +230,7 @@
 // allows reports whether a query about the step can be added: its queue has a policy
 // service, no query about it is in flight, and the limits allow one more.
 func (c *queryCollector) allows(step *Step, queue Queue) bool {
-	return queue.Policy != nil && step.Advice.queriesInFlight == 0 && len(c.queries) < c.limits.Calls &&
+	return queue.Policy != nil && !step.Advice.queryInFlight && len(c.queries) < c.limits.Calls &&
 		(!c.isSlow(queue) || c.limits.SlowCalls > 0)
 }
 
@@ -301,49 +245,21 @@
 	}
 }
 
-// askFurther adds calls to the first about a gang, as far as the limits allow, until the gang is
-// expected to fit on the workers that the calls name: it can start only once the calls about all of its
-// workers are answered, and its tickets expire meanwhile if they are made one after the other.
-func (c *queryCollector) askFurther(step *Step, queue Queue, q PolicyQuery) {
-	if !step.Spec.Gang || step.Advice.answered {
-		return
-	}
-	p := c.planner
-	share := q.share.estimate()
-	needed := gangRoomFactor * float64(step.Spec.Count)
-	for n := 1; n < maxParallelQueries; n++ {
-		for _, w := range q.Workers {
-			needed -= p.expectedTasks(step, w, share)
-		}
-		if needed <= 0 || len(c.queries) == c.limits.Calls || c.isSlow(queue) && c.limits.SlowCalls <= 0 {
-			return
-		}
-		var ok bool
-		if q, ok = p.discoveryQuery(step, queue, nil); !ok {
-			return
-		}
-		c.add(q, queue)
-	}
-}
-
 // discover adds a discovery query about the step if it needs one and the limits allow it.
 func (c *queryCollector) discover(step *Step) {
 	queue := c.planner.rules.Queues[step.Job.Queue]
 	if !c.allows(step, queue) {
 		return
 	}
-	if q, ok := c.planner.discoveryQuery(step, queue, nil); ok {
+	if q, ok := c.planner.discoveryQuery(step, queue); ok {
 		c.add(q, queue)
 	}
 }
 
-// canUseQuery reports whether an answer about the step could let one of its tasks start now. An
-// answer about a gang, which may have to wait until workers are drained for it, is always of use.
+// canUseQuery reports whether an answer about the step could let one of its tasks start
+// now, or no call about the step has succeeded yet.
 func (p *Planner) canUseQuery(step *Step) bool {
-	if step.Spec.Gang && !step.Advice.answered {
-		return true
-	}
-	return p.hasRoom(step) && p.withinCap(step, 1) && !p.awaitsIsolation(step)
+	return !step.Advice.answered || (step.Spec.Needs.FitsIn(p.largestFree) && p.withinCap(step, 1) && !p.awaitsIsolation(step))
 }
 
 // canWait reports whether the step is a gang that does not fit now but would fit
@@ -360,7 +276,7 @@
 // renewal of expired tickets, or false if it needs none.
 func (p *Planner) nextQuery(step *Step, queue Queue, now int64) (PolicyQuery, bool) {
 	if !step.Advice.answered {
-		return p.discoveryQuery(step, queue, nil)
+		return p.discoveryQuery(step, queue)
 	}
 	allowed := p.allowedWorkers(step, queue)
 	if !step.Spec.Gang {
@@ -368,65 +284,56 @@
 		if valid {
 			return PolicyQuery{}, false
 		}
-		return p.discoveryQuery(step, queue, renew)
+		if len(renew) > 0 {
+			return p.newQuery(step, queue, renew), true
+		}
+		return p.discoveryQuery(step, queue)
 	}
 	plan := p.packGang(step, allowed)
 	switch {
 	case plan == nil:
-		return p.discoveryQuery(step, queue, nil)
+		return p.discoveryQuery(step, queue)
 	case !p.withinCap(step, step.Spec.Count) || p.allTicketsValid(step, plan, now):
 		return PolicyQuery{}, false
 	}
 	return p.gangRenewalQuery(step, queue, plan, now), true
 }
 
-// discoveryQuery returns a query about the workers whose tickets are to be renewed and about
-// workers on which there is no answer for the step yet, those with the most free processors first, or
-// false if there are none. If no task fits now, the first query about the step names workers all the
-// same. A query names as many workers as the tasks probably need: in a full fleet a gang
-// fits on the free capacity of many workers sooner than on a few that have to be drained.
-func (p *Planner) discoveryQuery(step *Step, queue Queue, renew []*Worker) (PolicyQuery, bool) {
+// discoveryQuery returns a query about workers on which there is no answer for the step
+// yet, those with the most free processors first, or false if there are none. Until a
+// call about the step has succeeded, these include workers on which no task fits now. A
+// query for a gang names as many as the gang probably needs to fit at once: in a full fleet
+// it fits on the free capacity of many workers sooner than on a few that have to be drained.
+func (p *Planner) discoveryQuery(step *Step, queue Queue) (PolicyQuery, bool) {
 	limit := minQueryWorkers
 	if queue.Policy.PerWorkerMillis > 0 {
 		limit = max(limit, int(queue.Policy.FixedMillis/queue.Policy.PerWorkerMillis/2))
 	}
 	limit = min(limit, maxQueryWorkers)
-	share := p.state.shareOf(step.Job.Queue).estimate()
-	needed := float64(step.Waiting()) // in tasks
+	neededRoom := 0.0 // in tasks
 	if step.Spec.Gang {
-		needed *= gangRoomFactor
+		neededRoom = gangRoomFactor * float64(step.Spec.Count) / p.state.shareOf(step.Job.Queue).estimate()
 	}
-	needsRoom := step.Advice.answered || !step.Spec.Gang && p.hasRoom(step)
-	expected := 0.0
-	for _, w := range renew {
-		expected += p.expectedTasks(step, w, share)
-	}
-	if len(renew) > 0 {
-		limit = 0
-	}
-	purpose, workers := QueryRenewal, renew
+	var workers []*Worker
+	room := 0
 	for _, w := range p.workersByFree() {
-		if len(workers) >= maxQueryWorkers || len(workers) >= limit && expected >= needed {
-			break
-		}
-		if len(workers) >= minQueryWorkers && expected >= ampleRoomFactor*needed {
+		if len(workers) == maxQueryWorkers || len(workers) >= limit && float64(room) >= neededRoom {
 			break
 		}
 		_, allowed := step.Advice.allowed[w]
-		if allowed || step.Advice.denied[w] || step.Advice.asked[w] || !p.eligible(step, queue, w) {
+		if allowed || step.Advice.denied[w] || !p.eligible(step, queue, w) {
 			continue
 		}
-		if needsRoom && !step.Spec.Needs.FitsIn(step.unclaimed(w)) {
+		if step.Advice.answered && !step.Spec.Needs.FitsIn(w.free) {
 			continue
 		}
-		purpose = QueryDiscovery
 		workers = append(workers, w)
-		expected += p.expectedTasks(step, w, share)
+		room += step.Spec.Needs.fitCount(w.free, step.Spec.Count)
 	}
 	if len(workers) == 0 {
 		return PolicyQuery{}, false
 	}
-	return p.newQuery(step, queue, purpose, workers), true
+	return p.newQuery(step, queue, workers), true
 }
 
 // workersByFree returns the workers in decreasing order of free processors. They are
@@ -449,7 +356,7 @@
 	waiting := step.Waiting()
 	var expired []*Worker
 	for _, w := range allowed {
-		if !step.Spec.Needs.FitsIn(step.unclaimed(w)) || p.remainingPerWorker(step, w) < 1 {
+		if !step.Spec.Needs.FitsIn(w.free) || p.remainingPerWorker(step, w) < 1 {
 			continue
 		}
 		if step.Advice.hasValidTicket(w, p.requiredExpiry(now)) {
@@ -484,32 +391,18 @@
 	slices.SortFunc(workers, func(a, b *Worker) int {
 		return cmp.Compare(a.ID, b.ID)
 	})
-	q := p.newQuery(step, queue, QueryRenewal, workers)
+	q := p.newQuery(step, queue, workers)
 	step.Advice.reservedUntil = now + int64(q.ExpectedMillis) + queryMarginMillis
 	return q
 }
 
 // newQuery returns a query about the workers and marks it as in flight.
-func (p *Planner) newQuery(step *Step, queue Queue, purpose QueryPurpose, workers []*Worker) PolicyQuery {
-	if step.Advice.asked == nil {
-		step.Advice.asked = map[*Worker]bool{}
-	}
-	for _, w := range workers {
-		step.Advice.asked[w] = true
-	}
-	step.Advice.queriesInFlight++
-	step.Advice.fruitless++
-	share := p.state.shareOf(step.Job.Queue)
-	if step.Advice.reserved == nil {
-		p.claim(step, workers, share.estimate())
-	}
+func (p *Planner) newQuery(step *Step, queue Queue, workers []*Worker) PolicyQuery {
+	step.Advice.queryInFlight = true
 	return PolicyQuery{
 		Step:           step,
 		Workers:        workers,
 		ExpectedMillis: queue.Policy.FixedMillis + queue.Policy.PerWorkerMillis*float64(len(workers)),
-		Purpose:        purpose,
-		Fruitless:      step.Advice.fruitless - 1,
-		share:          share,
-		claims:         p.state.claims,
+		share:          p.state.shareOf(step.Job.Queue),
 	}
 }
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -33,15 +33,6 @@
 	}
 }
 
-// scaled returns r multiplied by x, rounded down.
-func (r Resources) scaled(x float64) Resources {
-	return Resources{
-		MilliCores:   int64(float64(r.MilliCores) * x),
-		MemoryMB:     int64(float64(r.MemoryMB) * x),
-		Accelerators: int64(float64(r.Accelerators) * x),
-	}
-}
-
 // FitsIn reports whether r is at most available in each dimension.
 func (r Resources) FitsIn(available Resources) bool {
 	return r.MilliCores <= available.MilliCores && r.MemoryMB <= available.MemoryMB && r.Accelerators <= available.Accelerators
@@ -291,8 +282,6 @@
 	placed   int
 	// suspects is the number of tasks that are not done and have crashes.
 	suspects int
-	// rank is the step's rank in the present pass: see rankOf.
-	rank int
 	// suspectsWaitSince is the Unix millisecond since which the planner has found suspects to
 	// place, or zero. It is not part of the records.
 	suspectsWaitSince int64
--- a/internal/decide/job/planner.go
+++ b/internal/decide/job/planner.go
@@ -31,8 +31,6 @@
 	// free is the capacity that is neither used nor reserved for a gang, in the
 	// present pass.
 	free Resources
-	// claimed is what calls to the policy service that are in flight will probably use: see claims.
-	claimed Resources
 	// isolatedFor is the ID of the job whose suspects run on the worker or will run there
 	// once it is empty, in the present pass; empty if there is none.
 	isolatedFor string
@@ -57,8 +55,6 @@
 	// at the start of the pass. A task that does not fit in it fits on no worker, unless
 	// capacity is reserved for its own gang.
 	largestFree Resources
-	// largestUnclaimed is the same less what is claimed, while PolicyQueries examines the steps.
-	largestUnclaimed Resources
 	// byFree lists the workers in decreasing order of the processors that were free when
 	// the pass first needed the list; nil before.
 	byFree []*Worker
@@ -157,14 +153,17 @@
 }
 
 // collectSteps lists the steps with tasks to place, in the order in which they are
-// served, and deducts the capacity that gangs have reserved. The order is by rank and by
-// deadline: see rank.
+// served, and deducts the capacity that gangs have reserved. Jobs within their team's
+// rate go before those over it; then the order is by the operators' priority, by
+// feasibility and by deadline. Feasibility goes before the deadline because under
+// overload serving the earliest deadline first would make every job late.
 func (p *Planner) collectSteps(now int64) {
-	type candidate struct {
+	type ranked struct {
 		step      *Step
+		class     int
 		dueMillis int64
 	}
-	var runnable []candidate
+	var runnable []ranked
 	for _, j := range p.state.unplaced {
 		queue, ok := p.rules.Queues[j.Queue]
 		if !ok {
@@ -175,15 +174,15 @@
 				continue
 			}
 			p.deductReserved(step, now)
-			step.rank = rankOf(step, queue, now)
-			runnable = append(runnable, candidate{
+			runnable = append(runnable, ranked{
 				step:      step,
+				class:     priorityClass(step, queue, now),
 				dueMillis: j.DueMillis(queue),
 			})
 		}
 	}
-	slices.SortFunc(runnable, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.step.rank, b.step.rank), cmp.Compare(a.dueMillis, b.dueMillis),
+	slices.SortFunc(runnable, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.dueMillis, b.dueMillis),
 			cmp.Compare(a.step.Job.ID, b.step.Job.ID), cmp.Compare(a.step.Number, b.step.Number))
 	})
 	p.steps = make([]*Step, len(runnable))
@@ -192,6 +191,17 @@
 	}
 }
 
+// priorityClass combines the criteria that go before the deadline: the team's rate, the
+// operators' priority and feasibility. Lower classes go first.
+func priorityClass(step *Step, queue Queue, now int64) int {
+	const overRateWeight, priorityWeight = 1 << 16, 1 << 2
+	class := queue.Priority*priorityWeight + int(step.feasibility(queue, now))
+	if step.Job.OverRate {
+		class += overRateWeight
+	}
+	return class
+}
+
 // deductReserved deducts the step's reservation, if any, from the workers' free
 // capacity, or drops the reservation if it has expired.
 func (p *Planner) deductReserved(step *Step, now int64) {
@@ -290,21 +300,25 @@
 		}
 		return workers
 	}
-	for _, w := range step.Advice.allowedByID() {
+	for w := range step.Advice.allowed {
 		if p.eligible(step, queue, w) {
 			workers = append(workers, w)
 		}
 	}
+	slices.SortFunc(workers, func(a, b *Worker) int {
+		return cmp.Compare(a.ID, b.ID)
+	})
 	return workers
 }
 
 // startableWorkers returns the allowed workers whose tickets are valid and that are not
-// reserved for a gang that goes before the step, unless reservations have held the step back for
-// long.
-func (p *Planner) startableWorkers(step *Step, queue Queue, reserved reservations, now int64) []*Worker {
+// reserved for a gang of higher priority, unless reservations have held the step back for
+// long. The map gangPriority holds the priorities of the gangs for which reserveForGang has
+// reserved workers.
+func (p *Planner) startableWorkers(step *Step, queue Queue, gangPriority map[*Worker]int, now int64) []*Worker {
 	workers := p.allowedWorkers(step, queue)
-	if len(reserved) > 0 {
-		workers = p.withoutReserved(step, queue, workers, reserved, now)
+	if len(gangPriority) > 0 {
+		workers = p.withoutReserved(step, queue, workers, gangPriority, now)
 	}
 	if queue.Policy == nil {
 		return workers
@@ -315,12 +329,12 @@
 }
 
 // Plan returns the placements that can be made now and applies them to the state.
-// While a gang does not fit or lacks valid tickets, steps of lower priority and rank may not
-// start on the workers that it will need, so that wide gangs do not starve; maxHeldBackMillis
+// While a gang does not fit or lacks valid tickets, steps of lower priority may not start
+// on the workers that it will need, so that wide gangs do not starve; maxHeldBackMillis
 // limits this. It does not apply to a gang that would exceed its team's cap.
 func (p *Planner) Plan(now int64) []Record {
 	var records []Record
-	reserved := reservations{}
+	gangPriority := map[*Worker]int{}
 	for _, step := range p.steps {
 		if p.awaitsIsolation(step) {
 			continue
@@ -333,7 +347,7 @@
 		}
 		if !step.Spec.Gang {
 			if fits && ticketValid {
-				placed := p.placeTasks(step, p.startableWorkers(step, queue, reserved, now))
+				placed := p.placeTasks(step, p.startableWorkers(step, queue, gangPriority, now))
 				p.spend(step, placed)
 				records = append(records, placed...)
 			}
@@ -344,12 +358,12 @@
 		}
 		var placed []Record
 		if fits && ticketValid {
-			placed = p.placeGang(step, p.startableWorkers(step, queue, reserved, now))
+			placed = p.placeGang(step, p.startableWorkers(step, queue, gangPriority, now))
 			p.spend(step, placed)
 			records = append(records, placed...)
 		}
 		if placed == nil {
-			p.reserveForGang(step, queue, reserved)
+			p.reserveForGang(step, queue, gangPriority)
 		}
 	}
 	return records
@@ -488,22 +502,6 @@
 	return nil
 }
 
-// fitCount returns how many of the step's tasks fit on the worker.
-func (p *Planner) fitCount(step *Step, w *Worker) int {
-	return step.Spec.Needs.fitCount(p.freeFor(step, w), min(step.Spec.Count, p.remainingPerWorker(step, w)))
-}
-
-// fits reports whether all of the step's tasks fit on the workers.
-func (p *Planner) fits(step *Step, workers []*Worker) bool {
-	total := 0
-	for _, w := range workers {
-		if total += p.fitCount(step, w); total >= step.Spec.Count {
-			return true
-		}
-	}
-	return false
-}
-
 // pack returns the number of the step's tasks for each worker, or nil if they do not all
 // fit. It fills the workers in ascending order of placement cost plus the processors that
 // would remain free; ties go to workers with capacity for more tasks, to use few workers.
@@ -513,21 +511,23 @@
 		tasks  int
 		score  int64
 	}
-	if !p.fits(step, workers) {
-		return nil
-	}
 	var candidates []candidate
+	total := 0
 	for _, w := range workers {
-		n := p.fitCount(step, w)
+		n := step.Spec.Needs.fitCount(p.freeFor(step, w), min(step.Spec.Count, p.remainingPerWorker(step, w)))
 		if n == 0 {
 			continue
 		}
+		total += n
 		candidates = append(candidates, candidate{
 			worker: w,
 			tasks:  n,
 			score:  p.placementCost(step, w) + w.free.MilliCores - int64(n)*step.Spec.Needs.MilliCores,
 		})
 	}
+	if total < step.Spec.Count {
+		return nil
+	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(b.tasks, a.tasks), cmp.Compare(a.worker.ID, b.worker.ID))
 	})
--- a/internal/decide/job/reservation.go
+++ b/internal/decide/job/reservation.go
@@ -14,18 +14,15 @@
 // room to run within 3 s; the rest is for the start.
 const maxHeldBackMillis = 2000
 
-// reservations holds, for each worker that is reserved in a pass, the gang's step.
-type reservations map[*Worker]*Step
-
 // reserveForGang reserves the workers on which the gang will fit once their tasks have
-// ended, those with the most free processors first. Steps of lower priority and rank do not
-// start there in this pass. Unlike this
+// ended, those with the most free processors first. It sets their gangPriority to the
+// gang's priority; steps of lower priority do not start there in this pass. Unlike this
 // reservation, the one in Advice.reserved lasts over passes, while tickets are renewed.
 // The first gang can reserve what it needs; further ones reserve nothing once a part of
 // the fleet is reserved, since reserved workers idle until the gang fits. A gang that
 // would not fit even then reserves nothing: it may wait for ever.
-func (p *Planner) reserveForGang(step *Step, queue Queue, reserved reservations) {
-	if len(reserved) > 0 && len(reserved) >= len(p.workers)/maxReservedDivisor {
+func (p *Planner) reserveForGang(step *Step, queue Queue, gangPriority map[*Worker]int) {
+	if len(gangPriority) > 0 && len(gangPriority) >= len(p.workers)/maxReservedDivisor {
 		return
 	}
 	allowed := p.allowedWorkers(step, queue)
@@ -41,10 +38,10 @@
 			return
 		}
 		n := p.drainedCapacityOf(step, w)
-		if reserved[w] != nil || n == 0 {
+		if _, reserved := gangPriority[w]; reserved || n == 0 {
 			continue
 		}
-		reserved[w] = step
+		gangPriority[w] = queue.Priority
 		remaining -= n
 	}
 }
@@ -70,11 +67,11 @@
 }
 
 // withoutReserved returns those of the allowed workers that are not reserved for a gang of higher
-// priority and earlier rank, or all once reservations have held the step back for maxHeldBackMillis.
-func (p *Planner) withoutReserved(step *Step, queue Queue, allowed []*Worker, reserved reservations, now int64) []*Worker {
+// priority, or all once reservations have held the step back for maxHeldBackMillis.
+func (p *Planner) withoutReserved(step *Step, queue Queue, allowed []*Worker, gangPriority map[*Worker]int, now int64) []*Worker {
 	isReserved := func(w *Worker) bool {
-		gang := reserved[w]
-		return gang != nil && gang.rank < step.rank && p.rules.Queues[gang.Job.Queue].Priority < queue.Priority
+		priority, ok := gangPriority[w]
+		return ok && priority < queue.Priority
 	}
 	heldBack := (step.Spec.Endless || p.isUnderused(queue.Service)) && slices.ContainsFunc(allowed, func(w *Worker) bool {
 		return isReserved(w) && step.Spec.Needs.FitsIn(p.freeFor(step, w))
--- a/internal/decide/job/rules.go
+++ b/internal/decide/job/rules.go
@@ -46,10 +46,6 @@
 	Teams  map[string]Team
 }
 
-// starvedFactor is the multiple of a job's objective after which the job goes before jobs of less
-// urgent queues that are late, so that it is done even under a steady load of useful work.
-const starvedFactor = 10
-
 // usefulFactor is the multiple of a job's objective after which its result is of no
 // use to its caller, from the users' rules for crediting results.
 const usefulFactor = 3
@@ -61,7 +57,6 @@
 	onTime  feasibility = iota
 	late                // expected to end after its objective, with a result that is still useful
 	useless             // expected to end after usefulFactor times its objective
-	starved             // expected to end after starvedFactor times its objective
 )
 
 // objectiveMillis returns the job's objective: the time after its submission within
@@ -86,31 +81,6 @@
 		return onTime
 	case estimatedMillis <= usefulFactor*objectiveMillis:
 		return late
-	case estimatedMillis <= starvedFactor*objectiveMillis:
-		return useless
-	}
-	return starved
-}
-
-// rankOf returns the rank of the step: steps of lower rank go first. It answers an overload, in which
-// serving the most urgent queue or the earliest deadline first would make every job late. Jobs that
-// can still meet their objective go by the operators' priority. A job that will be late yields to
-// those of the next less urgent queue that will not. A job whose result will be of no use to its
-// caller waits until no other can start, but for starvedFactor. Jobs over their team's rate go last,
-// in the same order.
-func rankOf(step *Step, q Queue, now int64) int {
-	const priorityWeight, lateWeight, uselessWeight, overRateWeight = 2, 3, 1 << 8, 1 << 16
-	rank := priorityWeight * q.Priority
-	switch step.feasibility(q, now) {
-	case late:
-		rank += lateWeight
-	case starved:
-		rank += lateWeight + 1
-	case useless:
-		rank += uselessWeight
-	}
-	if step.Job.OverRate {
-		rank += overRateWeight
 	}
-	return rank
+	return useless
 }
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -87,7 +87,6 @@
 	// shares holds the shares of workers that the policy service allows, by queue. They
 	// are not part of the records.
 	shares map[string]*allowedShare
-	claims claims
 }
 
 // shareOf returns the share of workers that the policy service allows to steps of the
@@ -114,7 +113,6 @@
 		usedByEndless: map[WorkerKey]Resources{},
 		teamUsed:      map[string]Resources{},
 		shares:        map[string]*allowedShare{},
-		claims:        claims{},
 	}
 }
 
@@ -332,7 +330,7 @@
 		step.unplaced--
 	}
 	step.placed++
-	step.suspectsWaitSince, step.heldBackSince, step.Advice.fruitless = 0, 0, 0
+	step.suspectsWaitSince, step.heldBackSince = 0, 0
 	placements := s.placements[p.Worker]
 	if placements == nil {
 		placements = map[TaskKey]*Placement{}
