Admission: estimates of when a submission would be done, first integration

Nothing was turned away while load was above capacity: jobs were accepted that could only end after their objective, and took the room of others. The owner now estimates each submission from the work ahead of it. Not measured yet.

--- a/internal/cluster/shard/metrics.go
+++ b/internal/cluster/shard/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/admission"
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
@@ -33,6 +34,34 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_requests_refused_total{reason=%q}", reason)).Inc()
 }
 
+// countRefusedJob counts a submission that admission has refused, the time after which its caller
+// may return, and the time since its first submission.
+func countRefusedJob(team string, d admission.Decision, elapsed time.Duration) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_admission_refused_total{team=%q,reason=%q}", team, d.Reason)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf("citronbay_admission_retry_seconds{reason=%q}", d.Reason)).Update(float64(d.RetryMillis) / 1000)
+	if elapsed > 0 {
+		metrics.GetOrCreateCounter("citronbay_admission_returned_total{outcome=\"refused\"}").Inc()
+	}
+}
+
+// countAcceptedJob counts a submission that admission has accepted.
+func countAcceptedJob(team string, overRate, repeated bool) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_admission_accepted_total{team=%q,over_rate=\"%t\"}", team, overRate)).Inc()
+	if repeated {
+		metrics.GetOrCreateCounter("citronbay_admission_returned_total{outcome=\"accepted\"}").Inc()
+	}
+}
+
+// countEstimate records by how much a completed job was later than expected at its acceptance, or
+// earlier.
+func countEstimate(queue string, late time.Duration) {
+	side := "late"
+	if late < 0 {
+		side, late = "early", -late
+	}
+	metrics.GetOrCreateHistogram(fmt.Sprintf("citronbay_admission_estimate_error_seconds{queue=%q,side=%q}", queue, side)).Update(late.Seconds())
+}
+
 func countJobEnd(queue string, outcome job.Outcome, age time.Duration) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_jobs_ended_total{queue=%q,outcome=%q}", queue, outcome)).Inc()
 	metrics.GetOrCreateHistogram(fmt.Sprintf("citronbay_job_seconds{queue=%q}", queue)).Update(age.Seconds())
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -196,6 +196,7 @@
 // failed too often. If a member of a gang did not complete, it stops the others. It
 // returns records followed by those of the changes. The caller holds s.mu.
 func (s *Shard) endAttempt(records []job.Record, p *job.Placement, outcome job.AttemptOutcome, checkpoint string) []job.Record {
+	s.observeAttempt(p, outcome)
 	records = s.apply(records, job.Record{
 		Kind:           job.RecordAttemptEnd,
 		Job:            p.Task.Job,
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -8,6 +8,7 @@
 	"github.com/citronbay/citronbay/internal/cluster/caller"
 	"github.com/citronbay/citronbay/internal/cluster/operator"
 	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/decide/admission"
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
@@ -34,16 +35,11 @@
 	updatedMillis int64
 }
 
-// take reports whether one more job is within the rate, in jobs per second, and if so
-// takes a token. The parameter now is the owner's clock in milliseconds.
-func (b *tokenBucket) take(rate float64, now int64) bool {
+// fill adds the tokens of the time since the last call at the rate, in jobs per second. The
+// parameter now is the owner's clock in milliseconds.
+func (b *tokenBucket) fill(rate float64, now int64) {
 	b.tokens = min(rate*burstSeconds, b.tokens+rate*float64(now-b.updatedMillis)/1000)
 	b.updatedMillis = now
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
 }
 
 // LeaseValid reports whether this process is certainly still the owner: its term has not
@@ -271,9 +267,17 @@
 		return s.refuse(id, reasonOverloaded)
 	}
 	now := s.now()
-	overRate := s.exceedsRate(a.team, now)
+	overRate := s.isOverRate(a.team, now)
+	decision := s.admit(id, a.team, a.route.Queue, r.Submission, overRate, now)
+	if !decision.Accepted {
+		s.mu.Unlock()
+		return s.refuseAdmission(id, a, decision)
+	}
+	if !overRate {
+		s.takeRate(a.team, now)
+	}
 	s.log.Info("jobAccepted", "job", id, "call", r.Call, "team", a.team, "queue", a.route.Queue, "excess", overRate,
-		"steps", len(r.Submission.Steps), "agreement", s.agreement.Version, "open", len(s.state.OpenJobs()))
+		"steps", len(r.Submission.Steps), "estimate", decision.EstimateMillis, "agreement", s.agreement.Version, "open", len(s.state.OpenJobs()))
 	records := s.apply(nil, job.Record{
 		Kind:       job.RecordAccept,
 		Job:        id,
@@ -288,6 +292,18 @@
 	return s.awaitAcceptance(ctx, id, records)
 }
 
+// refuseAdmission answers a submission that admission has refused: nothing of it is recorded.
+func (s *Shard) refuseAdmission(id string, a access, d admission.Decision) caller.Response {
+	countSubmission(string(d.Reason))
+	s.log.Info("jobRefused", "job", id, "reason", d.Reason, "team", a.team, "queue", a.route.Queue,
+		"estimate", d.EstimateMillis, "retry", d.RetryMillis)
+	return caller.Response{
+		Status:      caller.Refused,
+		Reason:      d.Reason.Text(),
+		RetryMillis: d.RetryMillis,
+	}
+}
+
 // refuse answers a submission that certainly has no effect and may be retried later.
 func (s *Shard) refuse(id string, reason responseReason) caller.Response {
 	countSubmission(string(reason))
@@ -416,13 +432,27 @@
 	return found || s.state.Job(id) == nil
 }
 
-// exceedsRate reports whether one more job of the team is over the team's rate, and if not
-// takes a token. A team without a rate is never over it. The parameter now is the owner's
-// clock in milliseconds.
-func (s *Shard) exceedsRate(team string, now int64) bool {
+// isOverRate reports whether one more job of the team is over the team's rate. A team without a
+// rate is never over it. The parameter now is the owner's clock in milliseconds. The caller holds
+// s.mu.
+func (s *Shard) isOverRate(team string, now int64) bool {
+	b := s.bucket(team, now)
+	return b != nil && b.tokens < 1
+}
+
+// takeRate counts a job of the team against its rate: one that is refused uses up nothing. The
+// caller holds s.mu.
+func (s *Shard) takeRate(team string, now int64) {
+	if b := s.bucket(team, now); b != nil {
+		b.tokens--
+	}
+}
+
+// bucket returns the filled token bucket of the team, or nil if it has no rate.
+func (s *Shard) bucket(team string, now int64) *tokenBucket {
 	t, ok := s.agreement.Rules.Teams[team]
 	if !ok || t.JobsPerSecond <= 0 {
-		return false
+		return nil
 	}
 	b := s.buckets[team]
 	if b == nil {
@@ -432,7 +462,8 @@
 		}
 		s.buckets[team] = b
 	}
-	return !b.take(t.JobsPerSecond, now)
+	b.fill(t.JobsPerSecond, now)
+	return b
 }
 
 // respondWhenDurable appends the records to the journal, releases s.mu and responds once
@@ -519,6 +550,7 @@
 // job's attempts. It returns records followed by that of the end, which has the caller's call
 // that cancelled the job, or zero. The caller holds s.mu.
 func (s *Shard) finishJob(records []job.Record, j *job.Job, outcome job.Outcome, call uint64) []job.Record {
+	s.observeEnd(j, outcome)
 	countJobEnd(j.Queue, outcome, time.Duration(s.now()-j.SubmittedMillis)*time.Millisecond)
 	attributes := []any{"job", j.ID, "team", j.Team, "queue", j.Queue, "outcome", outcome, "ageMillis", s.now() - j.SubmittedMillis}
 	if call != 0 {
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -96,6 +96,7 @@
 	starts       *rate.Limiter           // of the bytes of start orders
 	credit       startCredit             // guarded by mu
 	buckets      map[string]*tokenBucket // by team; guarded by mu
+	gate         gate                    // guarded by mu
 	// gaugesSetMillis is the owner's clock at the last update of the gauges; only Run
 	// uses it.
 	gaugesSetMillis int64
@@ -336,6 +337,7 @@
 		s.setGauges(workers)
 		s.reviewEvacuations(workers)
 	}
+	s.refreshLoads(now)
 	planner := job.NewPlanner(s.state, s.agreement.Rules, workers, now).WithCommitMillis(s.journal.CommitLatency().Milliseconds())
 	if s.mayPlace() {
 		if records := s.plan(planner, now); len(records) > 0 {
--- a/internal/cluster/store/codec.go
+++ b/internal/cluster/store/codec.go
@@ -24,6 +24,8 @@
 	// maxChunks keeps a snapshot's transaction, which also has two conditions, within
 	// the store's limit of 32 conditions and writes.
 	maxChunks = 30
+	// MaxSnapshotBytes is the largest size of a snapshot's encoded records.
+	MaxSnapshotBytes = maxChunks * maxChunkBytes
 )
 
 // entry is the value of a key of the log. Number counts entries and snapshots from 1, and
--- /dev/null
+++ b/internal/decide/admission/load.go
@@ -0,0 +1,209 @@
+package admission
+
+import "maps"
+
+// Amounts are amounts of work, each as the time in milliseconds for which it alone would take the
+// whole of what carries it out.
+type Amounts struct {
+	// Fleet is the time on all workers.
+	Fleet float64
+	// Cap is the time under the team's cap; zero if the team has none.
+	Cap float64
+	// Policy is the time of the calls to the policy service through all nodes that make them.
+	Policy float64
+	// Link is the time of the start orders on the owner's link.
+	Link float64
+	// Demand is the share of the fleet that those tasks ask for which could start now.
+	Demand float64
+}
+
+func (a Amounts) plus(b Amounts) Amounts {
+	return Amounts{
+		Fleet:  a.Fleet + b.Fleet,
+		Cap:    a.Cap + b.Cap,
+		Policy: a.Policy + b.Policy,
+		Link:   a.Link + b.Link,
+		Demand: a.Demand + b.Demand,
+	}
+}
+
+// Work is the waiting part of a job.
+type Work struct {
+	Team string
+	// Priority orders the work; lower values go first.
+	Priority int
+	// OverRate is set if the job was submitted over its team's agreed rate. It waits behind all
+	// jobs within the rates.
+	OverRate bool
+	Amounts  Amounts
+	// Bytes is the size of the whole job in the owner's state.
+	Bytes int64
+}
+
+// Capacity is what carries work out at present.
+type Capacity struct {
+	// Achievable is the share of the fleet that is in use when work waits, and Used the share
+	// that is in use.
+	Achievable, Used float64
+	// UrgentInflow is the share of the fleet that new work takes which goes before work of a
+	// priority, by that priority.
+	UrgentInflow map[int]float64
+	// Offered is the share of the fleet that submissions within the rates ask for, whether or not
+	// they are accepted.
+	Offered float64
+	// MaxOpenJobs and MaxOpenBytes limit the open jobs; zero means no limit.
+	MaxOpenJobs  int
+	MaxOpenBytes int64
+}
+
+// minRemaining is the part of the achievable processors that is left to work of any priority,
+// whatever arrives before it.
+const minRemaining = 0.1
+
+// remaining returns the share of the fleet that carries out work of the priority.
+func (c Capacity) remaining(priority int) float64 {
+	return max(c.Achievable-c.UrgentInflow[priority], minRemaining*c.Achievable)
+}
+
+// free returns the share of the fleet on which waiting tasks can start.
+func (c Capacity) free() float64 {
+	return max(0, c.Achievable-c.Used)
+}
+
+// queued is the work of a team that waits, by priority.
+type queued map[int]Amounts
+
+// upTo returns the work of the priority and of more urgent ones.
+func (q queued) upTo(priority int) Amounts {
+	var sum Amounts
+	for p, amounts := range q {
+		if p <= priority {
+			sum = sum.plus(amounts)
+		}
+	}
+	return sum
+}
+
+// Load is the work that waits on a shard for the workers of one service, within the teams' rates
+// and over them, and what carries it out. Create it with NewLoad.
+type Load struct {
+	capacity Capacity
+	// weights are the teams' shares of the fleet when all is taken, by team.
+	weights map[string]float64
+	// within holds the work within the rates, and over that over them, by team.
+	within, over map[string]queued
+	openJobs     int
+	openBytes    int64
+}
+
+// NewLoad returns the load of a shard without open jobs. The teams' shares of the fleet are in
+// proportion to their weights.
+func NewLoad(capacity Capacity, weights map[string]float64) *Load {
+	return &Load{
+		capacity: capacity,
+		weights:  weights,
+		within:   map[string]queued{},
+		over:     map[string]queued{},
+	}
+}
+
+// WithCapacity returns a copy of the load with another capacity; both share the work.
+func (l *Load) WithCapacity(capacity Capacity) *Load {
+	load := *l
+	load.capacity = capacity
+	return &load
+}
+
+// Demand returns the share of the fleet that waiting tasks ask for which could start now.
+func (l *Load) Demand() float64 {
+	return total(l.within).Demand + total(l.over).Demand
+}
+
+// Add adds an open job to the load.
+func (l *Load) Add(w Work) {
+	l.openJobs++
+	l.openBytes += w.Bytes
+	teams := l.within
+	if w.OverRate {
+		teams = l.over
+	}
+	if teams[w.Team] == nil {
+		teams[w.Team] = queued{}
+	}
+	teams[w.Team][w.Priority] = teams[w.Team][w.Priority].plus(w.Amounts)
+}
+
+// Share returns the team's share of the fleet among the teams that have open jobs and itself.
+func (l *Load) Share(team string) float64 {
+	sum := l.weights[team]
+	for name := range l.within {
+		if name != team {
+			sum += l.weights[name]
+		}
+	}
+	if sum <= 0 {
+		return 1
+	}
+	return l.weights[team] / sum
+}
+
+// ahead returns the work of each team that goes before a submission.
+func (l *Load) ahead(w Work) map[string]Amounts {
+	teams := map[string]Amounts{}
+	if !w.OverRate {
+		for name, q := range l.within {
+			teams[name] = q.upTo(w.Priority)
+		}
+		return teams
+	}
+	for _, byTeam := range []map[string]queued{l.within, l.over} {
+		for name, q := range byTeam {
+			for _, amounts := range q {
+				teams[name] = teams[name].plus(amounts)
+			}
+		}
+	}
+	return teams
+}
+
+func total(byTeam map[string]queued) Amounts {
+	var sum Amounts
+	for _, q := range byTeam {
+		for _, amounts := range q {
+			sum = sum.plus(amounts)
+		}
+	}
+	return sum
+}
+
+// drainMillis returns the time in which the given share of the fleet carries out the teams' work.
+// Of a team that its cap holds back for longer than that, only what the cap permits counts: the
+// others don't wait for it.
+func drainMillis(teams map[string]Amounts, share float64) float64 {
+	rest := maps.Clone(teams)
+	work := 0.0
+	for _, amounts := range rest {
+		work += amounts.Fleet
+	}
+	for range len(teams) {
+		millis := work / share
+		capped := ""
+		for name, amounts := range rest {
+			if amounts.Cap > millis {
+				capped = name
+				break
+			}
+		}
+		if capped == "" {
+			return millis
+		}
+		amounts := rest[capped]
+		delete(rest, capped)
+		work -= amounts.Fleet
+		share -= amounts.Fleet / amounts.Cap
+		if share <= 0 {
+			return millis
+		}
+	}
+	return work / share
+}
--- /dev/null
+++ b/internal/decide/admission/pace.go
@@ -0,0 +1,156 @@
+package admission
+
+import (
+	"maps"
+	"math"
+)
+
+const (
+	// ratioMillis is the time in which what is known of run times loses most of its weight.
+	ratioMillis = 20_000
+	// priorMillis is the weight of the callers' estimates, as the run time of tasks that took as
+	// long as estimated.
+	priorMillis = 60_000
+	// usageMillis is the same time for the share of the fleet in use while work waits.
+	usageMillis = 4_000
+	// flowMillis is the same time for the rates of arrival.
+	flowMillis = 2_000
+	// firstAchievable is the share of the fleet that can be in use, until it is measured.
+	firstAchievable = 0.85
+)
+
+// decaying is a sum that loses its weight with time.
+type decaying struct {
+	sum     float64
+	updated int64
+}
+
+func (d decaying) at(now int64, span float64) float64 {
+	return d.sum * math.Exp(-max(0, float64(now-d.updated))/span)
+}
+
+func (d decaying) plus(amount float64, now int64, span float64) decaying {
+	return decaying{
+		sum:     d.at(now, span) + amount,
+		updated: now,
+	}
+}
+
+// spent is the time that attempts of a queue have held workers, and the estimated run time of
+// those that completed.
+type spent struct {
+	held, estimated decaying
+}
+
+// usage is the share of a service's workers that is in use while work waits, and when it was last
+// measured.
+type usage struct {
+	achievable float64
+	measured   int64
+}
+
+// Pace is what an owner has learned of the speed at which work arrives and is carried out. Create
+// it with NewPace.
+type Pace struct {
+	queues  map[string]spent
+	usage   map[string]usage // by service
+	started int64
+	// accepted is the work that was accepted, by priority, and offered all that was submitted
+	// within the rates, in milliseconds of the whole fleet.
+	accepted map[int]decaying
+	offered  decaying
+}
+
+// NewPace returns the pace of an owner that has seen nothing yet.
+func NewPace(now int64) *Pace {
+	return &Pace{
+		queues:   map[string]spent{},
+		usage:    map[string]usage{},
+		started:  now,
+		accepted: map[int]decaying{},
+	}
+}
+
+// ObserveAttempt notes that an attempt of a task of the queue held its worker for heldMillis. The
+// estimate is the task's if the attempt completed, and otherwise zero.
+func (p *Pace) ObserveAttempt(queue string, heldMillis, estimateMillis float64, now int64) {
+	s := p.queues[queue]
+	s.held = s.held.plus(heldMillis, now, ratioMillis)
+	s.estimated = s.estimated.plus(estimateMillis, now, ratioMillis)
+	p.queues[queue] = s
+}
+
+// Ratio returns the time for which tasks of the queue hold workers until they are done, also in
+// attempts that did not complete, as a multiple of their callers' estimates.
+func (p *Pace) Ratio(queue string, now int64) float64 {
+	s := p.queues[queue]
+	return (s.held.at(now, ratioMillis) + priorMillis) / (s.estimated.at(now, ratioMillis) + priorMillis)
+}
+
+// ObserveUsage notes the share of the service's workers in use while tasks wait that need room.
+func (p *Pace) ObserveUsage(service string, share float64, now int64) {
+	u := p.usageOf(service, now)
+	weight := 1 - math.Exp(-float64(now-u.measured)/usageMillis)
+	p.usage[service] = usage{
+		achievable: u.achievable + weight*(share-u.achievable),
+		measured:   now,
+	}
+}
+
+// SkipUsage notes that no task waits for room, so that the share in use tells nothing.
+func (p *Pace) SkipUsage(service string, now int64) {
+	u := p.usageOf(service, now)
+	u.measured = now
+	p.usage[service] = u
+}
+
+func (p *Pace) usageOf(service string, now int64) usage {
+	u, ok := p.usage[service]
+	if !ok {
+		return usage{
+			achievable: firstAchievable,
+			measured:   now,
+		}
+	}
+	return u
+}
+
+// Achievable returns the share of the service's workers that is in use while work waits.
+func (p *Pace) Achievable(service string) float64 {
+	return p.usageOf(service, p.started).achievable
+}
+
+// ObserveSubmission notes a submission within its team's rate and whether it was accepted.
+// Repeated submissions of refused jobs are not noted again, unless they are accepted.
+func (p *Pace) ObserveSubmission(w Work, accepted, repeated bool, now int64) {
+	if !repeated {
+		p.offered = p.offered.plus(w.Amounts.Fleet, now, flowMillis)
+	}
+	if accepted {
+		p.accepted[w.Priority] = p.accepted[w.Priority].plus(w.Amounts.Fleet, now, flowMillis)
+	}
+}
+
+// span returns the time over which sums of arrivals extend.
+func (p *Pace) span(now int64) float64 {
+	return flowMillis * (1 - math.Exp(-max(1, float64(now-p.started))/flowMillis))
+}
+
+// Offered returns the share of the fleet that submissions within the rates ask for.
+func (p *Pace) Offered(now int64) float64 {
+	return p.offered.at(now, flowMillis) / p.span(now)
+}
+
+// UrgentInflow returns the share of the fleet that accepted work takes which goes before work of a
+// priority, by that priority.
+func (p *Pace) UrgentInflow(priorities []int, now int64) map[int]float64 {
+	inflow := map[int]float64{}
+	for _, priority := range priorities {
+		for other := range maps.Keys(p.accepted) {
+			if other < priority {
+				inflow[priority] += p.accepted[other].at(now, flowMillis) / p.span(now)
+			}
+		}
+	}
+	return inflow
+}
--- /dev/null
+++ b/internal/decide/job/objective.go
@@ -0,0 +1,31 @@
+package job
+
+// Objective is what a job's caller expects, in milliseconds since the submission; zero means no
+// limit.
+type Objective struct {
+	// CriticalPathMillis is the estimated run time of the longest chain of dependent steps.
+	CriticalPathMillis int64
+	// DueMillis is the time within which the job should be done, and UsefulMillis that after which
+	// its result is of no use.
+	DueMillis, UsefulMillis int64
+}
+
+// Objective returns the objective of the submission in the queue.
+func (s *Submission) Objective(q Queue) Objective {
+	j := Job{}
+	for _, spec := range s.Steps {
+		j.Steps = append(j.Steps, &Step{Spec: spec})
+	}
+	j.computeCriticalPaths()
+	due := j.objectiveMillis(q)
+	return Objective{
+		CriticalPathMillis: j.criticalPathMillis,
+		DueMillis:          due,
+		UsefulMillis:       usefulFactor * due,
+	}
+}
+
+// AwaitsPolicy reports whether the policy service has yet to answer about the step.
+func (s *Step) AwaitsPolicy(q Queue) bool {
+	return q.Policy != nil && !s.Advice.answered && s.Waiting() > 0
+}
