--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -19,9 +19,11 @@
 	minMeasuredDemand = 0.02
 	// maxOpenJobs bounds the planning passes, which look at each open job.
 	maxOpenJobs = 1 << 14
-	// openBytesShare is the part of the largest snapshot that open jobs may take; the rest is
-	// left to jobs that have ended.
-	openBytesShare = 0.75
+	// snapshotShare is the part of the largest snapshot that jobs may take: their sizes are
+	// estimates.
+	snapshotShare = 0.9
+	// endedBytes is about what a job that has ended takes in a snapshot.
+	endedBytes = 160
 	// readShare is the part of the link, and of the time in which a new owner must have read the
 	// journal, for open jobs.
 	readShare = 0.5
@@ -208,14 +210,15 @@
 	return int64(jobBytes + len(submission.Payload) + stepBytes*len(submission.Steps) + taskBytes*tasks)
 }
 
-// maxOpenBytes returns the limit on the size of all open jobs: what a snapshot can hold, and on a
-// small link what the next owner can read before its takeover fails.
+// maxOpenBytes returns the limit on the size of all open jobs: what a snapshot can hold beside the
+// jobs that have ended, and on a small link what the next owner can read before its takeover
+// fails. The caller holds s.mu.
 func (s *Shard) maxOpenBytes() int64 {
-	limit := openBytesShare * store.MaxSnapshotBytes
+	limit := snapshotShare * store.MaxSnapshotBytes
 	if s.options.Link.IsSmall() {
 		limit = min(limit, readShare*s.options.Link.BytesPerSecond()*recoveryTimeout.Seconds())
 	}
-	return int64(limit)
+	return int64(max(limit/4, limit-endedBytes*float64(s.state.EndedJobs())))
 }
 
 // loadOf returns the load of the service's workers, which is built again once it is
--- /dev/null
+++ b/internal/cluster/shard/admission_test.go
@@ -0,0 +1,162 @@
+package shard
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/cluster/caller"
+	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/admission"
+	"github.com/citronbay/citronbay/internal/decide/job"
+)
+
+// newLoadedShard returns a shard with one worker of ten processors, two teams and a queue whose jobs
+// should be done within twice their run time.
+func newLoadedShard(t *testing.T) *Shard {
+	t.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	term, release, err := store.Claim(t.Context(), emptyStore{}, "fleet", store.Owner{}, log)
+	assert.NilError(t, err)
+	t.Cleanup(release)
+	s := newShardWithClient(term, nil, log)
+	s.buckets = map[string]*tokenBucket{}
+	a := teamsAgreement()
+	a.Rules = job.Rules{
+		Queues: map[string]job.Queue{"queue": {
+			Name:        "queue",
+			Service:     "service",
+			SlackFactor: 2,
+		}},
+		Teams: map[string]job.Team{
+			"a": {Name: "a", JobsPerSecond: 30},
+			"b": {Name: "b", JobsPerSecond: 30},
+		},
+	}
+	s.agreement = DatedAgreement{Agreement: a}
+	l := s.newLink(t.Context(), worker.Registration{
+		ID:       "w",
+		Service:  "service",
+		Capacity: job.Resources{MilliCores: 10_000},
+	}, true)
+	l.worker.Usable, l.answered = true, true
+	s.links["w"] = l
+	s.journal, _, err = store.OpenJournal(t.Context(), emptyStore{}, term, s.snapshot, log)
+	assert.NilError(t, err)
+	go func() {
+		_ = s.journal.Run(&s.mu)
+	}()
+	return s
+}
+
+// oneSecondJob takes the whole worker for a second.
+func oneSecondJob() *job.Submission {
+	return &job.Submission{Steps: []job.StepSpec{{
+		Count:          10,
+		Needs:          job.Resources{MilliCores: 1000},
+		EstimateMillis: 1000,
+	}}}
+}
+
+func submitJob(t *testing.T, s *Shard, team string, n int, call uint64) caller.Response {
+	return s.Serve(t.Context(), caller.Request{
+		Verb:       caller.Submit,
+		Host:       "jobs.example",
+		Path:       fmt.Sprintf("/queue/%016x", n),
+		Key:        "key of " + team,
+		Call:       call,
+		Submission: oneSecondJob(),
+	})
+}
+
+// TestRefusedSubmissionHasNoEffect submits more than can be done in time. What is refused must leave
+// nothing that could run, what is accepted must stay accepted to each caller that asks again, and a
+// refused job must be accepted once there is room.
+func TestRefusedSubmissionHasNoEffect(t *testing.T) {
+	s := newLoadedShard(t)
+	var accepted, refused []int
+	for n := range 20 {
+		response := submitJob(t, s, "a", n, uint64(n+1))
+		if response.Status == caller.OK {
+			accepted = append(accepted, n)
+			continue
+		}
+		refused = append(refused, n)
+		assert.Equal(t, response.Status, caller.Refused)
+		assert.Equal(t, response.Reason, admission.FleetBusy.Text())
+		assert.Assert(t, response.RetryMillis >= admission.MinRetryMillis)
+	}
+	assert.Assert(t, len(accepted) > 0 && len(refused) > 0)
+	assert.Equal(t, len(s.state.OpenJobs()), len(accepted))
+	for _, n := range refused {
+		assert.Assert(t, s.state.Job(fmt.Sprintf("%016x", n)) == nil)
+	}
+	for _, call := range []uint64{uint64(accepted[0] + 1), 1000} {
+		assert.Equal(t, submitJob(t, s, "a", accepted[0], call).Status, caller.OK)
+	}
+	assert.Equal(t, submitJob(t, s, "b", 100, 1001).Status, caller.OK, "a team within its share")
+
+	s.mu.Lock()
+	for _, j := range s.state.OpenJobs() {
+		s.appendToJournal(s.finishJob(nil, j, job.Cancelled, 0), nil)
+	}
+	s.mu.Unlock()
+	time.Sleep(2 * admissionInterval)
+	assert.Equal(t, submitJob(t, s, "a", refused[0], 1002).Status, caller.OK)
+}
+
+// TestWouldAdmitChangesNothing asks many times what would be decided: the answers must be the same,
+// and the rate that the team has left is not used up.
+func TestWouldAdmitChangesNothing(t *testing.T) {
+	s := newLoadedShard(t)
+	assert.Equal(t, submitJob(t, s, "a", 0, 1).Status, caller.OK)
+	for range 1000 {
+		assert.Assert(t, s.WouldAdmit("b", "queue", oneSecondJob()).Accepted)
+	}
+	assert.Equal(t, len(s.state.OpenJobs()), 1)
+	assert.Assert(t, !s.isOverRate("b", s.now()))
+}
+
+// TestOpenWorkFitsSnapshot submits jobs with the largest payloads to a shard without workers. They must
+// be refused before the snapshot of the accepted ones is too large, which would end each term.
+func TestOpenWorkFitsSnapshot(t *testing.T) {
+	s := newLoadedShard(t)
+	delete(s.links, "w")
+	submission := &job.Submission{
+		Payload: strings.Repeat("x", 4000),
+		Steps:   []job.StepSpec{{Count: 1, EstimateMillis: 200}},
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for ; n < 10_000; n++ {
+		id := fmt.Sprintf("%016x", n)
+		d := s.admit(id, "a", "queue", submission, false, s.now())
+		if !d.Accepted {
+			assert.Equal(t, d.Reason, admission.OpenWork)
+			break
+		}
+		s.apply(nil, job.Record{
+			Kind:       job.RecordAccept,
+			Job:        id,
+			Team:       "a",
+			Queue:      "queue",
+			Submission: submission,
+		})
+	}
+	assert.Assert(t, n > 3000 && n < 10_000, "%d accepted", n)
+	size := 0
+	for _, r := range s.snapshot() {
+		encoded, err := cbor.Marshal(r)
+		assert.NilError(t, err)
+		size += len(encoded)
+	}
+	assert.Assert(t, size < store.MaxSnapshotBytes, "%d bytes", size)
+}
--- a/internal/decide/admission/decide.go
+++ b/internal/decide/admission/decide.go
@@ -21,8 +21,8 @@
 // work is carried out to its end, so that each job which is accepted too late takes the room of
 // one that could have been in time.
 //
-//   - A job over its team's rate is accepted while the fleet has room for it beside all that
-//     waits.
+//   - A job over its team's rate is accepted if it is expected to meet its objective behind all
+//     that waits and all that arrives within the rates.
 //   - A job within the rate is accepted if it is expected to meet its objective, behind the work
 //     that goes before it or in its team's share of the fleet: the work of a team beyond its
 //     share doesn't keep out those that are within theirs.
@@ -44,11 +44,8 @@
 	if s.ObjectiveMillis == 0 {
 		return d
 	}
-	if s.Work.OverRate && l.isTaken(s) {
-		return d.refused(OverRate, wait)
-	}
 	limit := s.ObjectiveMillis
-	if l.capacity.Offered <= l.capacity.Achievable {
+	if !s.Work.OverRate && l.capacity.Offered <= l.capacity.Achievable {
 		limit = s.UsefulMillis
 	}
 	excess := min(estimate+s.ElapsedMillis-limit, wait-shortWait*s.PathMillis)
@@ -71,12 +68,6 @@
 		l.capacity.MaxOpenBytes > 0 && l.openBytes+w.Bytes > l.capacity.MaxOpenBytes
 }
 
-// isTaken reports whether there is no room for a job over its team's rate beside what waits.
-func (l *Load) isTaken(s Submission) bool {
-	return l.Demand()+s.Work.Amounts.Demand > l.capacity.free() ||
-		l.ahead(s.Work)[s.Work.Team].Cap > shortWait*s.PathMillis
-}
-
 // wait returns the time that the work would wait, and for what it would wait longest.
 func (l *Load) wait(w Work) (float64, Reason) {
 	teams := l.ahead(w)
@@ -87,18 +78,17 @@
 	own := teams[w.Team]
 	fleet := 0.0
 	if free := l.capacity.free(); all.Demand > free {
-		remaining := l.capacity.remaining(w.Priority)
-		fleet = drainMillis(teams, remaining) * (1 - free/all.Demand)
-		if !w.OverRate {
-			fleet = min(fleet, own.Fleet/(remaining*l.Share(w.Team)))
-		}
+		fleet = l.fleetMillis(w, teams) * (1 - free/all.Demand)
 	}
 	millis, reason := 0.0, FleetBusy
+	if w.OverRate {
+		reason = OverRate
+	}
 	for _, queue := range []struct {
 		millis float64
 		reason Reason
 	}{
-		{millis: fleet, reason: FleetBusy},
+		{millis: fleet, reason: reason},
 		{millis: own.Cap, reason: TeamCap},
 		{millis: all.Policy, reason: PolicyBusy},
 		{millis: all.Link, reason: LinkBusy},
@@ -110,6 +100,17 @@
 	return millis, reason
 }
 
+// fleetMillis returns the time for which the work waits on a fleet without free room.
+func (l *Load) fleetMillis(w Work, teams map[string]Amounts) float64 {
+	share := l.capacity.Achievable
+	if w.OverRate {
+		// The fleet has to carry out what arrives within the rates, too.
+		return drainMillis(teams, max(share-l.capacity.Offered, minShare))
+	}
+	millis := min(drainMillis(teams, share), teams[w.Team].Fleet/(share*l.Share(w.Team)))
+	return millis + min(millis, l.capacity.UrgentInflow[w.Priority]/share)
+}
+
 // runMillis returns the time that the job takes once nothing is ahead of it.
 func (s Submission) runMillis(c Capacity) float64 {
 	run := max(s.PathMillis, s.Work.Amounts.Cap, s.Work.Amounts.Link)
--- a/internal/decide/admission/load.go
+++ b/internal/decide/admission/load.go
@@ -45,8 +45,8 @@
 	// Achievable is the share of the fleet that is in use when work waits, and Used the share
 	// that is in use.
 	Achievable, Used float64
-	// UrgentInflow is the share of the fleet that new work takes which goes before work of a
-	// priority, by that priority.
+	// UrgentInflow is the work that is expected to arrive and go before waiting work of a
+	// priority, by that priority, in milliseconds of the fleet.
 	UrgentInflow map[int]float64
 	// Offered is the share of the fleet that submissions within the rates ask for, whether or not
 	// they are accepted.
@@ -56,15 +56,6 @@
 	MaxOpenBytes int64
 }
 
-// minRemaining is the part of the achievable processors that is left to work of any priority,
-// whatever arrives before it.
-const minRemaining = 0.1
-
-// remaining returns the share of the fleet that carries out work of the priority.
-func (c Capacity) remaining(priority int) float64 {
-	return max(c.Achievable-c.UrgentInflow[priority], minRemaining*c.Achievable)
-}
-
 // free returns the share of the fleet on which waiting tasks can start.
 func (c Capacity) free() float64 {
 	return max(0, c.Achievable-c.Used)
--- a/internal/decide/admission/pace.go
+++ b/internal/decide/admission/pace.go
@@ -1,9 +1,6 @@
 package admission
 
-import (
-	"maps"
-	"math"
-)
+import "math"
 
 const (
 	// ratioMillis is the time in which what is known of run times loses most of its weight.
@@ -141,14 +138,15 @@
 	return p.offered.at(now, flowMillis) / p.span(now)
 }
 
-// UrgentInflow returns the share of the fleet that accepted work takes which goes before work of a
-// priority, by that priority.
+// UrgentInflow returns the work that is expected to arrive and go before waiting work of a
+// priority, by that priority: as much as was accepted lately. Bursts are short, so that no more is
+// expected of what arrives now.
 func (p *Pace) UrgentInflow(priorities []int, now int64) map[int]float64 {
 	inflow := map[int]float64{}
 	for _, priority := range priorities {
-		for other := range maps.Keys(p.accepted) {
+		for other, work := range p.accepted {
 			if other < priority {
-				inflow[priority] += p.accepted[other].at(now, flowMillis) / p.span(now)
+				inflow[priority] += work.at(now, flowMillis)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/decide/admission/replay_test.go
@@ -0,0 +1,257 @@
+package admission
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// flow is a stream of submissions of equal jobs, in jobs per second between two times.
+type flow struct {
+	team       string
+	priority   int
+	perSecond  float64
+	from, to   int64
+	fleet      float64 // milliseconds of the whole fleet
+	pathMillis float64
+	objective  float64 // milliseconds
+}
+
+// replayed is a job of a replay.
+type replayed struct {
+	id               string
+	flow             flow
+	first, done, due int64
+	overRate         bool
+	left             float64
+	returns          int
+}
+
+// replay carries out the flows' jobs on a fleet in the planner's order, in steps of 10 ms: within the
+// rates before over them, then by priority, then those first that can still be in time, then by
+// their deadlines. It returns the jobs.
+func replay(flows []flow, rates, caps map[string]float64, gated bool) []*replayed {
+	const step, end = 10, 60_000
+	pace, returns := NewPace(0), NewReturns()
+	tokens := map[string]float64{}
+	var all, open, waiting []*replayed
+	for now := int64(0); now < end; now += step {
+		for team, rate := range rates {
+			tokens[team] = min(4*rate, tokens[team]+rate*step/1000)
+		}
+		arrived := waiting
+		waiting = nil
+		for n, f := range flows {
+			before, after := int64(f.perSecond*float64(now-f.from)/1000), int64(f.perSecond*float64(now+step-f.from)/1000)
+			for ; now >= f.from && now < f.to && before < after; before++ {
+				j := &replayed{
+					id:    fmt.Sprint(n, "-", before),
+					flow:  f,
+					first: now,
+					due:   now + int64(f.objective),
+					left:  f.fleet,
+				}
+				all, arrived = append(all, j), append(arrived, j)
+			}
+		}
+		slices.SortStableFunc(open, func(a, b *replayed) int { return compareReplayed(a, b, now) })
+		used := carryOut(open, caps, now, step)
+		open = slices.DeleteFunc(open, func(j *replayed) bool { return j.done > 0 })
+		if len(open) > 0 && used > 0.9 {
+			pace.ObserveUsage("", used, now)
+		}
+		for _, j := range arrived {
+			if j.due < now-int64(j.flow.objective) || j.done < 0 && -j.done > now {
+				waiting = append(waiting, j)
+				continue
+			}
+			j.done = 0
+			j.overRate = tokens[j.flow.team] < 1
+			if gated {
+				load := NewLoad(Capacity{
+					Achievable:   pace.Achievable(""),
+					Used:         used,
+					UrgentInflow: pace.UrgentInflow([]int{0, 1, 2}, now),
+					Offered:      pace.Offered(now),
+				}, rates)
+				for _, o := range open {
+					load.Add(o.work(caps))
+				}
+				first, repeated := returns.FirstMillis(j.id, now)
+				s := Submission{
+					Work:            j.work(caps),
+					PathMillis:      j.flow.pathMillis,
+					ObjectiveMillis: j.flow.objective,
+					UsefulMillis:    3 * j.flow.objective,
+					ElapsedMillis:   float64(now - first),
+				}
+				d := load.Decide(s)
+				if !j.overRate {
+					pace.ObserveSubmission(s.Work, d.Accepted, repeated, now)
+				}
+				if !d.Accepted {
+					d = returns.Refuse(j.id, s.Work, load.Share(j.flow.team), d, now)
+					if j.returns++; j.returns <= 4 && now+d.RetryMillis < j.first+3000 {
+						j.done = -(now + d.RetryMillis)
+						waiting = append(waiting, j)
+					}
+					continue
+				}
+			}
+			if !j.overRate {
+				tokens[j.flow.team]--
+			}
+			open = append(open, j)
+		}
+	}
+	return all
+}
+
+func (j *replayed) work(caps map[string]float64) Work {
+	w := Work{
+		Team:     j.flow.team,
+		Priority: j.flow.priority,
+		OverRate: j.overRate,
+	}
+	if j.left == j.flow.fleet {
+		w.Amounts.Fleet, w.Amounts.Demand = j.left, j.share()
+	}
+	if share := caps[j.flow.team]; share > 0 {
+		w.Amounts.Cap = w.Amounts.Fleet / share
+	}
+	return w
+}
+
+func compareReplayed(a, b *replayed, now int64) int {
+	late := func(j *replayed) bool { return float64(now)+j.flow.pathMillis*j.left/j.flow.fleet > float64(j.due) }
+	rank := func(j *replayed) int {
+		n := 2 * j.flow.priority
+		if late(j) {
+			n++
+		}
+		if j.overRate {
+			n += 100
+		}
+		return n
+	}
+	return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.due, b.due))
+}
+
+// carryOut starts the jobs in their order where they fit, lets the started ones run, and returns the
+// share of the fleet in use.
+func carryOut(open []*replayed, caps map[string]float64, now, step int64) float64 {
+	used := 0.0
+	teamUsed := map[string]float64{}
+	for _, j := range open {
+		if j.left < j.flow.fleet {
+			used += j.share()
+			teamUsed[j.flow.team] += j.share()
+		}
+	}
+	for _, j := range open {
+		if j.left == j.flow.fleet {
+			limit := caps[j.flow.team]
+			if used+j.share() > 1 || limit > 0 && teamUsed[j.flow.team]+j.share() > limit {
+				continue
+			}
+			used += j.share()
+			teamUsed[j.flow.team] += j.share()
+		}
+		j.left -= j.share() * float64(step)
+		if j.left < 1e-6 {
+			j.done = now + step
+		}
+	}
+	return used
+}
+
+// share returns the share of the fleet on which the job's tasks run.
+func (j *replayed) share() float64 {
+	return j.flow.fleet / j.flow.pathMillis
+}
+
+// TestReplayedOverload replays loads of more work than the fleet can do, against accepting all.
+// More jobs must be done in time, and small teams must be served as if the others were within
+// their share.
+func TestReplayedOverload(t *testing.T) {
+	// A fleet at four fifths, of which a large team has a third and ten small ones the rest.
+	usual := func(team string, part float64) []flow {
+		return []flow{
+			{team: team, priority: 0, perSecond: 100 * part, to: 40_000, fleet: 1.2, pathMillis: 800, objective: 1700},
+			{team: team, priority: 1, perSecond: 4 * part, to: 40_000, fleet: 90, pathMillis: 5500, objective: 14_000},
+			{team: team, priority: 2, perSecond: 9 * part, to: 40_000, fleet: 31, pathMillis: 4000, objective: 19_000},
+		}
+	}
+	base := usual("large", 0.33)
+	rates := map[string]float64{"large": 70}
+	for n := range 10 {
+		team := fmt.Sprint("small", n)
+		base = append(base, usual(team, 0.067)...)
+		rates[team] = 14
+	}
+	times := func(flows []flow, factor float64, from, to int64) []flow {
+		more := slices.Clone(flows)
+		for n := range more {
+			more[n].perSecond *= factor
+			more[n].from, more[n].to = from, to
+		}
+		return more
+	}
+	var burst []flow
+	for _, f := range base {
+		if f.priority > 0 {
+			burst = append(burst, f)
+		}
+	}
+	hotTeam := times(usual("large", 0.33), 5, 2000, 14_000)
+	classBurst := times(burst, 3, 3000, 13_000)
+	for name, c := range map[string]struct {
+		flows []flow
+		caps  map[string]float64
+	}{
+		"hot team":              {flows: hotTeam},
+		"hot team with cap":     {flows: hotTeam, caps: map[string]float64{"large": 0.55}},
+		"class burst":           {flows: classBurst},
+		"hot team, class burst": {flows: slices.Concat(hotTeam, classBurst), caps: map[string]float64{"large": 0.55}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			flows := slices.Concat(base, c.flows)
+			plain, gated := countInTime(replay(flows, rates, c.caps, false)), countInTime(replay(flows, rates, c.caps, true))
+			t.Logf("in time, by what was asked: accepting all %v, gated %v", plain, gated)
+			assert.Assert(t, gated.all > plain.all)
+			assert.Assert(t, gated.small >= plain.small)
+			assert.Assert(t, gated.small > 0.9)
+		})
+	}
+	t.Run("no overload", func(t *testing.T) {
+		for _, j := range replay(base, rates, nil, true) {
+			assert.Assert(t, j.returns == 0, "%s refused", j.id)
+		}
+	})
+}
+
+// inTime is the work done in time as a share of the work within the rates that was submitted.
+type inTime struct {
+	all, small float64
+}
+
+func countInTime(jobs []*replayed) inTime {
+	var done, asked inTime
+	for _, j := range jobs {
+		small := 0.0
+		if j.flow.team != "large" {
+			small = j.flow.fleet
+		}
+		asked.all, asked.small = asked.all+j.flow.fleet, asked.small+small
+		if j.done > 0 && j.done <= j.due {
+			done.all, done.small = done.all+j.flow.fleet, done.small+small
+		}
+	}
+	return inTime{
+		all:   done.all / asked.all,
+		small: done.small / asked.small,
+	}
+}
--- a/internal/decide/admission/returns.go
+++ b/internal/decide/admission/returns.go
@@ -7,6 +7,8 @@
 	maxRetryMillis = 8000
 	// keepMillis is how long a refused submission is remembered.
 	keepMillis = 20_000
+	// minShare is the least share of the fleet by which returns are spread.
+	minShare = 0.01
 	// maxRemembered limits the refused submissions that are remembered.
 	maxRemembered = 20_000
 )
@@ -74,7 +76,7 @@
 	}
 	earliest := float64(now + d.RetryMillis)
 	at := max(earliest, r.next[key])
-	r.next[key] = min(at+w.Amounts.Fleet/max(share, minRemaining/10), float64(now+maxRetryMillis))
+	r.next[key] = min(at+w.Amounts.Fleet/max(share, minShare), float64(now+maxRetryMillis))
 	d.RetryMillis = min(max(int64(at)-now, MinRetryMillis), maxRetryMillis)
 	return d
 }
--- a/internal/decide/job/objective.go
+++ b/internal/decide/job/objective.go
@@ -29,3 +29,8 @@
 func (s *Step) AwaitsPolicy(q Queue) bool {
 	return q.Policy != nil && !s.Advice.answered && s.Waiting() > 0
 }
+
+// EndedJobs returns the number of jobs that have ended and are kept.
+func (s *State) EndedJobs() int {
+	return len(s.jobs) - len(s.open)
+}
