--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -27,6 +27,9 @@
 	// readShare is the part of the link, and of the time in which a new owner must have read the
 	// journal, for open jobs.
 	readShare = 0.5
+	// maxIdleWait is for how long accepted work may wait for the owner's link or the policy service
+	// beside idle workers.
+	maxIdleWait = 8 * time.Second
 	// taskBytes, stepBytes and jobBytes are about what a task, a step and a job take in a
 	// snapshot, beside the job's payload.
 	taskBytes = 160
@@ -87,15 +90,15 @@
 	first, repeated := s.gate.returns.FirstMillis(id, now)
 	load, sub := s.admissionOf(team, queue, submission, overRate, first, now)
 	d := load.Decide(sub)
-	if !overRate {
-		s.gate.pace.ObserveSubmission(sub.Work, d.Accepted, repeated, now)
-	}
 	if !d.Accepted {
 		d = s.gate.returns.Refuse(id, sub.Work, load.Share(team), d, now)
 		countRefusedJob(s.metricTeam(team), d, time.Duration(sub.ElapsedMillis)*time.Millisecond)
 		return d
 	}
 	s.gate.returns.Accept(id)
+	if !overRate {
+		s.gate.pace.ObserveAccepted(sub.Work, now)
+	}
 	load.Add(sub.Work)
 	s.gate.estimates[id] = now + d.EstimateMillis
 	countAcceptedJob(s.metricTeam(team), overRate, repeated)
@@ -269,9 +272,11 @@
 		Achievable:   s.gate.pace.Achievable(service),
 		Used:         largestShare(used, l.fleet),
 		UrgentInflow: s.gate.pace.UrgentInflow(priorities, now),
-		Offered:      s.gate.pace.Offered(now),
 		MaxOpenJobs:  maxOpenJobs,
 		MaxOpenBytes: s.maxOpenBytes(),
+
+		MaxLinkMillis:   float64(maxIdleWait.Milliseconds()),
+		MaxPolicyMillis: float64(maxIdleWait.Milliseconds()),
 	}
 	l.load = admission.NewLoad(l.capacity, weights)
 	room := map[string]float64{}
@@ -302,6 +307,7 @@
 		Team:     j.Team,
 		Priority: q.Priority,
 		OverRate: j.OverRate,
+		Late:     j.Late(q, now),
 		Bytes:    int64(jobBytes + len(j.Payload)),
 	}
 	ratio := s.gate.pace.Ratio(j.Queue, now)
--- a/internal/decide/admission/decide.go
+++ b/internal/decide/admission/decide.go
@@ -21,19 +21,15 @@
 // work is carried out to its end, so that each job which is accepted too late takes the room of
 // one that could have been in time.
 //
-//   - A job over its team's rate is accepted if it is expected to meet its objective behind all
-//     that waits and all that arrives within the rates.
-//   - A job within the rate is accepted if it is expected to meet its objective, behind the work
-//     that goes before it or in its team's share of the fleet: the work of a team beyond its
-//     share doesn't keep out those that are within theirs.
-//   - While less is submitted than the fleet can do, a backlog ends by itself, and a job is accepted
-//     whose result is still of use.
+//   - A job over its team's rate is accepted while the fleet has room for it beside all that waits.
+//   - A job within the rate is accepted if its estimate, behind the work that goes before it or in
+//     its team's share of the fleet, is nearer to its objective than to the end of its use: the work
+//     of a team beyond its share doesn't keep out those that are within theirs.
 //
 // RetryMillis is the time until the job could be accepted if nothing else were.
 func (l *Load) Decide(s Submission) Decision {
-	if l.isFull(s.Work) {
-		// Room comes as the work in hand is done, each job at its size.
-		return Decision{}.refused(OpenWork, total(l.within).Fleet/float64(max(1, l.openJobs)))
+	if reason, retry := l.full(s.Work); reason != "" {
+		return Decision{}.refused(reason, retry)
 	}
 	wait, reason := l.wait(s.Work)
 	estimate := wait + s.runMillis(l.capacity)
@@ -44,10 +40,10 @@
 	if s.ObjectiveMillis == 0 {
 		return d
 	}
-	limit := s.ObjectiveMillis
-	if !s.Work.OverRate && l.capacity.Offered <= l.capacity.Achievable {
-		limit = s.UsefulMillis
+	if s.Work.OverRate && l.isTaken(s) {
+		return d.refused(OverRate, wait)
 	}
+	limit := (s.ObjectiveMillis + s.UsefulMillis) / 2
 	excess := min(estimate+s.ElapsedMillis-limit, wait-shortWait*s.PathMillis)
 	if excess <= 0 {
 		return d
@@ -62,10 +58,20 @@
 	return d
 }
 
-// isFull reports whether the owner cannot hold the job.
-func (l *Load) isFull(w Work) bool {
-	return l.capacity.MaxOpenJobs > 0 && l.openJobs >= l.capacity.MaxOpenJobs ||
-		l.capacity.MaxOpenBytes > 0 && l.openBytes+w.Bytes > l.capacity.MaxOpenBytes
+// full returns why the owner cannot carry out one job more, whatever its objective, and the time in
+// milliseconds until it expects to; the reason is empty if it can.
+func (l *Load) full(w Work) (Reason, float64) {
+	c := l.capacity
+	sum := total(l.within).plus(total(l.over))
+	switch {
+	case c.MaxOpenJobs > 0 && l.openJobs >= c.MaxOpenJobs, c.MaxOpenBytes > 0 && l.openBytes+w.Bytes > c.MaxOpenBytes:
+		return OpenWork, sum.Fleet / float64(max(1, l.openJobs))
+	case c.MaxLinkMillis > 0 && sum.Link > c.MaxLinkMillis:
+		return LinkBusy, sum.Link - c.MaxLinkMillis
+	case c.MaxPolicyMillis > 0 && sum.Policy > c.MaxPolicyMillis:
+		return PolicyBusy, sum.Policy - c.MaxPolicyMillis
+	}
+	return "", 0
 }
 
 // wait returns the time that the work would wait, and for what it would wait longest.
@@ -78,17 +84,19 @@
 	own := teams[w.Team]
 	fleet := 0.0
 	if free := l.capacity.free(); all.Demand > free {
-		fleet = l.fleetMillis(w, teams) * (1 - free/all.Demand)
+		share := l.capacity.Achievable
+		fleet = drainMillis(teams, share) * (1 - free/all.Demand)
+		if !w.OverRate {
+			fleet = min(fleet, own.Fleet/(share*l.Share(w.Team)))
+		}
+		fleet += min(fleet, l.capacity.UrgentInflow[w.Priority]/share)
 	}
 	millis, reason := 0.0, FleetBusy
-	if w.OverRate {
-		reason = OverRate
-	}
 	for _, queue := range []struct {
 		millis float64
 		reason Reason
 	}{
-		{millis: fleet, reason: reason},
+		{millis: fleet, reason: FleetBusy},
 		{millis: own.Cap, reason: TeamCap},
 		{millis: all.Policy, reason: PolicyBusy},
 		{millis: all.Link, reason: LinkBusy},
@@ -100,15 +108,10 @@
 	return millis, reason
 }
 
-// fleetMillis returns the time for which the work waits on a fleet without free room.
-func (l *Load) fleetMillis(w Work, teams map[string]Amounts) float64 {
-	share := l.capacity.Achievable
-	if w.OverRate {
-		// The fleet has to carry out what arrives within the rates, too.
-		return drainMillis(teams, max(share-l.capacity.Offered, minShare))
-	}
-	millis := min(drainMillis(teams, share), teams[w.Team].Fleet/(share*l.Share(w.Team)))
-	return millis + min(millis, l.capacity.UrgentInflow[w.Priority]/share)
+// isTaken reports whether there is no room for a job over its team's rate beside what waits.
+func (l *Load) isTaken(s Submission) bool {
+	return l.Demand()+s.Work.Amounts.Demand > l.capacity.free() ||
+		l.ahead(s.Work)[s.Work.Team].Cap > shortWait*s.PathMillis
 }
 
 // runMillis returns the time that the job takes once nothing is ahead of it.
--- a/internal/decide/admission/load.go
+++ b/internal/decide/admission/load.go
@@ -35,7 +35,10 @@
 	// OverRate is set if the job was submitted over its team's agreed rate. It waits behind all
 	// jobs within the rates.
 	OverRate bool
-	Amounts  Amounts
+	// Late is set if the job can no longer meet its objective. It waits behind the others of its
+	// priority.
+	Late    bool
+	Amounts Amounts
 	// Bytes is the size of the whole job in the owner's state.
 	Bytes int64
 }
@@ -48,12 +51,12 @@
 	// UrgentInflow is the work that is expected to arrive and go before waiting work of a
 	// priority, by that priority, in milliseconds of the fleet.
 	UrgentInflow map[int]float64
-	// Offered is the share of the fleet that submissions within the rates ask for, whether or not
-	// they are accepted.
-	Offered float64
 	// MaxOpenJobs and MaxOpenBytes limit the open jobs; zero means no limit.
 	MaxOpenJobs  int
 	MaxOpenBytes int64
+	// MaxLinkMillis and MaxPolicyMillis limit the work of all priorities that waits for the
+	// owner's link and for the policy service, while workers may be idle; zero means no limit.
+	MaxLinkMillis, MaxPolicyMillis float64
 }
 
 // free returns the share of the fleet on which waiting tasks can start.
@@ -61,14 +64,20 @@
 	return max(0, c.Achievable-c.Used)
 }
 
-// queued is the work of a team that waits, by priority.
-type queued map[int]Amounts
+// rank is the place of work in the order in which it is carried out, but for its deadline.
+type rank struct {
+	priority int
+	late     bool
+}
+
+// queued is the work of a team that waits, by rank.
+type queued map[rank]Amounts
 
-// upTo returns the work of the priority and of more urgent ones.
-func (q queued) upTo(priority int) Amounts {
+// before returns the work that goes before new work of the priority, as far as deadlines permit.
+func (q queued) before(priority int) Amounts {
 	var sum Amounts
-	for p, amounts := range q {
-		if p <= priority {
+	for r, amounts := range q {
+		if r.priority < priority || r.priority == priority && !r.late {
 			sum = sum.plus(amounts)
 		}
 	}
@@ -121,7 +130,11 @@
 	if teams[w.Team] == nil {
 		teams[w.Team] = queued{}
 	}
-	teams[w.Team][w.Priority] = teams[w.Team][w.Priority].plus(w.Amounts)
+	at := rank{
+		priority: w.Priority,
+		late:     w.Late,
+	}
+	teams[w.Team][at] = teams[w.Team][at].plus(w.Amounts)
 }
 
 // Share returns the team's share of the fleet among the teams that have open jobs and itself.
@@ -143,7 +156,7 @@
 	teams := map[string]Amounts{}
 	if !w.OverRate {
 		for name, q := range l.within {
-			teams[name] = q.upTo(w.Priority)
+			teams[name] = q.before(w.Priority)
 		}
 		return teams
 	}
--- a/internal/decide/admission/pace.go
+++ b/internal/decide/admission/pace.go
@@ -10,7 +10,7 @@
 	priorMillis = 60_000
 	// usageMillis is the same time for the share of the fleet in use while work waits.
 	usageMillis = 4_000
-	// flowMillis is the same time for the rates of arrival.
+	// flowMillis is the same time for what arrives.
 	flowMillis = 2_000
 	// firstAchievable is the share of the fleet that can be in use, until it is measured.
 	firstAchievable = 0.85
@@ -52,10 +52,9 @@
 	queues  map[string]spent
 	usage   map[string]usage // by service
 	started int64
-	// accepted is the work that was accepted, by priority, and offered all that was submitted
-	// within the rates, in milliseconds of the whole fleet.
+	// accepted is the work that was accepted within the rates, by priority, in milliseconds of the
+	// whole fleet.
 	accepted map[int]decaying
-	offered  decaying
 }
 
 // NewPace returns the pace of an owner that has seen nothing yet.
@@ -117,25 +116,9 @@
 	return p.usageOf(service, p.started).achievable
 }
 
-// ObserveSubmission notes a submission within its team's rate and whether it was accepted.
-// Repeated submissions of refused jobs are not noted again, unless they are accepted.
-func (p *Pace) ObserveSubmission(w Work, accepted, repeated bool, now int64) {
-	if !repeated {
-		p.offered = p.offered.plus(w.Amounts.Fleet, now, flowMillis)
-	}
-	if accepted {
-		p.accepted[w.Priority] = p.accepted[w.Priority].plus(w.Amounts.Fleet, now, flowMillis)
-	}
-}
-
-// span returns the time over which sums of arrivals extend.
-func (p *Pace) span(now int64) float64 {
-	return flowMillis * (1 - math.Exp(-max(1, float64(now-p.started))/flowMillis))
-}
-
-// Offered returns the share of the fleet that submissions within the rates ask for.
-func (p *Pace) Offered(now int64) float64 {
-	return p.offered.at(now, flowMillis) / p.span(now)
+// ObserveAccepted notes work that was accepted within its team's rate.
+func (p *Pace) ObserveAccepted(w Work, now int64) {
+	p.accepted[w.Priority] = p.accepted[w.Priority].plus(w.Amounts.Fleet, now, flowMillis)
 }
 
 // UrgentInflow returns the work that is expected to arrive and go before waiting work of a
--- a/internal/decide/job/objective.go
+++ b/internal/decide/job/objective.go
@@ -25,6 +25,17 @@
 	}
 }
 
+// Late reports whether the job can no longer meet its objective, by the estimates of the steps that
+// are not done.
+func (j *Job) Late(q Queue, now int64) bool {
+	for _, step := range j.Steps {
+		if !step.Done() && step.feasibility(q, now) != onTime {
+			return true
+		}
+	}
+	return false
+}
+
 // AwaitsPolicy reports whether the policy service has yet to answer about the step.
 func (s *Step) AwaitsPolicy(q Queue) bool {
 	return q.Policy != nil && !s.Advice.answered && s.Waiting() > 0
