--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -38,7 +38,7 @@
 // fill adds the tokens of the time since the last call at the rate, in jobs per second. The
 // parameter now is the owner's clock in milliseconds.
 func (b *tokenBucket) fill(rate float64, now int64) {
-	b.tokens = min(rate*burstSeconds, b.tokens+rate*float64(now-b.updatedMillis)/1000)
+	b.tokens = min(rate*burstSeconds, max(0, b.tokens)+rate*float64(now-b.updatedMillis)/1000)
 	b.updatedMillis = now
 }
 
@@ -448,7 +448,8 @@
 	}
 }
 
-// bucket returns the filled token bucket of the team, or nil if it has no rate.
+// bucket returns the filled token bucket of the team, or nil if it has no rate. A new owner deducts
+// what its predecessor has accepted lately.
 func (s *Shard) bucket(team string, now int64) *tokenBucket {
 	t, ok := s.agreement.Rules.Teams[team]
 	if !ok || t.JobsPerSecond <= 0 {
@@ -457,7 +458,7 @@
 	b := s.buckets[team]
 	if b == nil {
 		b = &tokenBucket{
-			tokens:        t.JobsPerSecond * burstSeconds,
+			tokens:        t.JobsPerSecond*burstSeconds - float64(s.state.WithinRateSince(team, now-1000*burstSeconds)),
 			updatedMillis: now,
 		}
 		s.buckets[team] = b
--- /dev/null
+++ b/internal/decide/admission/decide_test.go
@@ -0,0 +1,128 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestDecide decides a job of 2 s on a tenth of the fleet, which should be done within 5 s, behind the
+// given work.
+func TestDecide(t *testing.T) {
+	full := Capacity{Achievable: 1, Used: 1}
+	waiting := func(team string, priority int, amounts Amounts) Work {
+		return Work{
+			Team:     team,
+			Priority: priority,
+			Amounts:  amounts,
+		}
+	}
+	// backlog is work of the whole fleet for the given milliseconds.
+	backlog := func(millis float64) Amounts {
+		return Amounts{
+			Fleet:  millis,
+			Demand: millis / 2000,
+		}
+	}
+	late := waiting("other", 1, backlog(50_000))
+	late.Late = true
+	for name, c := range map[string]struct {
+		capacity Capacity
+		waiting  []Work
+		overRate bool
+		elapsed  float64
+		want     Reason
+		estimate int64
+	}{
+		"nothing waits":                   {capacity: full, estimate: 2000},
+		"in time behind others":           {capacity: full, waiting: []Work{waiting("other", 1, backlog(3000)), waiting("team", 1, backlog(3000))}, estimate: 8000},
+		"too late behind others":          {capacity: full, waiting: []Work{waiting("other", 1, backlog(3000)), waiting("team", 1, backlog(9000))}, estimate: 14_000, want: FleetBusy},
+		"within the team's share":         {capacity: full, waiting: []Work{waiting("other", 1, backlog(50_000))}, estimate: 2000},
+		"beyond the team's share":         {capacity: full, waiting: []Work{waiting("other", 1, backlog(50_000)), waiting("team", 1, backlog(5000))}, estimate: 12_000, want: FleetBusy},
+		"behind less urgent work":         {capacity: full, waiting: []Work{waiting("team", 2, backlog(50_000))}, estimate: 2000},
+		"behind late work":                {capacity: full, waiting: []Work{late}, estimate: 2000},
+		"room for all that waits":         {capacity: Capacity{Achievable: 1}, waiting: []Work{waiting("team", 1, Amounts{Fleet: 50_000, Demand: 0.9})}, estimate: 2000},
+		"after a first refusal":           {capacity: full, waiting: []Work{waiting("team", 1, backlog(3000))}, elapsed: 6000, estimate: 5000, want: FleetBusy},
+		"short wait after a refusal":      {capacity: full, waiting: []Work{waiting("team", 1, backlog(300))}, elapsed: 20_000, estimate: 2300},
+		"own work under the cap":          {capacity: Capacity{Achievable: 1}, waiting: []Work{waiting("team", 1, Amounts{Cap: 9000})}, estimate: 11_000, want: TeamCap},
+		"others' work under their cap":    {capacity: Capacity{Achievable: 1}, waiting: []Work{waiting("other", 1, Amounts{Cap: 90_000})}, estimate: 2000},
+		"capped team ahead":               {capacity: full, waiting: []Work{waiting("other", 1, Amounts{Fleet: 9000, Cap: 90_000, Demand: 1}), waiting("team", 1, backlog(900))}, estimate: 3000},
+		"policy service behind":           {capacity: full, waiting: []Work{waiting("other", 0, Amounts{Policy: 9000})}, estimate: 11_000, want: PolicyBusy},
+		"urgent work is expected":         {capacity: Capacity{Achievable: 1, Used: 1, UrgentInflow: map[int]float64{1: 4000}}, waiting: []Work{waiting("team", 1, backlog(5000))}, estimate: 11_000, want: FleetBusy},
+		"over rate with room":             {capacity: Capacity{Achievable: 1, Used: 0.5}, overRate: true, estimate: 2000},
+		"over rate without room":          {capacity: Capacity{Achievable: 1, Used: 0.95}, overRate: true, estimate: 2000, want: OverRate},
+		"over rate, others need the room": {capacity: Capacity{Achievable: 1, Used: 0.5}, waiting: []Work{waiting("other", 9, Amounts{Fleet: 900, Demand: 0.45})}, overRate: true, estimate: 2000, want: OverRate},
+		"too many open jobs":              {capacity: Capacity{Achievable: 1, MaxOpenJobs: 1}, waiting: []Work{waiting("other", 9, Amounts{})}, want: OpenWork},
+		"too large open jobs":             {capacity: Capacity{Achievable: 1, MaxOpenBytes: 99}, want: OpenWork},
+		"too much for the link":           {capacity: Capacity{Achievable: 1, MaxLinkMillis: 1000}, waiting: []Work{waiting("other", 9, Amounts{Link: 1001})}, want: LinkBusy},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLoad(c.capacity, map[string]float64{"team": 1, "other": 1})
+			for _, w := range c.waiting {
+				l.Add(w)
+			}
+			d := l.Decide(Submission{
+				Work: Work{
+					Team:     "team",
+					Priority: 1,
+					OverRate: c.overRate,
+					Amounts:  Amounts{Fleet: 200, Demand: 0.1},
+					Bytes:    100,
+				},
+				PathMillis:      2000,
+				ObjectiveMillis: 5000,
+				UsefulMillis:    15_000,
+				ElapsedMillis:   c.elapsed,
+			})
+			assert.Equal(t, d.Reason, c.want)
+			assert.Equal(t, d.Accepted, c.want == "")
+			assert.Equal(t, d.RetryMillis > 0, c.want != "")
+			assert.Equal(t, d.EstimateMillis, c.estimate)
+		})
+	}
+}
+
+// TestReturnsFitRoom refuses many jobs of a large team and some of small ones. The callers must return
+// spread over the time in which the fleet can do their work, the small teams first, and none sooner
+// than room is expected.
+func TestReturnsFitRoom(t *testing.T) {
+	const now, earliest = 1000, 1500
+	r := NewReturns()
+	refuse := func(team string, n int) int64 {
+		return r.Refuse(fmt.Sprint(team, n), Work{
+			Team:    team,
+			Amounts: Amounts{Fleet: 50},
+		}, 0.25, Decision{RetryMillis: earliest}, now).RetryMillis
+	}
+	perSecond := map[int64]int{}
+	last := int64(0)
+	for n := range 20 {
+		last = refuse("large", n)
+		perSecond[last/1000]++
+		assert.Assert(t, last >= earliest)
+	}
+	for second, n := range perSecond {
+		assert.Assert(t, n <= 5, "%d return in second %d, on a quarter of the fleet", n, second)
+	}
+	for n := range 3 {
+		assert.Assert(t, refuse("small", n) < last)
+	}
+	first, repeated := r.FirstMillis("large0", now+500)
+	assert.Assert(t, repeated)
+	assert.Equal(t, first, int64(now))
+}
+
+// TestPace learns from a fleet that is slower than its callers expect, and never full.
+func TestPace(t *testing.T) {
+	p := NewPace(0)
+	for now := int64(0); now < 60_000; now += 100 {
+		p.ObserveAttempt("queue", 3000, 1000, now)
+		p.ObserveUsage("service", 0.7, now)
+	}
+	ratio := p.Ratio("queue", 60_000)
+	assert.Assert(t, ratio > 2 && ratio < 3, "%v", ratio)
+	assert.Equal(t, p.Ratio("other", 60_000), 1.0)
+	assert.Assert(t, p.Achievable("service") < 0.71)
+	assert.Equal(t, p.Achievable("other"), firstAchievable)
+}
--- a/internal/decide/job/objective.go
+++ b/internal/decide/job/objective.go
@@ -45,3 +45,15 @@
 func (s *State) EndedJobs() int {
 	return len(s.jobs) - len(s.open)
 }
+
+// WithinRateSince returns the number of jobs of the team within its rate that were submitted after
+// the Unix millisecond.
+func (s *State) WithinRateSince(team string, millis int64) int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.Team == team && !j.OverRate && j.SubmittedMillis > millis {
+			n++
+		}
+	}
+	return n
+}
