--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -135,13 +135,11 @@
 	bytes := float64(startBytes + len(submission.Payload))
 	for _, spec := range submission.Steps {
 		amounts := s.amountsOf(spec, spec.Count, len(spec.After) == 0, team, service.fleet, ratio)
-		amounts.Policy = s.policyMillis(q)
+		amounts.Policy = s.policyMillis(q, now)
 		amounts.Link = s.linkMillis(float64(spec.Count) * bytes)
 		sub.Work.Amounts = addAmounts(sub.Work.Amounts, amounts)
 	}
-	if q.Policy != nil && len(submission.Steps) > 0 {
-		sub.PathMillis += q.Policy.FixedMillis + policyWorkers*q.Policy.PerWorkerMillis
-	}
+	sub.PathMillis += callMillis(q)
 	sub.Work.Bytes = submissionBytes(submission)
 	return service.load, sub
 }
@@ -188,13 +186,21 @@
 	return largest
 }
 
-// policyMillis returns the time that a call about a step takes of all nodes that make calls.
-func (s *Shard) policyMillis(q job.Queue) float64 {
+// callMillis returns the time that the agreement states for a call to the queue's policy service.
+func callMillis(q job.Queue) float64 {
+	if q.Policy == nil {
+		return 0
+	}
+	return q.Policy.FixedMillis + policyWorkers*q.Policy.PerWorkerMillis
+}
+
+// policyMillis returns the time that the calls about a step take of all nodes that make calls. The
+// caller holds s.mu.
+func (s *Shard) policyMillis(q job.Queue, now int64) float64 {
 	if q.Policy == nil || s.options.Advisors == nil {
 		return 0
 	}
-	call := q.Policy.FixedMillis + policyWorkers*q.Policy.PerWorkerMillis
-	return call / float64(max(1, len(s.options.Advisors())))
+	return s.gate.pace.CallRatio(now) * callMillis(q) / float64(max(1, len(s.options.Advisors())))
 }
 
 // linkMillis returns the time that start orders of the given size take of a small link.
@@ -328,7 +334,7 @@
 			room[j.Team] = left - amounts.Demand
 		}
 		if step.AwaitsPolicy(q) {
-			amounts.Policy = s.policyMillis(q)
+			amounts.Policy = s.policyMillis(q, now)
 		} else {
 			placeable += amounts.Demand
 		}
@@ -370,6 +376,20 @@
 	s.gate.pace.ObserveAttempt(j.Queue, float64(now-p.OrderedMillis), estimate, now)
 }
 
+// observeCall notes a call to the policy service that took the given multiple of the expected time,
+// which includes that of calls before it through the same node. The caller holds s.mu.
+func (s *Shard) observeCall(q job.PolicyQuery, slowdown float64, ok bool) {
+	if s.gate.pace == nil {
+		return
+	}
+	queue := s.agreement.Rules.Queues[q.Step.Job.Queue]
+	estimate := 0.0
+	if ok && q.Step.AwaitsPolicy(queue) {
+		estimate = callMillis(queue)
+	}
+	s.gate.pace.ObserveCall(q.ExpectedMillis*slowdown, estimate, s.now())
+}
+
 // observeEnd compares the end of a job with its estimate. The caller holds s.mu.
 func (s *Shard) observeEnd(j *job.Job, outcome job.Outcome) {
 	expected, ok := s.gate.estimates[j.ID]
--- a/internal/cluster/shard/policy.go
+++ b/internal/cluster/shard/policy.go
@@ -88,6 +88,7 @@
 	if err != nil && s.term.Context().Err() == nil {
 		s.log.Warn("adviceFailed", "job", q.Step.Job.ID, "step", q.Step.Number, "node", a.Node, "error", err)
 	}
+	s.observeCall(q, time.Since(start).Seconds()*1000/millis, err == nil)
 	q.HandleAnswer(s.ticketsByWorker(q, tickets), err == nil)
 	s.requestPass()
 }
--- a/internal/decide/admission/pace.go
+++ b/internal/decide/admission/pace.go
@@ -33,12 +33,23 @@
 	}
 }
 
-// spent is the time that attempts of a queue have held workers, and the estimated run time of
-// those that completed.
+// spent is the time that was spent on work, and the estimated time of what was done in it.
 type spent struct {
 	held, estimated decaying
 }
 
+func (s spent) plus(held, estimated float64, now int64) spent {
+	return spent{
+		held:      s.held.plus(held, now, ratioMillis),
+		estimated: s.estimated.plus(estimated, now, ratioMillis),
+	}
+}
+
+// ratio returns the time spent as a multiple of the estimates.
+func (s spent) ratio(now int64) float64 {
+	return (s.held.at(now, ratioMillis) + priorMillis) / (s.estimated.at(now, ratioMillis) + priorMillis)
+}
+
 // usage is the share of a service's workers that is in use while work waits, and when it was last
 // measured.
 type usage struct {
@@ -50,6 +61,7 @@
 // it with NewPace.
 type Pace struct {
 	queues  map[string]spent
+	calls   spent
 	usage   map[string]usage // by service
 	started int64
 	// accepted is the work that was accepted within the rates, by priority, in milliseconds of the
@@ -70,17 +82,25 @@
 // ObserveAttempt notes that an attempt of a task of the queue held its worker for heldMillis. The
 // estimate is the task's if the attempt completed, and otherwise zero.
 func (p *Pace) ObserveAttempt(queue string, heldMillis, estimateMillis float64, now int64) {
-	s := p.queues[queue]
-	s.held = s.held.plus(heldMillis, now, ratioMillis)
-	s.estimated = s.estimated.plus(estimateMillis, now, ratioMillis)
-	p.queues[queue] = s
+	p.queues[queue] = p.queues[queue].plus(heldMillis, estimateMillis, now)
+}
+
+// ObserveCall notes that a call to the policy service has taken heldMillis. The estimate is the time
+// that the agreement states for it if it was the first answer about a step, and otherwise zero.
+func (p *Pace) ObserveCall(heldMillis, estimateMillis float64, now int64) {
+	p.calls = p.calls.plus(heldMillis, estimateMillis, now)
+}
+
+// CallRatio returns the time of the calls about a step, also of those that failed or renewed its
+// tickets, as a multiple of what the agreement states for one.
+func (p *Pace) CallRatio(now int64) float64 {
+	return p.calls.ratio(now)
 }
 
 // Ratio returns the time for which tasks of the queue hold workers until they are done, also in
 // attempts that did not complete, as a multiple of their callers' estimates.
 func (p *Pace) Ratio(queue string, now int64) float64 {
-	s := p.queues[queue]
-	return (s.held.at(now, ratioMillis) + priorMillis) / (s.estimated.at(now, ratioMillis) + priorMillis)
+	return p.queues[queue].ratio(now)
 }
 
 // ObserveUsage notes the share of the service's workers in use while tasks wait that need room.
