--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -79,30 +79,32 @@
 	defer s.mu.Unlock()
 	s.openGate()
 	now := s.now()
-	overRate := s.isOverRate(team, now)
-	load, sub := s.admissionOf(team, queue, submission, overRate, now, now)
+	load, sub := s.admissionOf(team, queue, submission, now, now)
 	return load.Decide(sub)
 }
 
-// admit decides a submission, and notes it. The caller holds s.mu.
-func (s *Shard) admit(id, team, queue string, submission *job.Submission, overRate bool, now int64) admission.Decision {
+// admit decides a submission, and notes it. It also returns whether the submission is over its team's
+// rate. The caller holds s.mu.
+func (s *Shard) admit(id, team, queue string, submission *job.Submission, now int64) (d admission.Decision, overRate bool) {
 	s.openGate()
 	first, repeated := s.gate.returns.FirstMillis(id, now)
-	load, sub := s.admissionOf(team, queue, submission, overRate, first, now)
-	d := load.Decide(sub)
+	load, sub := s.admissionOf(team, queue, submission, first, now)
+	overRate = sub.Work.OverRate
+	d = load.Decide(sub)
 	if !d.Accepted {
 		d = s.gate.returns.Refuse(id, sub.Work, load.Share(team), d, now)
-		countRefusedJob(s.metricTeam(team), d, time.Duration(sub.ElapsedMillis)*time.Millisecond)
-		return d
+		countRefusedJob(s.metricTeam(team), d, repeated)
+		return d, overRate
 	}
 	s.gate.returns.Accept(id)
 	if !overRate {
+		s.takeRate(team, now)
 		s.gate.pace.ObserveAccepted(sub.Work, now)
 	}
 	load.Add(sub.Work)
 	s.gate.estimates[id] = now + d.EstimateMillis
 	countAcceptedJob(s.metricTeam(team), overRate, repeated)
-	return d
+	return d, overRate
 }
 
 // metricTeam returns the team's name for metrics, which is empty for one that the agreement does
@@ -116,7 +118,7 @@
 
 // admissionOf returns the load that a submission meets and the submission as amounts of work. The
 // caller holds s.mu.
-func (s *Shard) admissionOf(team, queue string, submission *job.Submission, overRate bool, first, now int64) (*admission.Load, admission.Submission) {
+func (s *Shard) admissionOf(team, queue string, submission *job.Submission, first, now int64) (*admission.Load, admission.Submission) {
 	q := s.agreement.Rules.Queues[queue]
 	service := s.loadOf(q.Service, now)
 	objective := submission.Objective(q)
@@ -125,7 +127,6 @@
 		Work: admission.Work{
 			Team:     team,
 			Priority: q.Priority,
-			OverRate: overRate,
 		},
 		PathMillis:      ratio * float64(objective.CriticalPathMillis),
 		ObjectiveMillis: float64(objective.DueMillis),
@@ -140,6 +141,7 @@
 		sub.Work.Amounts = addAmounts(sub.Work.Amounts, amounts)
 	}
 	sub.PathMillis += callMillis(q)
+	sub.Work.OverRate = s.isOverRate(team, sub.IsLate(), now)
 	sub.Work.Bytes = submissionBytes(submission)
 	return service.load, sub
 }
--- a/internal/cluster/shard/admission_test.go
+++ b/internal/cluster/shard/admission_test.go
@@ -121,7 +121,7 @@
 		assert.Assert(t, s.WouldAdmit("b", "queue", oneSecondJob()).Accepted)
 	}
 	assert.Equal(t, len(s.state.OpenJobs()), 1)
-	assert.Assert(t, !s.isOverRate("b", s.now()))
+	assert.Assert(t, !s.isOverRate("b", false, s.now()))
 }
 
 // TestOpenWorkFitsSnapshot submits jobs with the largest payloads to a shard without workers. They must
@@ -138,7 +138,8 @@
 	n := 0
 	for ; n < 10_000; n++ {
 		id := fmt.Sprintf("%016x", n)
-		d := s.admit(id, "a", "queue", submission, false, s.now())
+		s.buckets["a"] = &tokenBucket{tokens: 1, updatedMillis: s.now()}
+		d, _ := s.admit(id, "a", "queue", submission, s.now())
 		if !d.Accepted {
 			assert.Equal(t, d.Reason, admission.OpenWork)
 			break
--- a/internal/cluster/shard/metrics.go
+++ b/internal/cluster/shard/metrics.go
@@ -34,12 +34,12 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_requests_refused_total{reason=%q}", reason)).Inc()
 }
 
-// countRefusedJob counts a submission that admission has refused, the time after which its caller
-// may return, and the time since its first submission.
-func countRefusedJob(team string, d admission.Decision, elapsed time.Duration) {
+// countRefusedJob counts a submission that admission has refused, and the time after which its caller
+// may return.
+func countRefusedJob(team string, d admission.Decision, repeated bool) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("citronbay_admission_refused_total{team=%q,reason=%q}", team, d.Reason)).Inc()
 	metrics.GetOrCreateHistogram(fmt.Sprintf("citronbay_admission_retry_seconds{reason=%q}", d.Reason)).Update(float64(d.RetryMillis) / 1000)
-	if elapsed > 0 {
+	if repeated {
 		metrics.GetOrCreateCounter("citronbay_admission_returned_total{outcome=\"refused\"}").Inc()
 	}
 }
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -267,15 +267,11 @@
 		return s.refuse(id, reasonOverloaded)
 	}
 	now := s.now()
-	overRate := s.isOverRate(a.team, now)
-	decision := s.admit(id, a.team, a.route.Queue, r.Submission, overRate, now)
+	decision, overRate := s.admit(id, a.team, a.route.Queue, r.Submission, now)
 	if !decision.Accepted {
 		s.mu.Unlock()
 		return s.refuseAdmission(id, a, decision)
 	}
-	if !overRate {
-		s.takeRate(a.team, now)
-	}
 	s.log.Info("jobAccepted", "job", id, "call", r.Call, "team", a.team, "queue", a.route.Queue, "excess", overRate,
 		"steps", len(r.Submission.Steps), "estimate", decision.EstimateMillis, "agreement", s.agreement.Version, "open", len(s.state.OpenJobs()))
 	records := s.apply(nil, job.Record{
@@ -433,11 +429,18 @@
 }
 
 // isOverRate reports whether one more job of the team is over the team's rate. A team without a
-// rate is never over it. The parameter now is the owner's clock in milliseconds. The caller holds
-// s.mu.
-func (s *Shard) isOverRate(team string, now int64) bool {
+// rate is never over it. A job that can no longer be in time leaves half of the bucket to those
+// that can. The parameter now is the owner's clock in milliseconds. The caller holds s.mu.
+func (s *Shard) isOverRate(team string, late bool, now int64) bool {
 	b := s.bucket(team, now)
-	return b != nil && b.tokens < 1
+	if b == nil {
+		return false
+	}
+	needed := 1.0
+	if late {
+		needed = max(1, s.agreement.Rules.Teams[team].JobsPerSecond*burstSeconds/2)
+	}
+	return b.tokens < needed
 }
 
 // takeRate counts a job of the team against its rate: one that is refused uses up nothing. The
--- a/internal/decide/admission/decide.go
+++ b/internal/decide/admission/decide.go
@@ -13,6 +13,11 @@
 	ElapsedMillis float64
 }
 
+// IsLate reports whether so much time has passed since a first refusal that the job cannot meet its objective.
+func (s Submission) IsLate() bool {
+	return s.ObjectiveMillis > 0 && s.ElapsedMillis > 0 && s.ElapsedMillis+s.PathMillis > s.ObjectiveMillis
+}
+
 // shortWait is the part of the run time for which a job may wait even if it is late by then: it
 // goes with the room that the next tasks leave.
 const shortWait = 0.25
