--- a/internal/cluster/node/forward.go
+++ b/internal/cluster/node/forward.go
@@ -48,9 +48,6 @@
 	outcomeUnknown := false
 	start := time.Now()
 	r.Call = newCall()
-	if r.Verb == caller.Submit && endsTooSoon(ctx, start) {
-		return n.refuseUnsent(r)
-	}
 	for ctx.Err() == nil {
 		owner, _ := n.currentOwner()
 		r.Agreement = n.agreementSeen.Load()
