--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -17,6 +17,8 @@
 	// minMeasuredDemand is the share of the fleet that waiting tasks must ask for if the share in
 	// use is to tell what the fleet can do.
 	minMeasuredDemand = 0.02
+	// settleTime is the time from the start of a term in which tasks wait that have room.
+	settleTime = 3 * time.Second
 	// maxOpenJobs bounds the planning passes, which look at each open job.
 	maxOpenJobs = 1 << 14
 	// snapshotShare is the part of the largest snapshot that jobs may take: their sizes are
@@ -240,7 +242,7 @@
 		return l
 	}
 	l = s.buildLoad(service, now)
-	if l.waits {
+	if l.waits && s.journal.StalledFor() < storeStallLimit && now-s.openedMillis > settleTime.Milliseconds() {
 		s.gate.pace.ObserveUsage(service, l.capacity.Used, now)
 	} else {
 		s.gate.pace.SkipUsage(service, now)
--- a/internal/decide/admission/pace.go
+++ b/internal/decide/admission/pace.go
@@ -8,8 +8,10 @@
 	// priorMillis is the weight of the callers' estimates, as the run time of tasks that took as
 	// long as estimated.
 	priorMillis = 60_000
-	// usageMillis is the same time for the share of the fleet in use while work waits.
-	usageMillis = 4_000
+	// riseMillis and fallMillis are the same time for the share of the fleet in use while work waits,
+	// as it rises and falls: a fleet that stood still for a while can do as much as before.
+	riseMillis = 2_000
+	fallMillis = 10_000
 	// flowMillis is the same time for what arrives.
 	flowMillis = 2_000
 	// firstAchievable is the share of the fleet that can be in use, until it is measured.
@@ -106,7 +108,11 @@
 // ObserveUsage notes the share of the service's workers in use while tasks wait that need room.
 func (p *Pace) ObserveUsage(service string, share float64, now int64) {
 	u := p.usageOf(service, now)
-	weight := 1 - math.Exp(-float64(now-u.measured)/usageMillis)
+	span := float64(fallMillis)
+	if share > u.achievable {
+		span = riseMillis
+	}
+	weight := 1 - math.Exp(-float64(now-u.measured)/span)
 	p.usage[service] = usage{
 		achievable: u.achievable + weight*(share-u.achievable),
 		measured:   now,
