--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/cluster/store"
@@ -101,7 +102,7 @@
 	s.gate.returns.Accept(id)
 	if !overRate {
 		s.takeRate(team, now)
-		s.gate.pace.ObserveAccepted(sub.Work, now)
+		s.gate.pace.ObserveAccepted(s.agreement.Rules.Queues[queue].Service, sub.Work, now)
 	}
 	load.Add(sub.Work)
 	s.gate.estimates[id] = now + d.EstimateMillis
@@ -140,7 +141,7 @@
 		amounts := s.amountsOf(spec, spec.Count, len(spec.After) == 0, team, service.fleet, ratio)
 		amounts.Policy = s.policyMillis(q, now)
 		amounts.Link = s.linkMillis(float64(spec.Count) * bytes)
-		sub.Work.Amounts = addAmounts(sub.Work.Amounts, amounts)
+		sub.Work.Amounts = sub.Work.Amounts.Plus(amounts)
 	}
 	sub.PathMillis += callMillis(q)
 	sub.Work.OverRate = s.isOverRate(team, sub.IsLate(), now)
@@ -148,16 +149,6 @@
 	return service.load, sub
 }
 
-func addAmounts(a, b admission.Amounts) admission.Amounts {
-	return admission.Amounts{
-		Fleet:  a.Fleet + b.Fleet,
-		Cap:    a.Cap + b.Cap,
-		Policy: a.Policy + b.Policy,
-		Link:   a.Link + b.Link,
-		Demand: a.Demand + b.Demand,
-	}
-}
-
 // amountsOf returns the work of the given number of the step's tasks on workers and under the
 // team's cap. The caller holds s.mu.
 func (s *Shard) amountsOf(spec job.StepSpec, count int, ready bool, team string, fleet job.Resources, ratio float64) admission.Amounts {
@@ -215,6 +206,16 @@
 	return 1000 * bytes / s.startsPerSecond()
 }
 
+// openBytes returns about what the open job takes in a snapshot at most.
+func openBytes(j *job.Job) int64 {
+	bytes := jobBytes + len(j.Payload)
+	for _, step := range j.Steps {
+		bytes += stepBytes + taskBytes*len(step.Tasks)
+	}
+	return int64(bytes)
+}
+
+// submissionBytes is openBytes of the job that the submission would make.
 func submissionBytes(submission *job.Submission) int64 {
 	tasks := 0
 	for _, spec := range submission.Steps {
@@ -276,12 +277,14 @@
 	}
 	var priorities []int
 	for _, q := range s.agreement.Rules.Queues {
-		priorities = append(priorities, q.Priority)
+		if q.Service == service && !slices.Contains(priorities, q.Priority) {
+			priorities = append(priorities, q.Priority)
+		}
 	}
 	l.capacity = admission.Capacity{
 		Achievable:   s.gate.pace.Achievable(service),
 		Used:         largestShare(used, l.fleet),
-		UrgentInflow: s.gate.pace.UrgentInflow(priorities, now),
+		UrgentInflow: s.gate.pace.UrgentInflow(service, priorities, now),
 		MaxOpenJobs:  maxOpenJobs,
 		MaxOpenBytes: s.maxOpenBytes(),
 
@@ -294,6 +297,7 @@
 	for _, j := range s.state.OpenJobs() {
 		q := s.agreement.Rules.Queues[j.Queue]
 		if q.Service != service {
+			l.load.Hold(openBytes(j))
 			continue
 		}
 		w, demand := s.waitingWork(j, q, l.fleet, room, now)
@@ -318,12 +322,11 @@
 		Priority: q.Priority,
 		OverRate: j.OverRate,
 		Late:     j.Late(q, now),
-		Bytes:    int64(jobBytes + len(j.Payload)),
+		Bytes:    openBytes(j),
 	}
 	ratio := s.gate.pace.Ratio(j.Queue, now)
 	placeable := 0.0
 	for _, step := range j.Steps {
-		w.Bytes += int64(stepBytes + taskBytes*len(step.Tasks))
 		count := step.Waiting()
 		if count == 0 {
 			continue
@@ -343,7 +346,7 @@
 			placeable += amounts.Demand
 		}
 		amounts.Link = s.linkMillis(float64(count) * startCost(j))
-		w.Amounts = addAmounts(w.Amounts, amounts)
+		w.Amounts = w.Amounts.Plus(amounts)
 	}
 	return w, placeable
 }
--- a/internal/decide/admission/decide.go
+++ b/internal/decide/admission/decide.go
@@ -67,7 +67,7 @@
 // milliseconds until it expects to; the reason is empty if it can.
 func (l *Load) full(w Work) (Reason, float64) {
 	c := l.capacity
-	sum := total(l.within).plus(total(l.over))
+	sum := total(l.within).Plus(total(l.over))
 	switch {
 	case c.MaxOpenJobs > 0 && l.openJobs >= c.MaxOpenJobs, c.MaxOpenBytes > 0 && l.openBytes+w.Bytes > c.MaxOpenBytes:
 		return OpenWork, sum.Fleet / float64(max(1, l.openJobs))
@@ -84,7 +84,7 @@
 	teams := l.ahead(w)
 	var all Amounts
 	for _, amounts := range teams {
-		all = all.plus(amounts)
+		all = all.Plus(amounts)
 	}
 	own := teams[w.Team]
 	fleet := 0.0
--- a/internal/decide/admission/load.go
+++ b/internal/decide/admission/load.go
@@ -17,7 +17,8 @@
 	Demand float64
 }
 
-func (a Amounts) plus(b Amounts) Amounts {
+// Plus returns the sum of a and b.
+func (a Amounts) Plus(b Amounts) Amounts {
 	return Amounts{
 		Fleet:  a.Fleet + b.Fleet,
 		Cap:    a.Cap + b.Cap,
@@ -78,7 +79,7 @@
 	var sum Amounts
 	for r, amounts := range q {
 		if r.priority < priority || r.priority == priority && !r.late {
-			sum = sum.plus(amounts)
+			sum = sum.Plus(amounts)
 		}
 	}
 	return sum
@@ -107,22 +108,20 @@
 	}
 }
 
-// WithCapacity returns a copy of the load with another capacity; both share the work.
-func (l *Load) WithCapacity(capacity Capacity) *Load {
-	load := *l
-	load.capacity = capacity
-	return &load
-}
-
 // Demand returns the share of the fleet that waiting tasks ask for which could start now.
 func (l *Load) Demand() float64 {
 	return total(l.within).Demand + total(l.over).Demand
 }
 
+// Hold counts an open job of another service, which the owner holds too.
+func (l *Load) Hold(bytes int64) {
+	l.openJobs++
+	l.openBytes += bytes
+}
+
 // Add adds an open job to the load.
 func (l *Load) Add(w Work) {
-	l.openJobs++
-	l.openBytes += w.Bytes
+	l.Hold(w.Bytes)
 	teams := l.within
 	if w.OverRate {
 		teams = l.over
@@ -134,7 +133,7 @@
 		priority: w.Priority,
 		late:     w.Late,
 	}
-	teams[w.Team][at] = teams[w.Team][at].plus(w.Amounts)
+	teams[w.Team][at] = teams[w.Team][at].Plus(w.Amounts)
 }
 
 // Share returns the team's share of the fleet among the teams that have open jobs and itself.
@@ -163,7 +162,7 @@
 	for _, byTeam := range []map[string]queued{l.within, l.over} {
 		for name, q := range byTeam {
 			for _, amounts := range q {
-				teams[name] = teams[name].plus(amounts)
+				teams[name] = teams[name].Plus(amounts)
 			}
 		}
 	}
@@ -174,7 +173,7 @@
 	var sum Amounts
 	for _, q := range byTeam {
 		for _, amounts := range q {
-			sum = sum.plus(amounts)
+			sum = sum.Plus(amounts)
 		}
 	}
 	return sum
--- a/internal/decide/admission/pace.go
+++ b/internal/decide/admission/pace.go
@@ -66,9 +66,9 @@
 	calls   spent
 	usage   map[string]usage // by service
 	started int64
-	// accepted is the work that was accepted within the rates, by priority, in milliseconds of the
-	// whole fleet.
-	accepted map[int]decaying
+	// accepted is the work that was accepted within the rates, in milliseconds of the service's
+	// workers.
+	accepted map[inflow]decaying
 }
 
 // NewPace returns the pace of an owner that has seen nothing yet.
@@ -77,7 +77,7 @@
 		queues:   map[string]spent{},
 		usage:    map[string]usage{},
 		started:  now,
-		accepted: map[int]decaying{},
+		accepted: map[inflow]decaying{},
 	}
 }
 
@@ -142,22 +142,32 @@
 	return p.usageOf(service, p.started).achievable
 }
 
-// ObserveAccepted notes work that was accepted within its team's rate.
-func (p *Pace) ObserveAccepted(w Work, now int64) {
-	p.accepted[w.Priority] = p.accepted[w.Priority].plus(w.Amounts.Fleet, now, flowMillis)
+// inflow is the work that arrives for a service with a priority.
+type inflow struct {
+	service  string
+	priority int
+}
+
+// ObserveAccepted notes work of the service that was accepted within its team's rate.
+func (p *Pace) ObserveAccepted(service string, w Work, now int64) {
+	key := inflow{
+		service:  service,
+		priority: w.Priority,
+	}
+	p.accepted[key] = p.accepted[key].plus(w.Amounts.Fleet, now, flowMillis)
 }
 
 // UrgentInflow returns the work that is expected to arrive and go before waiting work of a
 // priority, by that priority: as much as was accepted lately. Bursts are short, so that no more is
 // expected of what arrives now.
-func (p *Pace) UrgentInflow(priorities []int, now int64) map[int]float64 {
-	inflow := map[int]float64{}
+func (p *Pace) UrgentInflow(service string, priorities []int, now int64) map[int]float64 {
+	urgent := map[int]float64{}
 	for _, priority := range priorities {
-		for other, work := range p.accepted {
-			if other < priority {
-				inflow[priority] += work.at(now, flowMillis)
+		for key, work := range p.accepted {
+			if key.service == service && key.priority < priority {
+				urgent[priority] += work.at(now, flowMillis)
 			}
 		}
 	}
-	return inflow
+	return urgent
 }
--- a/internal/decide/admission/replay_test.go
+++ b/internal/decide/admission/replay_test.go
@@ -76,7 +76,7 @@
 				load := NewLoad(Capacity{
 					Achievable:   pace.Achievable(""),
 					Used:         used,
-					UrgentInflow: pace.UrgentInflow([]int{0, 1, 2}, now),
+					UrgentInflow: pace.UrgentInflow("", []int{0, 1, 2}, now),
 				}, rates)
 				for _, o := range open {
 					load.Add(o.work(caps, now))
@@ -91,7 +91,7 @@
 				}
 				d := load.Decide(s)
 				if d.Accepted && !j.overRate {
-					pace.ObserveAccepted(s.Work, now)
+					pace.ObserveAccepted("", s.Work, now)
 				}
 				if !d.Accepted {
 					d = returns.Refuse(j.id, s.Work, load.Share(j.flow.team), d, now)
