--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -32,7 +32,7 @@
 	readShare = 0.5
 	// maxIdleWait is for how long accepted work may wait for the owner's link or the policy service
 	// beside idle workers.
-	maxIdleWait = 8 * time.Second
+	maxIdleWait = maxStartDelay
 	// taskBytes, stepBytes and jobBytes are about what a task, a step and a job take in a
 	// snapshot, beside the job's payload.
 	taskBytes = 160
@@ -293,8 +293,7 @@
 		MaxOpenJobs:  maxOpenJobs,
 		MaxOpenBytes: s.maxOpenBytes(),
 
-		MaxLinkMillis:   float64(maxIdleWait.Milliseconds()),
-		MaxPolicyMillis: float64(maxIdleWait.Milliseconds()),
+		MaxIdleMillis: float64(maxIdleWait.Milliseconds()),
 	}
 	l.load = admission.NewLoad(l.capacity, weights)
 	room := map[string]float64{}
--- a/internal/decide/admission/decide.go
+++ b/internal/decide/admission/decide.go
@@ -83,13 +83,18 @@
 func (l *Load) full(w Work) (Reason, float64) {
 	c := l.capacity
 	sum := total(l.within).Plus(total(l.over))
-	switch {
-	case c.MaxOpenJobs > 0 && l.openJobs >= c.MaxOpenJobs, c.MaxOpenBytes > 0 && l.openBytes+w.Bytes > c.MaxOpenBytes:
+	var ahead Amounts
+	for _, amounts := range l.ahead(w) {
+		ahead = ahead.Plus(amounts)
+	}
+	if c.MaxOpenJobs > 0 && l.openJobs >= c.MaxOpenJobs || c.MaxOpenBytes > 0 && l.openBytes+w.Bytes > c.MaxOpenBytes {
 		return OpenWork, sum.Fleet / float64(max(1, l.openJobs))
-	case c.MaxLinkMillis > 0 && sum.Link > c.MaxLinkMillis:
-		return LinkBusy, sum.Link - c.MaxLinkMillis
-	case c.MaxPolicyMillis > 0 && sum.Policy > c.MaxPolicyMillis:
-		return PolicyBusy, sum.Policy - c.MaxPolicyMillis
+	}
+	if excess := max(ahead.Link-c.MaxIdleMillis, sum.Link-2*c.MaxIdleMillis); c.MaxIdleMillis > 0 && excess > 0 {
+		return LinkBusy, excess
+	}
+	if excess := max(ahead.Policy-c.MaxIdleMillis, sum.Policy-2*c.MaxIdleMillis); c.MaxIdleMillis > 0 && excess > 0 {
+		return PolicyBusy, excess
 	}
 	return "", 0
 }
--- a/internal/decide/admission/load.go
+++ b/internal/decide/admission/load.go
@@ -55,9 +55,10 @@
 	// MaxOpenJobs and MaxOpenBytes limit the open jobs; zero means no limit.
 	MaxOpenJobs  int
 	MaxOpenBytes int64
-	// MaxLinkMillis and MaxPolicyMillis limit the work of all priorities that waits for the
-	// owner's link and for the policy service, while workers may be idle; zero means no limit.
-	MaxLinkMillis, MaxPolicyMillis float64
+	// MaxIdleMillis limits the work that waits for the owner's link, and that for the policy
+	// service, while workers may be idle: as much may go before a submission, and twice as much
+	// wait in all. Zero means no limit.
+	MaxIdleMillis float64
 }
 
 // free returns the share of the fleet on which waiting tasks can start.
