--- /dev/null
+++ b/internal/decide/admission/decide.go
@@ -0,0 +1,149 @@
+package admission
+
+// Submission is a submission that is to be decided.
+type Submission struct {
+	Work Work
+	// PathMillis is the expected run time of the job's critical path, with the answers of the
+	// policy service.
+	PathMillis float64
+	// ObjectiveMillis is the time since the job was first submitted within which it should be
+	// done, and UsefulMillis that after which its result is of no use; zero means no limit.
+	ObjectiveMillis, UsefulMillis float64
+	// ElapsedMillis is the time since the job was first submitted.
+	ElapsedMillis float64
+	// BacklogMillis is for how long such submissions have not been expected to meet their
+	// objective: see Pace.ObserveEstimate.
+	BacklogMillis float64
+}
+
+// IsLate reports whether so much time has passed since a first refusal that the job cannot meet its objective.
+func (s Submission) IsLate() bool {
+	return s.ObjectiveMillis > 0 && s.ElapsedMillis > 0 && s.ElapsedMillis+s.PathMillis > s.ObjectiveMillis
+}
+
+// shortWait is the part of the run time for which a job may wait even if it is late by then: it
+// goes with the room that the next tasks leave.
+const shortWait = 0.25
+
+// Decide decides a submission. It answers a load of more work than can be done in time: accepted
+// work is carried out to its end, so that each job which is accepted too late takes the room of
+// one that could have been in time.
+//
+//   - A job over its team's rate is accepted while the fleet has room for it beside all that waits.
+//   - A job within the rate is accepted if it is expected to meet its objective, behind the work that
+//     goes before it or in its team's share of the fleet: the work of a team beyond its share
+//     doesn't keep out those that are within theirs.
+//   - A backlog that has not lasted as long as the objective may be a burst, after which the fleet
+//     has time for what is late. Until then a job is accepted whose estimate is nearer to its
+//     objective than to the end of its use. Under a longer one, all that is accepted would be late.
+//
+// RetryMillis is the time until the job could be accepted if nothing else were.
+func (l *Load) Decide(s Submission) Decision {
+	if reason, retry := l.full(s.Work); reason != "" {
+		return Decision{}.refused(reason, retry)
+	}
+	wait, reason := l.wait(s.Work)
+	estimate := wait + s.runMillis(l.capacity)
+	d := Decision{
+		Accepted:       true,
+		EstimateMillis: int64(estimate),
+	}
+	if s.ObjectiveMillis == 0 {
+		return d
+	}
+	if s.Work.OverRate && l.isTaken(s) {
+		return d.refused(OverRate, wait)
+	}
+	limit := s.ObjectiveMillis
+	if s.BacklogMillis < s.ObjectiveMillis {
+		limit = (s.ObjectiveMillis + s.UsefulMillis) / 2
+	}
+	excess := min(estimate+s.ElapsedMillis-limit, wait-shortWait*s.PathMillis)
+	if excess <= 0 {
+		return d
+	}
+	return d.refused(reason, excess)
+}
+
+func (d Decision) refused(reason Reason, retryMillis float64) Decision {
+	d.Accepted = false
+	d.Reason = reason
+	d.RetryMillis = max(1, int64(retryMillis))
+	return d
+}
+
+// waits reports whether the job waits for others, and whether it is expected to be late for that.
+func (s Submission) waits(d Decision) (short, late bool) {
+	estimate := float64(d.EstimateMillis)
+	return estimate < (1+shortWait)*s.PathMillis, s.ObjectiveMillis > 0 && estimate > s.ObjectiveMillis
+}
+
+// full returns why the owner cannot carry out one job more, whatever its objective, and the time in
+// milliseconds until it expects to; the reason is empty if it can.
+func (l *Load) full(w Work) (Reason, float64) {
+	c := l.capacity
+	sum := total(l.within).Plus(total(l.over))
+	var ahead Amounts
+	for _, amounts := range l.ahead(w) {
+		ahead = ahead.Plus(amounts)
+	}
+	if c.MaxOpenJobs > 0 && l.openJobs >= c.MaxOpenJobs || c.MaxOpenBytes > 0 && l.openBytes+w.Bytes > c.MaxOpenBytes {
+		return OpenWork, sum.Fleet / float64(max(1, l.openJobs))
+	}
+	if excess := max(ahead.Link-c.MaxIdleMillis, sum.Link-2*c.MaxIdleMillis); c.MaxIdleMillis > 0 && excess > 0 {
+		return LinkBusy, excess
+	}
+	if excess := max(ahead.Policy-c.MaxIdleMillis, sum.Policy-2*c.MaxIdleMillis); c.MaxIdleMillis > 0 && excess > 0 {
+		return PolicyBusy, excess
+	}
+	return "", 0
+}
+
+// wait returns the time that the work would wait, and for what it would wait longest.
+func (l *Load) wait(w Work) (float64, Reason) {
+	teams := l.ahead(w)
+	var all Amounts
+	for _, amounts := range teams {
+		all = all.Plus(amounts)
+	}
+	own := teams[w.Team]
+	fleet := 0.0
+	if free := l.capacity.free(); all.Demand > free {
+		share := l.capacity.Achievable
+		fleet = drainMillis(teams, share) * (1 - free/all.Demand)
+		if !w.OverRate {
+			fleet = min(fleet, own.Fleet/(share*l.Share(w.Team)))
+		}
+		fleet += min(fleet, l.capacity.UrgentInflow[w.Priority]/share)
+	}
+	millis, reason := 0.0, FleetBusy
+	for _, queue := range []struct {
+		millis float64
+		reason Reason
+	}{
+		{millis: fleet, reason: FleetBusy},
+		{millis: own.Cap, reason: TeamCap},
+		{millis: all.Policy, reason: PolicyBusy},
+		{millis: all.Link, reason: LinkBusy},
+	} {
+		if queue.millis > millis {
+			millis, reason = queue.millis, queue.reason
+		}
+	}
+	return millis, reason
+}
+
+// isTaken reports whether there is no room for a job over its team's rate beside what waits.
+func (l *Load) isTaken(s Submission) bool {
+	return l.Demand()+s.Work.Amounts.Demand > l.capacity.free() ||
+		l.ahead(s.Work)[s.Work.Team].Cap > shortWait*s.PathMillis
+}
+
+// runMillis returns the time that the job takes once nothing is ahead of it.
+func (s Submission) runMillis(c Capacity) float64 {
+	run := max(s.PathMillis, s.Work.Amounts.Cap, s.Work.Amounts.Link)
+	if c.Achievable > 0 {
+		run = max(run, s.Work.Amounts.Fleet/c.Achievable)
+	}
+	return run
+}
--- /dev/null
+++ b/internal/decide/admission/pace.go
@@ -0,0 +1,206 @@
+package admission
+
+import "math"
+
+const (
+	// ratioMillis is the time in which what is known of run times loses most of its weight.
+	ratioMillis = 20_000
+	// priorMillis is the weight of the callers' estimates, as the run time of tasks that took as
+	// long as estimated.
+	priorMillis = 60_000
+	// riseMillis and fallMillis are the same time for the share of the fleet in use while work waits,
+	// as it rises and falls: a fleet that stood still for a while can do as much as before.
+	riseMillis = 2_000
+	fallMillis = 10_000
+	// flowMillis is the same time for what arrives.
+	flowMillis = 2_000
+	// firstAchievable is the share of the fleet that can be in use, until it is measured.
+	firstAchievable = 0.85
+)
+
+// decaying is a sum that loses its weight with time.
+type decaying struct {
+	sum     float64
+	updated int64
+}
+
+func (d decaying) at(now int64, span float64) float64 {
+	return d.sum * math.Exp(-max(0, float64(now-d.updated))/span)
+}
+
+func (d decaying) plus(amount float64, now int64, span float64) decaying {
+	return decaying{
+		sum:     d.at(now, span) + amount,
+		updated: now,
+	}
+}
+
+// spent is the time that was spent on work, and the estimated time of what was done in it.
+type spent struct {
+	held, estimated decaying
+}
+
+func (s spent) plus(held, estimated float64, now int64) spent {
+	return spent{
+		held:      s.held.plus(held, now, ratioMillis),
+		estimated: s.estimated.plus(estimated, now, ratioMillis),
+	}
+}
+
+// ratio returns the time spent as a multiple of the estimates.
+func (s spent) ratio(now int64) float64 {
+	return (s.held.at(now, ratioMillis) + priorMillis) / (s.estimated.at(now, ratioMillis) + priorMillis)
+}
+
+// usage is the share of a service's workers that is in use while work waits, and when it was last
+// measured.
+type usage struct {
+	achievable float64
+	measured   int64
+}
+
+// Pace is what an owner has learned of the speed at which work arrives and is carried out. Create
+// it with NewPace.
+type Pace struct {
+	queues  map[string]spent
+	calls   spent
+	usage   map[string]usage // by service
+	started int64
+	// accepted is the work that was accepted within the rates, in milliseconds of the service's
+	// workers.
+	accepted map[inflow]decaying
+	// backlogs holds since when submissions have not been expected to meet their objective.
+	backlogs map[inflow]int64
+}
+
+// NewPace returns the pace of an owner that has seen nothing yet.
+func NewPace(now int64) *Pace {
+	return &Pace{
+		queues:   map[string]spent{},
+		usage:    map[string]usage{},
+		started:  now,
+		accepted: map[inflow]decaying{},
+		backlogs: map[inflow]int64{},
+	}
+}
+
+// ObserveAttempt notes that an attempt of a task of the queue held its worker for heldMillis. The
+// estimate is the task's if the attempt completed, and otherwise zero.
+func (p *Pace) ObserveAttempt(queue string, heldMillis, estimateMillis float64, now int64) {
+	p.queues[queue] = p.queues[queue].plus(heldMillis, estimateMillis, now)
+}
+
+// ObserveCall notes that a call to the policy service has taken heldMillis. The estimate is the time
+// that the agreement states for it if it was the first answer about a step, and otherwise zero.
+func (p *Pace) ObserveCall(heldMillis, estimateMillis float64, now int64) {
+	p.calls = p.calls.plus(heldMillis, estimateMillis, now)
+}
+
+// CallRatio returns the time of the calls about a step, also of those that failed or renewed its
+// tickets, as a multiple of what the agreement states for one.
+func (p *Pace) CallRatio(now int64) float64 {
+	return p.calls.ratio(now)
+}
+
+// Ratio returns the time for which tasks of the queue hold workers until they are done, also in
+// attempts that did not complete, as a multiple of their callers' estimates.
+func (p *Pace) Ratio(queue string, now int64) float64 {
+	return p.queues[queue].ratio(now)
+}
+
+// ObserveUsage notes the share of the service's workers in use while tasks wait that need room.
+func (p *Pace) ObserveUsage(service string, share float64, now int64) {
+	u := p.usageOf(service, now)
+	span := float64(fallMillis)
+	if share > u.achievable {
+		span = riseMillis
+	}
+	weight := 1 - math.Exp(-float64(now-u.measured)/span)
+	p.usage[service] = usage{
+		achievable: u.achievable + weight*(share-u.achievable),
+		measured:   now,
+	}
+}
+
+// SkipUsage notes that no task waits for room, so that the share in use tells nothing.
+func (p *Pace) SkipUsage(service string, now int64) {
+	u := p.usageOf(service, now)
+	u.measured = now
+	p.usage[service] = u
+}
+
+func (p *Pace) usageOf(service string, now int64) usage {
+	u, ok := p.usage[service]
+	if !ok {
+		return usage{
+			achievable: firstAchievable,
+			measured:   now,
+		}
+	}
+	return u
+}
+
+// Achievable returns the share of the service's workers that is in use while work waits.
+func (p *Pace) Achievable(service string) float64 {
+	return p.usageOf(service, p.started).achievable
+}
+
+// inflow is the work that arrives for a service with a priority.
+type inflow struct {
+	service  string
+	priority int
+}
+
+// ObserveAccepted notes work of the service that was accepted within its team's rate.
+func (p *Pace) ObserveAccepted(service string, w Work, now int64) {
+	key := inflow{
+		service:  service,
+		priority: w.Priority,
+	}
+	p.accepted[key] = p.accepted[key].plus(w.Amounts.Fleet, now, flowMillis)
+}
+
+// UrgentInflow returns the work that is expected to arrive and go before waiting work of a
+// priority, by that priority: as much as was accepted lately. Bursts are short, so that no more is
+// expected of what arrives now.
+func (p *Pace) UrgentInflow(service string, priorities []int, now int64) map[int]float64 {
+	urgent := map[int]float64{}
+	for _, priority := range priorities {
+		for key, work := range p.accepted {
+			if key.service == service && key.priority < priority {
+				urgent[priority] += work.at(now, flowMillis)
+			}
+		}
+	}
+	return urgent
+}
+
+// ObserveEstimate notes the estimate of a submission for the service. A backlog begins with one that
+// is expected to be late and ends with one that would hardly wait.
+func (p *Pace) ObserveEstimate(service string, s Submission, d Decision, now int64) {
+	key := inflow{
+		service:  service,
+		priority: s.Work.Priority,
+	}
+	short, late := s.waits(d)
+	_, known := p.backlogs[key]
+	switch {
+	case short:
+		delete(p.backlogs, key)
+	case late && !known:
+		p.backlogs[key] = now
+	}
+}
+
+// BacklogMillis returns for how long submissions of the priority have not been expected to meet
+// their objective.
+func (p *Pace) BacklogMillis(service string, priority int, now int64) float64 {
+	since, ok := p.backlogs[inflow{
+		service:  service,
+		priority: priority,
+	}]
+	if !ok {
+		return 0
+	}
+	return float64(now - since)
+}
