--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -387,9 +387,9 @@
 	s.gate.pace.ObserveAttempt(j.Queue, float64(now-p.OrderedMillis), estimate, now)
 }
 
-// observeCall notes a call to the policy service that took the given multiple of the expected time,
-// which includes that of calls before it through the same node. The caller holds s.mu.
-func (s *Shard) observeCall(q job.PolicyQuery, slowdown float64, ok bool) {
+// observeCall notes a call to the policy service that took the given time, for which its node made no
+// other. The caller holds s.mu.
+func (s *Shard) observeCall(q job.PolicyQuery, took time.Duration, ok bool) {
 	if s.gate.pace == nil {
 		return
 	}
@@ -398,7 +398,7 @@
 	if ok && q.Step.AwaitsPolicy(queue) {
 		estimate = callMillis(queue)
 	}
-	s.gate.pace.ObserveCall(q.ExpectedMillis*slowdown, estimate, s.now())
+	s.gate.pace.ObserveCall(float64(took.Milliseconds()), estimate, s.now())
 }
 
 // observeEnd compares the end of a job with its estimate. The caller holds s.mu.
--- a/internal/cluster/shard/policy.go
+++ b/internal/cluster/shard/policy.go
@@ -66,6 +66,7 @@
 	for n, w := range q.Workers {
 		ids[n] = w.ID
 	}
+	sent := time.Now()
 	tickets, err := a.Ask(ctx, q.Step.Job.ID, q.Step.Number, ids)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -86,7 +87,7 @@
 	if err != nil && s.term.Context().Err() == nil {
 		s.log.Warn("adviceFailed", "job", q.Step.Job.ID, "step", q.Step.Number, "node", a.Node, "error", err)
 	}
-	s.observeCall(q, time.Since(start).Seconds()*1000/millis, err == nil)
+	s.observeCall(q, time.Since(sent), err == nil)
 	q.HandleAnswer(s.ticketsByWorker(q, tickets), err == nil)
 	s.requestPass()
 }
--- a/internal/decide/admission/load.go
+++ b/internal/decide/admission/load.go
@@ -37,7 +37,7 @@
 	// jobs within the rates.
 	OverRate bool
 	// Late is set if the job can no longer meet its objective. It waits behind the others of its
-	// priority and of the next.
+	// priority.
 	Late    bool
 	Amounts Amounts
 	// Bytes is the size of the whole job in the owner's state.
@@ -79,7 +79,7 @@
 func (q queued) before(priority int) Amounts {
 	var sum Amounts
 	for r, amounts := range q {
-		if !r.late && r.priority <= priority || r.priority+1 < priority {
+		if r.priority < priority || r.priority == priority && !r.late {
 			sum = sum.Plus(amounts)
 		}
 	}
