--- a/internal/cluster/worker/worker.go
+++ b/internal/cluster/worker/worker.go
@@ -142,6 +142,10 @@
 	Checkpoint string
 	// Percent is the attempt's progress in percent.
 	Percent float64
+	// Load is a rough figure for the last half second: the tail of the response times in
+	// milliseconds if the task's step has a target for it, otherwise the processors in use in
+	// thousandths of a core. Zero means that the worker has not reported it.
+	Load float64
 }
 
 // Ended is an attempt that ended.
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -104,6 +104,11 @@
 	// MaxPerWorker is the maximum number of the step's tasks on one worker; zero means
 	// no limit.
 	MaxPerWorker int `cbor:"11,keyasint,omitempty"`
+	// Image, if set, names what the tasks run. Tasks of one image behave alike.
+	Image string `cbor:"12,keyasint,omitempty"`
+	// TailMillis is the target for the tail of the response times of tasks that serve; zero if
+	// there is none.
+	TailMillis int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Submission is a job as submitted by its caller.
