--- a/internal/decide/interference/fit.go
+++ b/internal/decide/interference/fit.go
@@ -19,11 +19,14 @@
 	// priorDeviation is the standard deviation of a slope before any observation: a neighbour with
 	// the whole worker is expected to change the speed by a factor of up to about e².
 	priorDeviation = 2
-	// A pair is known if the slope is sureDeviations standard errors from zero, and a typical
-	// neighbour slows the kind by minSlowdown at least even if the slope is off by
-	// boundDeviations. There can be maxKinds² pairs, of which chance should single out none.
+	// A pair becomes known once the slope has been sureDeviations standard errors from zero in
+	// sureFits fits, and a typical neighbour has slowed the kind by minSlowdown at least even if the
+	// slope was off by boundDeviations. It stays known while the slope is keptDeviations standard
+	// errors from zero. There can be maxKinds² pairs, of which chance should single out none.
 	sureDeviations  = 4
+	sureFits        = 5
 	boundDeviations = 2
+	keptDeviations  = 3
 	minSlowdown     = 0.05
 )
 
@@ -41,6 +44,9 @@
 	// deviation of the residuals (zero before the first fit).
 	slope, deviation [maxKinds]float64
 	noise            float64
+	// sure is, by neighbour, the number of fits in a row that were sure of a slowdown, up to
+	// sureFits.
+	sure [maxKinds]int
 	// Decaying averages over the attempts: the share of a worker that one has, the share of the
 	// serving ones that are within their target, and the log speed alone relative to the estimate.
 	share, within, alone average
@@ -154,7 +160,7 @@
 	for k := range s.gram {
 		s.gram[slot][k], s.gram[k][slot] = 0, 0
 	}
-	s.moment[slot], s.slope[slot], s.deviation[slot] = 0, 0, 0
+	s.moment[slot], s.slope[slot], s.deviation[slot], s.sure[slot] = 0, 0, 0, 0
 }
 
 // Fit brings the estimates up to date, at most every half second. The parameter now is a Unix
@@ -181,10 +187,27 @@
 	}
 	for n := range m.kinds {
 		m.kinds[n].fit()
+		m.updateSure(n)
 		m.kinds[n].decay(math.Exp(-float64(elapsed) / decayMillis))
 	}
 }
 
+// updateSure updates which of its neighbours the kind is known to be slowed down by.
+func (m *Model) updateSure(slowed int) {
+	s := &m.kinds[slowed]
+	for k := range m.kinds {
+		slope, deviation := s.slope[k], s.deviation[k]
+		bound := loss(slope+boundDeviations*deviation, m.kinds[k].share.mean())
+		switch {
+		case s.sure[k] == sureFits && deviation > 0 && -slope >= keptDeviations*deviation:
+		case deviation > 0 && -slope >= sureDeviations*deviation && bound >= minSlowdown:
+			s.sure[k] = min(sureFits, s.sure[k]+1)
+		default:
+			s.sure[k] = 0
+		}
+	}
+}
+
 // fit solves the ridge regression for the slopes.
 func (s *kindState) fit() {
 	s.slope, s.deviation = [maxKinds]float64{}, [maxKinds]float64{}
@@ -300,10 +323,7 @@
 
 // known reports whether tasks in slot beside are known to slow down those in slot slowed.
 func (m *Model) known(slowed, beside int) bool {
-	s := &m.kinds[slowed]
-	slope, deviation := s.slope[beside], s.deviation[beside]
-	return deviation > 0 && -slope >= sureDeviations*deviation &&
-		loss(slope+boundDeviations*deviation, m.kinds[beside].share.mean()) >= minSlowdown
+	return m.kinds[slowed].sure[beside] == sureFits
 }
 
 // loss returns the part of its speed that a task loses beside neighbours with the share of the
