--- a/internal/cluster/node/elect.go
+++ b/internal/cluster/node/elect.go
@@ -311,6 +311,7 @@
 		ReadAgreement:     n.readAgreement,
 		ChangeInForce:     n.options.ChangeInForce,
 		EvacuationInForce: n.options.EvacuationInForce,
+		Interference:      n.options.Interference,
 		NewWorkerClient:   n.newWorkerClient,
 		Link:              n.options.Link,
 		Advisors:          n.advisors,
--- a/internal/cluster/node/node.go
+++ b/internal/cluster/node/node.go
@@ -63,6 +63,8 @@
 	// may start in an evacuated failure domain, are zero if there are no evacuations.
 	EvacuationSource  EvacuationSource
 	EvacuationInForce time.Duration
+	// Interference enables keeping tasks apart that slow each other down.
+	Interference bool
 	// NewWorkerClient returns a client of the worker that opens at most the given number of
 	// connections, and the function that closes it.
 	NewWorkerClient func(r worker.Registration, connections int) (worker.Client, func())
--- a/internal/cluster/settings/settings.go
+++ b/internal/cluster/settings/settings.go
@@ -80,6 +80,14 @@
 	// GraceSeconds is the time from the request to stop the process until it is
 	// killed; zero means 6.
 	GraceSeconds float64 `yaml:"graceSeconds"`
+	// Interference says whether tasks are kept apart that slow each other down on one worker.
+	Interference Interference `yaml:"interference"`
+}
+
+// Interference is how the owner treats tasks that slow each other down on one worker.
+type Interference struct {
+	// Enabled lets the owner learn which kinds of tasks do and prefer to place them apart.
+	Enabled bool `yaml:"enabled"`
 }
 
 // Read returns the validated settings of the file. The error is that of reading the file
--- a/internal/cluster/settings/settings_test.go
+++ b/internal/cluster/settings/settings_test.go
@@ -72,3 +72,24 @@
 		}
 	}
 }
+
+// TestInterferenceIsOff checks that interference is off by default, and that a misspelt key of its
+// block is an error.
+func TestInterferenceIsOff(t *testing.T) {
+	for name, c := range map[string]struct {
+		text    string
+		want    bool
+		invalid bool
+	}{
+		"missing":  {},
+		"empty":    {text: "interference: {}\n"},
+		"enabled":  {text: "interference:\n  enabled: true\n", want: true},
+		"misspelt": {text: "interference:\n  enable: true\n", invalid: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, err := Parse([]byte(validText + c.text))
+			assert.Equal(t, err != nil, c.invalid)
+			assert.Equal(t, s.Interference.Enabled, c.want)
+		})
+	}
+}
--- a/internal/cluster/shard/report.go
+++ b/internal/cluster/shard/report.go
@@ -58,6 +58,7 @@
 	}
 	records, ended := s.recordEnded(l, report.Ended)
 	records = s.reconcile(records, l, report, ended, sent, first)
+	s.observeInterference(l, report)
 	if first {
 		s.requestPass()
 	}
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -81,7 +81,9 @@
 	WorkerLease time.Duration
 	// MaxWorkerLease is the longest worker lease that workers grant.
 	MaxWorkerLease time.Duration
-	Log            *slog.Logger
+	// Interference enables keeping tasks apart that slow each other down.
+	Interference bool
+	Log          *slog.Logger
 }
 
 // Shard manages one shard during a term of ownership. Create it with Open.
@@ -135,6 +137,8 @@
 	crashes   job.CrashLog
 	advisors  *advisor.Schedule // the calls to the policy service in flight
 	slowCalls int               // slow calls to the policy service in flight
+	// interference is nil unless it is enabled.
+	interference *interferenceState
 }
 
 // Open recovers the shard from its journal. It fails if the journal cannot be read or
@@ -154,6 +158,7 @@
 		links:        map[string]*link{},
 		earlier:      map[string][]job.WorkerKey{},
 		advisors:     advisor.NewSchedule(),
+		interference: newInterferenceState(options.Interference),
 	}
 	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
@@ -337,9 +342,11 @@
 		s.reviewEvacuations(workers)
 	}
 	planner := job.NewPlanner(s.state, s.agreement.Rules, workers, now).WithCommitMillis(s.journal.CommitLatency().Milliseconds())
+	planner = s.preferApart(planner, now)
 	if s.mayPlace() {
 		if records := s.plan(planner, now); len(records) > 0 {
 			s.logPlacements(records, now)
+			s.countApart(records)
 			placements := s.placementsOf(records)
 			s.appendToJournal(records, func() {
 				s.sendStarts(placements)
--- a/internal/decide/interference/model.go
+++ b/internal/decide/interference/model.go
@@ -1,6 +1,7 @@
 package interference
 
 import (
+	"fmt"
 	"math"
 
 	"github.com/citronbay/citronbay/internal/decide/job"
@@ -36,6 +37,14 @@
 	Image string
 }
 
+// String returns the image, or queue and step.
+func (k Kind) String() string {
+	if k.Image != "" {
+		return k.Image
+	}
+	return fmt.Sprintf("%s.%d", k.Queue, k.Step)
+}
+
 // KindOf returns the kind of the step's tasks.
 func KindOf(step *job.Step) Kind {
 	if step.Spec.Image != "" {
