--- a/internal/cluster/node/peers.go
+++ b/internal/cluster/node/peers.go
@@ -125,6 +125,7 @@
 	server := peer.NewServer()
 	peer.Handle(server, methodServe, n.serveAsOwner)
 	server.Limit(n.options.PeerLimits, methodServe)
+	peer.Handle(server, methodPreview, n.previewAsOwner)
 	peer.Handle(server, methodHello, n.handleHello)
 	peer.Handle(server, methodAdvise, func(ctx context.Context, r adviseRequest) (adviseResponse, error) {
 		tickets, err := n.options.Advisor.Advise(ctx, r.Job, r.Step, r.Workers)
--- /dev/null
+++ b/internal/cluster/shard/preview_test.go
@@ -0,0 +1,87 @@
+package shard
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronbay/citronbay/internal/cluster/caller"
+	"github.com/citronbay/citronbay/internal/cluster/worker"
+	"github.com/citronbay/citronbay/internal/decide/job"
+)
+
+// TestPreviewChangesNothing previews submissions at an owner with and without a job that waits. The
+// state, the team's rate and the store stay as they were, and the policy service is not asked; errors
+// name what is wrong.
+func TestPreviewChangesNothing(t *testing.T) {
+	valid := &job.Submission{Steps: []job.StepSpec{{Count: 2}}}
+	for name, c := range map[string]struct {
+		request PreviewRequest
+		want    caller.Status
+		known   bool
+	}{
+		"new job":      {request: PreviewRequest{Path: queuePath, Team: "team", Submission: valid}, want: caller.OK},
+		"without team": {request: PreviewRequest{Path: queuePath, Submission: valid}, want: caller.OK},
+		"known job":    {request: PreviewRequest{Path: queuePath + acceptedID, Submission: valid}, want: caller.OK, known: true},
+		"no route":     {request: PreviewRequest{Path: "/other/", Submission: valid}, want: caller.NoQueue},
+		"no team":      {request: PreviewRequest{Path: queuePath, Team: "other", Submission: valid}, want: caller.BadKey},
+		"no steps":     {request: PreviewRequest{Path: queuePath, Submission: &job.Submission{}}, want: caller.Invalid},
+	} {
+		t.Run(name, func(t *testing.T) {
+			agreement := testAgreement(1, queueHost, validKey)
+			agreement.Rules = job.Rules{
+				Queues: map[string]job.Queue{"queue": {Name: "queue", Policy: &job.Policy{}}},
+				Teams:  map[string]job.Team{"team": {Name: "team", JobsPerSecond: 1}},
+			}
+			memory := newMemoryStore()
+			asked := 0
+			s, release := runOwner(t, memory, agreement, func(o *Options) {
+				o.Advisors = func() []AdvisorNode {
+					return []AdvisorNode{{
+						Node: "a",
+						Ask: func(context.Context, string, int, []string) ([]worker.Ticket, error) {
+							asked++
+							return nil, nil
+						},
+					}}
+				}
+			})
+			defer release()
+			assert.Equal(t, s.Serve(t.Context(), submission(acceptedID, validKey, 1)).Status, caller.OK)
+			revision, before := memory.revision, dumpShard(s)
+			c.request.Host = queueHost
+			for range 10 { // more than the team's rate permits
+				response := s.Preview(c.request)
+				assert.Equal(t, response.Status, c.want)
+				assert.Equal(t, response.Reason == "", c.want == caller.OK)
+				if c.want != caller.OK {
+					continue
+				}
+				assert.Equal(t, response.Preview.Accepted, true)
+				assert.Equal(t, response.Preview.KnownJob, c.known)
+				assert.Equal(t, response.Preview.Steps[0].WaitCause, string(job.WaitPolicy))
+			}
+			assert.Equal(t, dumpShard(s), before)
+			assert.Equal(t, memory.revision, revision)
+			assert.Equal(t, asked, 0)
+		})
+	}
+}
+
+// dumpShard returns the jobs, their steps and the tokens of the teams.
+func dumpShard(s *Shard) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text := fmt.Sprintf("%+v\n%v\n%v", *s.state, s.busyAdvisors, len(s.links))
+	for _, j := range s.state.OpenJobs() {
+		for _, step := range j.Steps {
+			text += fmt.Sprintf("\n%+v", *step)
+		}
+	}
+	for team, b := range s.buckets {
+		text += fmt.Sprintf("\n%s %+v", team, *b)
+	}
+	return text
+}
--- a/internal/command/operator/job.go
+++ b/internal/command/operator/job.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -132,10 +134,20 @@
 }
 
 func registerExplain(ctx context.Context, app *kingpin.Application, out io.Writer) {
-	command := app.Command("explain", "Show why a job waits, or where its tasks were placed; needs an operator's key.")
+	command := app.Command("explain", "Show why a job waits, or where its tasks were placed; needs an operator's key. With --route, show where a request would go now, and why, without sending it.")
 	s := newSession(ctx, out, command)
-	id := command.Arg("job", "Id of the job.").Required().String()
+	id := command.Arg("job", "Id of the job.").String()
+	request := previewRequest{}
+	command.Flag("route", "Host and path of a request that is not sent, such as jobs.example/queue/. --address is then the metrics address of any node on the platform.").StringVar(&request.route)
+	command.Flag("team", "Name of the request's team.").StringVar(&request.team)
+	command.Flag("body", "File with the request's body; - is standard input.").Default("-").StringVar(&request.file)
 	command.Action(func(*kingpin.ParseContext) error {
+		if (*id == "") == (request.route == "") {
+			return errors.New("explain needs either a job's id or --route")
+		}
+		if request.route != "" {
+			return explainRequest(s, request, os.Stdin)
+		}
 		_, err := call(s, http.MethodGet, operatorPath+"/jobs/"+*id+"/explanation", nil, func(e caller.Explanation) [][]string {
 			rows := [][]string{{"JOB", e.JobID}, {"WAITS", e.WaitReason}}
 			for _, placement := range e.Placements {
--- a/internal/command/operator/output.go
+++ b/internal/command/operator/output.go
@@ -30,6 +30,12 @@
 	// ExitNoResponse means that no complete response came from the entry; the call
 	// may have taken effect.
 	ExitNoResponse = 5
+	// ExitInvalidBody means that the body of a request to be explained is not valid.
+	ExitInvalidBody = 6
+	// ExitNoRoute means that the agreement in force has no such route or team.
+	ExitNoRoute = 7
+	// ExitNoOwner means that the asked node neither owns the shard nor reaches its owner.
+	ExitNoOwner = 8
 )
 
 // fateError reports that work did not run, failed or has an unknown outcome.
@@ -47,9 +53,12 @@
 func ExitCode(err error) int {
 	var fate *fateError
 	var status *caller.StatusError
+	var preview *previewError
 	switch {
 	case err == nil:
 		return 0
+	case errors.As(err, &preview):
+		return preview.exitCode
 	case errors.As(err, &fate) && fate.fate == caller.FateNotRun,
 		errors.As(err, &status) && status.Problem.Fate == caller.FateNotRun:
 		return ExitNotRun
--- a/internal/decide/job/planner_bench_test.go
+++ b/internal/decide/job/planner_bench_test.go
@@ -188,3 +188,33 @@
 		})
 	}
 }
+
+// BenchmarkPreview measures the preview of a job while the fleet is full.
+func BenchmarkPreview(b *testing.B) {
+	for _, count := range []int{50, 350, 2700} {
+		b.Run(fmt.Sprintf("workers%d", count), func(b *testing.B) {
+			state, rules, workers := job.NewState(), newRules(20), newWorkers(count)
+			spec := job.StepSpec{
+				Count:          8,
+				Needs:          cores(6),
+				EstimateMillis: 2700,
+			}
+			for n := range count*10/8 + 100 {
+				acceptJob(b, state, fmt.Sprintf("%016x", n), fmt.Sprintf("team%d", n%20), "plain", int64(n), spec)
+			}
+			job.NewPlanner(state, rules, workers, 1).Plan(1)
+			trial := job.Trial{
+				Team:       "team1",
+				Queue:      "plain",
+				Submission: &job.Submission{Steps: []job.StepSpec{spec}},
+			}
+			b.ResetTimer()
+			for range b.N {
+				_, err := job.Preview(state, rules, workers, trial, 1, unchanged)
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
