--- a/internal/cluster/shard/interference.go
+++ b/internal/cluster/shard/interference.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -116,18 +117,22 @@
 	metrics.GetOrCreateGauge("citronbay_interference_slowdown", nil).Set(most)
 	attributes := []any{
 		slog.Int("kinds", kinds), slog.Int("attempts", attempts), slog.Int("pairs", len(pairs)),
-		slog.Int("apart", i.apart), slog.Int("together", i.together),
+		slog.String("bound", decimals(i.model.Bound())), slog.Int("apart", i.apart), slog.Int("together", i.together),
 	}
 	for n, p := range pairs[:min(len(pairs), maxLoggedPairs)] {
 		attributes = append(attributes, slog.Group(fmt.Sprintf("pair%d", n),
-			"slowed", p.Slowed, "beside", p.Beside, "slowdown", p.Slowdown, "sureness", p.Sureness))
+			"slowed", p.Slowed, "beside", p.Beside, "slowdown", decimals(p.Slowdown), "sureness", decimals(p.Sureness)))
 	}
 	for n, speed := range i.model.Speeds() {
 		if n < maxLoggedPairs {
 			attributes = append(attributes, slog.Group(fmt.Sprintf("kind%d", n),
-				"name", speed.Kind, "speedAlone", speed.Speed, "noise", speed.Noise))
+				"name", speed.Kind, "speedAlone", decimals(speed.Speed), "noise", decimals(speed.Noise)))
 		}
 	}
 	s.log.Info("interference", attributes...)
 	i.apart, i.together = 0, 0
 }
+
+func decimals(x float64) string {
+	return strconv.FormatFloat(x, 'f', 3, 64)
+}
--- a/internal/decide/interference/fit.go
+++ b/internal/decide/interference/fit.go
@@ -332,6 +332,21 @@
 	return clamp(1-math.Exp(slope*share), 0, 1)
 }
 
+// Bound returns the largest slowdown beside a typical neighbour that the observations of any pair do
+// not rule out, with boundDeviations standard errors, or zero if no pair has been observed.
+func (m *Model) Bound() float64 {
+	bound := 0.0
+	for n := range m.kinds {
+		s := &m.kinds[n]
+		for k := range m.kinds {
+			if s.deviation[k] > 0 {
+				bound = max(bound, loss(s.slope[k]-boundDeviations*s.deviation[k], m.kinds[k].share.mean()))
+			}
+		}
+	}
+	return bound
+}
+
 // Alone is the speed of a kind without the neighbours that slow it down.
 type Alone struct {
 	Kind Kind
