--- a/internal/decide/interference/model.go
+++ b/internal/decide/interference/model.go
@@ -11,8 +11,10 @@
 	// maxKinds bounds the kinds, and with them the pairs and the memory: a kind's regression has
 	// maxKinds² numbers.
 	maxKinds = 24
-	// maxTracked bounds the attempts that are observed at once.
-	maxTracked = 4096
+	// maxWorkers and maxAttempts bound the workers that are observed and the attempts on one. A worker
+	// is observed with all its attempts or not at all: each may be what slows down the others.
+	maxWorkers  = 512
+	maxAttempts = 32
 	// decayMillis is the time after which an observation has 1/e of its weight. Neighbours' effects
 	// change within seconds.
 	decayMillis = 8000
@@ -83,7 +85,7 @@
 	number  int
 	kind    int
 	share   float64 // of the worker's processors
-	percent float64 // at the start of the present interval; negative before the first one
+	percent float64 // at the start of the present interval; negative while there is no progress to measure
 
 	// Of the present interval, the elapsed time, and the integral of the exposure over it.
 	elapsed float64
@@ -158,11 +160,14 @@
 // time between reports, since reports are delayed on their way, and now is the owner's clock; both
 // are in milliseconds. The parameter cores is the worker's capacity in thousandths of a core.
 func (m *Model) Observe(key job.WorkerKey, cores int64, attempts []Attempt, clockMillis, now int64) {
-	if cores <= 0 {
-		return
-	}
 	w := m.workers[key]
-	if w == nil {
+	switch {
+	case cores <= 0 || len(attempts) > maxAttempts:
+		m.forgetWorker(key)
+		return
+	case w == nil && len(m.workers) >= maxWorkers:
+		return
+	case w == nil:
 		w = &observedWorker{}
 		m.workers[key] = w
 	}
@@ -191,7 +196,7 @@
 		m.kinds[kind].observeCores(float64(a.Cores)/float64(cores), a)
 		t := findTrack(earlier, a)
 		if t == nil {
-			m.startTrack(w, kind, a, cores)
+			w.tracks = append(w.tracks, newTrack(kind, a, cores))
 			if contiguous {
 				present[kind] += float32(float64(a.Cores) / float64(cores) * clamp(float64(now-a.StartedMillis)/float64(elapsed), 0, 1))
 			}
@@ -244,19 +249,15 @@
 	return nil
 }
 
-func (m *Model) startTrack(w *observedWorker, kind int, a Attempt, cores int64) {
-	if m.tracked+len(w.tracks) >= maxTracked {
-		return
-	}
+func newTrack(kind int, a Attempt, cores int64) *track {
 	t := &track{
-		task:    a.Task,
-		number:  a.Number,
-		kind:    kind,
-		share:   float64(a.Cores) / float64(cores),
-		percent: -1,
+		task:   a.Task,
+		number: a.Number,
+		kind:   kind,
+		share:  float64(a.Cores) / float64(cores),
 	}
 	t.restart(a)
-	w.tracks = append(w.tracks, t)
+	return t
 }
 
 // restart begins an interval of observation. Progress counts once there is some: before, the
@@ -359,12 +360,18 @@
 func (m *Model) forgetSilent(now int64) {
 	for key, w := range m.workers {
 		if now-w.seenMillis > silenceMillis {
-			m.tracked -= len(w.tracks)
-			delete(m.workers, key)
+			m.forgetWorker(key)
 		}
 	}
 }
 
+func (m *Model) forgetWorker(key job.WorkerKey) {
+	if w := m.workers[key]; w != nil {
+		m.tracked -= len(w.tracks)
+		delete(m.workers, key)
+	}
+}
+
 func clamp(x, low, high float64) float64 {
 	return max(low, min(high, x))
 }
--- a/internal/decide/interference/model_test.go
+++ b/internal/decide/interference/model_test.go
@@ -265,8 +265,15 @@
 	})
 	assert.Equal(t, len(f.found()), 1)
 	f.assertNoOthers(t)
+	for n := range 2000 {
+		f.model.Observe(job.WorkerKey{ID: fmt.Sprint("new", n)}, workerCores, []interference.Attempt{{
+			Task: job.TaskKey{Job: "new"},
+			Kind: interference.Kind{Queue: "batch"},
+		}}, f.now, f.now)
+	}
+	f.model.Observe(job.WorkerKey{ID: "0"}, workerCores, make([]interference.Attempt, 1000), f.now, f.now)
 	kinds, attempts := f.model.Size()
-	assert.Assert(t, kinds <= 24 && attempts <= 4096, "%d kinds, %d attempts", kinds, attempts)
+	assert.Assert(t, kinds <= 24 && attempts <= 1024, "%d kinds, %d attempts", kinds, attempts)
 	f.now += 10_000
 	f.model.Fit(f.now)
 	_, attempts = f.model.Size()
--- a/internal/decide/interference/preference.go
+++ b/internal/decide/interference/preference.go
@@ -18,9 +18,9 @@
 type Preference struct {
 	model *Model
 	state *job.State
-	// losses[n][k] is the cost factor of a known pair: tasks of kind n, slowed, beside kind k.
-	losses  [maxKinds][maxKinds]float64
-	weights [maxKinds]float64 // of a task of the kind
+	// slopes[n][k] is the effect of kind k on kind n in a known pair, and zero in others.
+	slopes  [maxKinds][maxKinds]float64
+	weights [maxKinds]float64 // of what tasks of the kind lose
 	// involved is set for the kinds in known pairs.
 	involved  [maxKinds]bool
 	occupants map[*job.Worker]*occupancy
@@ -50,7 +50,7 @@
 		p.weights[n] = 1 + (servingWeight-1)*s.within.mean()
 		for k := range m.kinds {
 			if m.known(n, k) {
-				p.losses[n][k] = s.slope[k]
+				p.slopes[n][k] = s.slope[k]
 				p.involved[n], p.involved[k] = true, true
 				found = true
 			}
@@ -126,8 +126,8 @@
 		if cores == 0 {
 			continue
 		}
-		beside += p.losses[slot][k] * float64(cores) / float64(capacity)
-		taken += p.weights[k] * float64(cores) * loss(p.losses[k][slot], own)
+		beside += p.slopes[slot][k] * float64(cores) / float64(capacity)
+		taken += p.weights[k] * float64(cores) * loss(p.slopes[k][slot], own)
 	}
 	taken += p.weights[slot] * float64(needs) * loss(beside, 1)
 	return min(maxCost, int64(costFactor*taken))
