--- a/internal/cluster/shard/interference.go
+++ b/internal/cluster/shard/interference.go
@@ -109,6 +109,7 @@
 	i.loggedMillis = now
 	pairs := i.model.Pairs()
 	kinds, attempts := i.model.Size()
+	ruledOut, undecided := i.model.Undecided()
 	most := 0.0
 	if len(pairs) > 0 {
 		most = pairs[0].Slowdown
@@ -117,7 +118,7 @@
 	metrics.GetOrCreateGauge("citronbay_interference_slowdown", nil).Set(most)
 	attributes := []any{
 		slog.Int("kinds", kinds), slog.Int("attempts", attempts), slog.Int("pairs", len(pairs)),
-		slog.String("bound", decimals(i.model.Bound())), slog.Int("apart", i.apart), slog.Int("together", i.together),
+		slog.Int("ruledOut", ruledOut), slog.Int("undecided", undecided), slog.Int("apart", i.apart), slog.Int("together", i.together),
 	}
 	for n, p := range pairs[:min(len(pairs), maxLoggedPairs)] {
 		attributes = append(attributes, slog.Group(fmt.Sprintf("pair%d", n),
--- a/internal/decide/interference/fit.go
+++ b/internal/decide/interference/fit.go
@@ -332,19 +332,23 @@
 	return clamp(1-math.Exp(slope*share), 0, 1)
 }
 
-// Bound returns the largest slowdown beside a typical neighbour that the observations of any pair do
-// not rule out, with boundDeviations standard errors, or zero if no pair has been observed.
-func (m *Model) Bound() float64 {
-	bound := 0.0
+// Undecided returns for how many of the observed pairs the observations rule out, by boundDeviations
+// standard errors, that a typical neighbour slows the kind by minSlowdown, and how many others are
+// not known to.
+func (m *Model) Undecided() (ruledOut, undecided int) {
 	for n := range m.kinds {
 		s := &m.kinds[n]
 		for k := range m.kinds {
-			if s.deviation[k] > 0 {
-				bound = max(bound, loss(s.slope[k]-boundDeviations*s.deviation[k], m.kinds[k].share.mean()))
+			switch {
+			case s.deviation[k] == 0 || m.known(n, k):
+			case loss(s.slope[k]-boundDeviations*s.deviation[k], m.kinds[k].share.mean()) < minSlowdown:
+				ruledOut++
+			default:
+				undecided++
 			}
 		}
 	}
-	return bound
+	return ruledOut, undecided
 }
 
 // Alone is the speed of a kind without the neighbours that slow it down.
--- a/internal/decide/interference/model_test.go
+++ b/internal/decide/interference/model_test.go
@@ -228,6 +228,8 @@
 				})
 				found := f.found()
 				assert.Equal(t, len(found), len(f.slope), "seed %d: %v", seed, found)
+				ruledOut, undecided := f.model.Undecided()
+				assert.Assert(t, len(found)+ruledOut+undecided <= len(kinds)*len(kinds))
 				for p, slope := range f.slope {
 					want := 1 - math.Exp(slope*float64(kinds[p.beside].cores)/workerCores)
 					assert.Assert(t, math.Abs(found[p]-want) < 0.4*want, "seed %d: %v: %.3f, want %.3f", seed, p, found[p], want)
