Explain: the copy leaves out what calls to the policy service hold; the comparison plans steps ahead of the trial

After the merge of placement the copied tickets listed the original workers. The differential test now ends attempts before it previews, so that steps ahead are placed; it fails without the change.

--- a/internal/decide/job/candidates_test.go
+++ b/internal/decide/job/candidates_test.go
@@ -45,6 +45,9 @@
 	for seed := range uint64(150) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		state, rules, workers := job.NewState(), newRules(3), newWorkers(24)
+		advised := rules.Queues["advised"]
+		advised.Priority = rules.Queues["plain"].Priority
+		rules.Queues["advised"] = advised
 		randomStep := func() job.StepSpec {
 			return job.StepSpec{
 				Count:          1 + random.IntN(20),
@@ -65,6 +68,23 @@
 			answerQueries(p, now, 2)
 		}
 		workers[random.IntN(len(workers))].Usable = false
+		p := job.NewPlanner(state, rules, workers, now)
+		p.Plan(now)
+		p.PolicyQueries(now, limitCalls(1, 1)) // in flight
+		for _, w := range workers {
+			for key, placement := range state.Placements(w.Key()) {
+				if random.IntN(3) == 0 {
+					mustApply(t, state, job.Record{
+						Kind:           job.RecordAttemptEnd,
+						Job:            key.Job,
+						Step:           key.Step,
+						Index:          key.Index,
+						Attempt:        placement.Attempt,
+						AttemptOutcome: job.AttemptCompleted,
+					})
+				}
+			}
+		}
 		trial := job.Trial{
 			Team:       "team1",
 			Queue:      "plain",
