--- a/internal/decide/job/candidates.go
+++ b/internal/decide/job/candidates.go
@@ -213,7 +213,6 @@
 	c.open, c.unplaced, c.suspects = index(s.open), index(s.unplaced), index(s.suspects)
 	c.used, c.usedByEndless = maps.Clone(s.used), maps.Clone(s.usedByEndless)
 	c.teamUsed, c.shares = maps.Clone(s.teamUsed), maps.Clone(s.shares)
-	c.claims = claims{} // of calls to the policy service, which a preview does not make
 	return &c, workerCopies
 }
 
@@ -231,9 +230,7 @@
 			}
 		}
 		s.Advice.allowed = rekey(step.Advice.allowed, copyOf)
-		s.Advice.byID = nil
 		s.Advice.denied = rekey(step.Advice.denied, copyOf)
-		s.Advice.asked = rekey(step.Advice.asked, copyOf)
 		s.Advice.reserved = rekey(step.Advice.reserved, copyOf)
 		c.Steps[n] = &s
 	}
