--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -94,10 +94,6 @@
 	load, sub := s.admissionOf(team, queue, submission, first, now)
 	overRate = sub.Work.OverRate
 	d = load.Decide(sub)
-	service := s.agreement.Rules.Queues[queue].Service
-	if !overRate {
-		s.gate.pace.ObserveEstimate(service, sub, d, now)
-	}
 	if !d.Accepted {
 		d = s.gate.returns.Refuse(id, sub.Work, load.Share(team), d, now)
 		countRefusedJob(s.metricTeam(team), d, repeated)
@@ -106,7 +102,7 @@
 	s.gate.returns.Accept(id)
 	if !overRate {
 		s.takeRate(team, now)
-		s.gate.pace.ObserveAccepted(service, sub.Work, now)
+		s.gate.pace.ObserveAccepted(s.agreement.Rules.Queues[queue].Service, sub.Work, now)
 	}
 	load.Add(sub.Work)
 	s.gate.estimates[id] = now + d.EstimateMillis
@@ -139,7 +135,6 @@
 		ObjectiveMillis: float64(objective.DueMillis),
 		UsefulMillis:    float64(objective.UsefulMillis),
 		ElapsedMillis:   float64(now - first),
-		BacklogMillis:   s.gate.pace.BacklogMillis(q.Service, q.Priority, now),
 	}
 	bytes := float64(startBytes + len(submission.Payload))
 	for _, spec := range submission.Steps {
--- a/internal/decide/admission/decide.go
+++ b/internal/decide/admission/decide.go
@@ -11,9 +11,6 @@
 	ObjectiveMillis, UsefulMillis float64
 	// ElapsedMillis is the time since the job was first submitted.
 	ElapsedMillis float64
-	// BacklogMillis is for how long such submissions have not been expected to meet their
-	// objective: see Pace.ObserveEstimate.
-	BacklogMillis float64
 }
 
 // IsLate reports whether so much time has passed since a first refusal that the job cannot meet its objective.
@@ -30,12 +27,9 @@
 // one that could have been in time.
 //
 //   - A job over its team's rate is accepted while the fleet has room for it beside all that waits.
-//   - A job within the rate is accepted if it is expected to meet its objective, behind the work that
-//     goes before it or in its team's share of the fleet: the work of a team beyond its share
-//     doesn't keep out those that are within theirs.
-//   - A backlog that has not lasted as long as the objective may be a burst, after which the fleet
-//     has time for what is late. Until then a job is accepted whose estimate is nearer to its
-//     objective than to the end of its use. Under a longer one, all that is accepted would be late.
+//   - A job within the rate is accepted if its estimate, behind the work that goes before it or in
+//     its team's share of the fleet, is nearer to its objective than to the end of its use: the work
+//     of a team beyond its share doesn't keep out those that are within theirs.
 //
 // RetryMillis is the time until the job could be accepted if nothing else were.
 func (l *Load) Decide(s Submission) Decision {
@@ -54,10 +48,7 @@
 	if s.Work.OverRate && l.isTaken(s) {
 		return d.refused(OverRate, wait)
 	}
-	limit := s.ObjectiveMillis
-	if s.BacklogMillis < s.ObjectiveMillis {
-		limit = (s.ObjectiveMillis + s.UsefulMillis) / 2
-	}
+	limit := (s.ObjectiveMillis + s.UsefulMillis) / 2
 	excess := min(estimate+s.ElapsedMillis-limit, wait-shortWait*s.PathMillis)
 	if excess <= 0 {
 		return d
@@ -72,12 +63,6 @@
 	return d
 }
 
-// waits reports whether the job waits for others, and whether it is expected to be late for that.
-func (s Submission) waits(d Decision) (short, late bool) {
-	estimate := float64(d.EstimateMillis)
-	return estimate < (1+shortWait)*s.PathMillis, s.ObjectiveMillis > 0 && estimate > s.ObjectiveMillis
-}
-
 // full returns why the owner cannot carry out one job more, whatever its objective, and the time in
 // milliseconds until it expects to; the reason is empty if it can.
 func (l *Load) full(w Work) (Reason, float64) {
--- a/internal/decide/admission/pace.go
+++ b/internal/decide/admission/pace.go
@@ -69,8 +69,6 @@
 	// accepted is the work that was accepted within the rates, in milliseconds of the service's
 	// workers.
 	accepted map[inflow]decaying
-	// backlogs holds since when submissions have not been expected to meet their objective.
-	backlogs map[inflow]int64
 }
 
 // NewPace returns the pace of an owner that has seen nothing yet.
@@ -80,7 +78,6 @@
 		usage:    map[string]usage{},
 		started:  now,
 		accepted: map[inflow]decaying{},
-		backlogs: map[inflow]int64{},
 	}
 }
 
@@ -174,33 +171,3 @@
 	}
 	return urgent
 }
-
-// ObserveEstimate notes the estimate of a submission for the service. A backlog begins with one that
-// is expected to be late and ends with one that would hardly wait.
-func (p *Pace) ObserveEstimate(service string, s Submission, d Decision, now int64) {
-	key := inflow{
-		service:  service,
-		priority: s.Work.Priority,
-	}
-	short, late := s.waits(d)
-	_, known := p.backlogs[key]
-	switch {
-	case short:
-		delete(p.backlogs, key)
-	case late && !known:
-		p.backlogs[key] = now
-	}
-}
-
-// BacklogMillis returns for how long submissions of the priority have not been expected to meet
-// their objective.
-func (p *Pace) BacklogMillis(service string, priority int, now int64) float64 {
-	since, ok := p.backlogs[inflow{
-		service:  service,
-		priority: priority,
-	}]
-	if !ok {
-		return 0
-	}
-	return float64(now - since)
-}
