Admission: whether a team is over its rate changes nothing; explain uses it

Cause: explain asks admission what it would decide, and the team's token bucket was filled by that: the test that compares the state before and after failed by 0.001 tokens. Change: the bucket is a value; only a submission that is taken stores it. The preview's own count of the rate goes.

--- a/internal/cluster/shard/admission_test.go
+++ b/internal/cluster/shard/admission_test.go
@@ -27,7 +27,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(release)
 	s := newShardWithClient(term, nil, log)
-	s.buckets = map[string]*tokenBucket{}
+	s.buckets = map[string]tokenBucket{}
 	a := teamsAgreement()
 	a.Rules = job.Rules{
 		Queues: map[string]job.Queue{"queue": {
@@ -138,7 +138,7 @@
 	n := 0
 	for ; n < 10_000; n++ {
 		id := fmt.Sprintf("%016x", n)
-		s.buckets["a"] = &tokenBucket{tokens: 1, updatedMillis: s.now()}
+		s.buckets["a"] = tokenBucket{tokens: 1, updatedMillis: s.now()}
 		d, _ := s.admit(id, "a", "queue", submission, s.now())
 		if !d.Accepted {
 			assert.Equal(t, d.Reason, admission.OpenWork)
--- a/internal/cluster/shard/preview.go
+++ b/internal/cluster/shard/preview.go
@@ -66,7 +66,7 @@
 		Queue:             queue.Name,
 		Team:              r.Team,
 		KnownJob:          id != "" && s.state.Job(id) != nil,
-		OverRate:          s.wouldExceedRate(r.Team, now),
+		OverRate:          s.isOverRate(r.Team, false, now),
 		Accepted:          decision.Accepted,
 		Reason:            string(decision.Reason),
 		EstimateMillis:    decision.EstimateMillis,
@@ -112,24 +112,7 @@
 			RetryMillis: minRetryMillis,
 		}
 	}
-	decider, ok := any(s).(interface {
-		WouldAdmit(team, queue string, submission *job.Submission) admission.Decision
-	})
-	if !ok {
-		return admission.Decision{Accepted: true}
-	}
-	return decider.WouldAdmit(team, queue, submission)
-}
-
-// wouldExceedRate reports whether one more job of the team would be over its rate. The caller holds
-// s.mu.
-func (s *Shard) wouldExceedRate(team string, now int64) bool {
-	t, bucket := s.agreement.Rules.Teams[team], s.buckets[team]
-	if t.JobsPerSecond <= 0 || bucket == nil {
-		return false
-	}
-	tokens := max(0, bucket.tokens) + t.JobsPerSecond*float64(now-bucket.updatedMillis)/1000
-	return tokens < 1
+	return s.WouldAdmit(team, queue, submission)
 }
 
 // previewPlanner gives the planner of a preview, over a copy of the state, what a planning pass gives
--- a/internal/cluster/shard/preview_test.go
+++ b/internal/cluster/shard/preview_test.go
@@ -82,7 +82,7 @@
 		text += fmt.Sprintf("\n%s %v", record, err)
 	}
 	for team, b := range s.buckets {
-		text += fmt.Sprintf("\n%s %+v", team, *b)
+		text += fmt.Sprintf("\n%s %+v", team, b)
 	}
 	return text
 }
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -35,11 +35,13 @@
 	updatedMillis int64
 }
 
-// fill adds the tokens of the time since the last call at the rate, in jobs per second. The
-// parameter now is the owner's clock in milliseconds.
-func (b *tokenBucket) fill(rate float64, now int64) {
-	b.tokens = min(rate*burstSeconds, max(0, b.tokens)+rate*float64(now-b.updatedMillis)/1000)
-	b.updatedMillis = now
+// filled returns the bucket with the tokens of the time since it was updated at the rate, in jobs per
+// second. The parameter now is the owner's clock in milliseconds.
+func (b tokenBucket) filled(rate float64, now int64) tokenBucket {
+	return tokenBucket{
+		tokens:        min(rate*burstSeconds, max(0, b.tokens)+rate*float64(now-b.updatedMillis)/1000),
+		updatedMillis: now,
+	}
 }
 
 // LeaseValid reports whether this process is certainly still the owner: its term has not
@@ -432,8 +434,8 @@
 // rate is never over it. A job that can no longer be in time leaves half of the bucket to those
 // that can. The parameter now is the owner's clock in milliseconds. The caller holds s.mu.
 func (s *Shard) isOverRate(team string, late bool, now int64) bool {
-	b := s.bucket(team, now)
-	if b == nil {
+	b, limited := s.bucket(team, now)
+	if !limited {
 		return false
 	}
 	needed := 1.0
@@ -446,28 +448,27 @@
 // takeRate counts a job of the team against its rate: one that is refused uses up nothing. The
 // caller holds s.mu.
 func (s *Shard) takeRate(team string, now int64) {
-	if b := s.bucket(team, now); b != nil {
+	if b, limited := s.bucket(team, now); limited {
 		b.tokens--
+		s.buckets[team] = b
 	}
 }
 
-// bucket returns the filled token bucket of the team, or nil if it has no rate. A new owner deducts
-// what its predecessor has accepted lately.
-func (s *Shard) bucket(team string, now int64) *tokenBucket {
+// bucket returns the team's token bucket as it is now, or false if the team has no rate. A new owner
+// deducts what its predecessor has accepted lately.
+func (s *Shard) bucket(team string, now int64) (tokenBucket, bool) {
 	t, ok := s.agreement.Rules.Teams[team]
 	if !ok || t.JobsPerSecond <= 0 {
-		return nil
+		return tokenBucket{}, false
 	}
-	b := s.buckets[team]
-	if b == nil {
-		b = &tokenBucket{
+	b, known := s.buckets[team]
+	if !known {
+		b = tokenBucket{
 			tokens:        t.JobsPerSecond*burstSeconds - float64(s.state.WithinRateSince(team, now-1000*burstSeconds)),
 			updatedMillis: now,
 		}
-		s.buckets[team] = b
 	}
-	b.fill(t.JobsPerSecond, now)
-	return b
+	return b.filled(t.JobsPerSecond, now), true
 }
 
 // respondWhenDurable appends the records to the journal, releases s.mu and responds once
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -94,10 +94,10 @@
 	openedAt     time.Time
 	openedMillis int64 // openedAt as a Unix millisecond
 	passRequests chan struct{}
-	starts       *rate.Limiter           // of the bytes of start orders
-	credit       startCredit             // guarded by mu
-	buckets      map[string]*tokenBucket // by team; guarded by mu
-	gate         gate                    // guarded by mu
+	starts       *rate.Limiter          // of the bytes of start orders
+	credit       startCredit            // guarded by mu
+	buckets      map[string]tokenBucket // by team; guarded by mu
+	gate         gate                   // guarded by mu
 	// gaugesSetMillis is the owner's clock at the last update of the gauges; only Run
 	// uses it.
 	gaugesSetMillis int64
@@ -153,7 +153,7 @@
 		openedMillis: time.Now().UnixMilli(),
 		passRequests: make(chan struct{}, 1),
 		starts:       newStartLimiter(options.Link),
-		buckets:      map[string]*tokenBucket{},
+		buckets:      map[string]tokenBucket{},
 		state:        job.NewState(),
 		links:        map[string]*link{},
 		earlier:      map[string][]job.WorkerKey{},
