--- a/internal/cluster/door/door.go
+++ b/internal/cluster/door/door.go
@@ -31,6 +31,8 @@
 	stepBytes = 8 << 10
 	// restTimeout limits the time in which the rest of a body may arrive that no one reads.
 	restTimeout = time.Second
+	// leastConnections are left to clients, however many sockets other things take.
+	leastConnections = 16
 	// sweepInterval is how often the sockets of the process are compared with its limit.
 	sweepInterval = time.Second
 )
@@ -169,7 +171,7 @@
 	if d.limits.Sockets <= 0 || d.limits.Others == nil {
 		return d.limits.Connections
 	}
-	return min(d.limits.Connections, d.limits.Sockets-d.limits.Others())
+	return min(d.limits.Connections, max(leastConnections, d.limits.Sockets-d.limits.Others()))
 }
 
 // makeRoom gives connections up until the given numbers of bytes and connections are free. It
--- a/internal/cluster/settings/clients.go
+++ b/internal/cluster/settings/clients.go
@@ -16,6 +16,8 @@
 	// fileDescriptors is the number of descriptors that the platform reserves for files, and
 	// otherSockets the number of those for the listeners, the store and other nodes.
 	fileDescriptors, otherSockets = 200, 64
+	// leastSockets are left for clients and workers, however few descriptors there are.
+	leastSockets = 16
 	// The ready and metrics addresses have a few callers each, which are the platform's own.
 	defaultReadyConnections, defaultMetricsConnections = 64, 16
 	// defaultClientConnections applies where descriptors is not set.
@@ -50,7 +52,7 @@
 	if s.Descriptors <= 0 {
 		return 0
 	}
-	return max(1, s.Descriptors-fileDescriptors-otherSockets-s.MaxReadyConnections()-s.MaxMetricsConnections())
+	return max(leastSockets, s.Descriptors-fileDescriptors-otherSockets-s.MaxReadyConnections()-s.MaxMetricsConnections())
 }
 
 // MaxClientConnections returns the number of connections that clients may have open.
