--- a/internal/cluster/settings/clients.go
+++ b/internal/cluster/settings/clients.go
@@ -29,7 +29,7 @@
 	// defaultClientStallSeconds is longer than the deadlines of most requests.
 	defaultClientStallSeconds = 10
 	// handshakeBytes is what an incomplete handshake with a peer takes.
-	handshakeBytes = 64 << 10
+	handshakeBytes = 32 << 10
 	// maxPeerHandshakes is more than the nodes of the largest deployments.
 	maxPeerHandshakes = 512
 )
