Intake: choose whom to give up without sorting all connections

A full door sorted all its connections for each one that arrived, under its lock. A heap takes out only those that are given up; the order is the same.

--- a/internal/cluster/door/door.go
+++ b/internal/cluster/door/door.go
@@ -183,8 +183,8 @@
 		return true
 	}
 	now := time.Now()
-	var conns []*conn
-	var view []intake.Connection
+	conns := make([]*conn, 0, len(d.connections))
+	view := make([]intake.Connection, 0, len(d.connections))
 	for c := range d.connections {
 		if c != spared {
 			conns = append(conns, c)
--- a/internal/decide/intake/intake.go
+++ b/internal/decide/intake/intake.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"slices"
+	"container/heap"
 	"time"
 )
 
@@ -68,24 +68,55 @@
 // another connection, not for bytes: requests that take each other's memory would all begin anew.
 // It reports false if the victims do not suffice; then none is to be given up.
 func Victims(connections []Connection, bytes int64, slots int) ([]int, bool) {
-	var candidates []int
+	candidates := make(candidates, 0, len(connections))
 	for i, c := range connections {
 		if c.Phase != Serving && (slots > 0 || c.rank() < receivingRank) {
-			candidates = append(candidates, i)
+			candidates = append(candidates, candidate{
+				index: i,
+				rank:  c.rank(),
+				quiet: c.Quiet,
+			})
 		}
 	}
-	slices.SortStableFunc(candidates, func(a, b int) int {
-		x, y := connections[a], connections[b]
-		return cmp.Or(cmp.Compare(x.rank(), y.rank()), cmp.Compare(y.Quiet, x.Quiet))
-	})
-	for n, i := range candidates {
-		if bytes <= 0 && slots <= 0 {
-			return candidates[:n], true
+	// Mostly one is given up for each that arrives, so that the others need not be sorted.
+	heap.Init(&candidates)
+	var victims []int
+	for bytes > 0 || slots > 0 {
+		if len(candidates) == 0 {
+			return victims, false
 		}
+		i := heap.Pop(&candidates).(candidate).index
+		victims = append(victims, i)
 		bytes -= connections[i].Held
 		slots--
 	}
-	return candidates, bytes <= 0 && slots <= 0
+	return victims, true
+}
+
+// candidate is a connection that may be given up.
+type candidate struct {
+	index int
+	rank  int
+	quiet time.Duration
+}
+
+// candidates is a heap of those to give up first.
+type candidates []candidate
+
+func (c candidates) Len() int { return len(c) }
+
+func (c candidates) Less(a, b int) bool {
+	return cmp.Or(cmp.Compare(c[a].rank, c[b].rank), cmp.Compare(c[b].quiet, c[a].quiet), cmp.Compare(c[a].index, c[b].index)) < 0
+}
+
+func (c candidates) Swap(a, b int) { c[a], c[b] = c[b], c[a] }
+
+func (c *candidates) Push(x any) { *c = append(*c, x.(candidate)) }
+
+func (c *candidates) Pop() any {
+	last := (*c)[len(*c)-1]
+	*c = (*c)[:len(*c)-1]
+	return last
 }
 
 // EndsAfterAnswer reports whether a connection on which a request came before the one ahead of it was
--- a/internal/decide/intake/intake_test.go
+++ b/internal/decide/intake/intake_test.go
@@ -54,3 +54,17 @@
 	assert.Assert(t, MayServe(700, 50, 1000))
 	assert.Assert(t, !MayServe(700, 51, 1000))
 }
+
+// BenchmarkVictims measures the choice of one of as many connections as the smallest machines allow.
+func BenchmarkVictims(b *testing.B) {
+	connections := make([]Connection, 3756)
+	for n := range connections {
+		connections[n] = Connection{
+			Phase: Phase(n % 5),
+			Quiet: time.Duration(n*7919%3756) * time.Millisecond,
+		}
+	}
+	for b.Loop() {
+		Victims(connections, 0, 1)
+	}
+}
