Peers: a call refused while it is being sent is known not to have run

An owner that has no memory left for a call stops reading it and answers that it has not run it. The caller was still writing a body of more than a few packets, took the error of the write for the outcome, and never read the answer. The outcome counted as unknown: the entry sent the same body again until the caller's deadline and then answered 504 instead of 503 at once.

--- a/internal/api/peer/client.go
+++ b/internal/api/peer/client.go
@@ -326,9 +326,11 @@
 	})
 	defer stop()
 	sent, err := writeMessage(stream, frame)
-	if err != nil {
+	var stopped *quic.StreamError
+	if err != nil && !(errors.As(err, &stopped) && stopped.Remote) {
 		return reply, err
 	}
+	// A peer that has stopped reading may have answered that it refuses the call.
 	received, err := readMessage(stream, &reply)
 	traffic.Add(traffic.Purpose(frame.Method), sent, received)
 	if err != nil && ctx.Err() != nil {
