Admission: review fixes

Cause: a review of admission. A queue without a policy service waited, and was refused, for other queues' calls; after a takeover the token bucket was not stored until a submission was taken, so that each refused one scanned all jobs; a rate under 0.25 jobs a second never had a token; a policy without times made the ratio of calls NaN for the term; a team that the agreement does not list had a share of 0. Change: each has its fix and a case in the tests, by the reviewer, adapted to the bound on idle waits.

--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -57,6 +57,7 @@
 	load        *admission.Load
 	capacity    admission.Capacity
 	fleet       job.Resources
+	advisors    int // the nodes that call the policy service
 	builtMillis int64
 	// waits is set if tasks wait for room.
 	waits bool
@@ -139,7 +140,7 @@
 	bytes := float64(startBytes + len(submission.Payload))
 	for _, spec := range submission.Steps {
 		amounts := s.amountsOf(spec, spec.Count, len(spec.After) == 0, team, service.fleet, ratio)
-		amounts.Policy = s.policyMillis(q, now)
+		amounts.Policy = s.policyMillis(q, service.advisors, now)
 		amounts.Link = s.linkMillis(float64(spec.Count) * bytes)
 		sub.Work.Amounts = sub.Work.Amounts.Plus(amounts)
 	}
@@ -189,13 +190,13 @@
 	return q.Policy.FixedMillis + policyWorkers*q.Policy.PerWorkerMillis
 }
 
-// policyMillis returns the time that the calls about a step take of all nodes that make calls. The
+// policyMillis returns the time that the calls about a step take of the given number of nodes. The
 // caller holds s.mu.
-func (s *Shard) policyMillis(q job.Queue, now int64) float64 {
+func (s *Shard) policyMillis(q job.Queue, advisors int, now int64) float64 {
 	if q.Policy == nil || s.options.Advisors == nil {
 		return 0
 	}
-	return s.gate.pace.CallRatio(now) * callMillis(q) / float64(max(1, len(s.options.Advisors())))
+	return s.gate.pace.CallRatio(now) * callMillis(q) / float64(max(1, advisors))
 }
 
 // linkMillis returns the time that start orders of the given size take of a small link.
@@ -263,6 +264,9 @@
 // buildLoad sums up the open jobs of the service's queues. The caller holds s.mu.
 func (s *Shard) buildLoad(service string, now int64) *serviceLoad {
 	l := &serviceLoad{builtMillis: now}
+	if s.options.Advisors != nil {
+		l.advisors = len(s.options.Advisors())
+	}
 	var used job.Resources
 	for _, w := range s.links {
 		if w.registration.Service != service || !w.listed || (w.answered && !w.worker.Usable) {
@@ -299,7 +303,7 @@
 			l.load.Hold(openBytes(j))
 			continue
 		}
-		w, demand := s.waitingWork(j, q, l.fleet, room, now)
+		w, demand := s.waitingWork(j, q, l, room, now)
 		placeable += demand
 		l.load.Add(w)
 	}
@@ -315,7 +319,7 @@
 // waitingWork returns the work of the job that waits, and the share of the fleet that it asks for
 // which only room keeps from starting. The map room holds, by team, the share of the fleet that its
 // cap still permits. The caller holds s.mu.
-func (s *Shard) waitingWork(j *job.Job, q job.Queue, fleet job.Resources, room map[string]float64, now int64) (admission.Work, float64) {
+func (s *Shard) waitingWork(j *job.Job, q job.Queue, l *serviceLoad, room map[string]float64, now int64) (admission.Work, float64) {
 	w := admission.Work{
 		Team:     j.Team,
 		Priority: q.Priority,
@@ -330,17 +334,20 @@
 		if count == 0 {
 			continue
 		}
-		amounts := s.amountsOf(step.Spec, count, step.Ready(), j.Team, fleet, ratio)
+		amounts := s.amountsOf(step.Spec, count, step.Ready(), j.Team, l.fleet, ratio)
 		if amounts.Demand > 0 {
 			left, known := room[j.Team]
 			if !known {
-				left = s.capRoom(j.Team, fleet)
+				left = s.capRoom(j.Team, l.fleet)
+			}
+			if step.Spec.Gang && amounts.Demand > left {
+				amounts.Demand = 0 // it starts as a whole
 			}
 			amounts.Demand = min(amounts.Demand, left)
 			room[j.Team] = left - amounts.Demand
 		}
 		if step.AwaitsPolicy(q) {
-			amounts.Policy = s.policyMillis(q, now)
+			amounts.Policy = s.policyMillis(q, l.advisors, now)
 		} else {
 			placeable += amounts.Demand
 		}
@@ -385,7 +392,7 @@
 // observeCall notes a call to the policy service that took the given time, for which its node made no
 // other. The caller holds s.mu.
 func (s *Shard) observeCall(q job.PolicyQuery, took time.Duration, ok bool) {
-	if s.gate.pace == nil {
+	if s.gate.pace == nil || q.ExpectedMillis <= 0 {
 		return
 	}
 	queue := s.agreement.Rules.Queues[q.Step.Job.Queue]
--- a/internal/cluster/shard/admission_test.go
+++ b/internal/cluster/shard/admission_test.go
@@ -161,3 +161,77 @@
 	}
 	assert.Assert(t, size < store.MaxSnapshotBytes, "%d bytes", size)
 }
+
+// TestSlowTeamIsWithinRate submits one job in ten seconds for a team whose agreed rate is one in five, and
+// then a second at once.
+func TestSlowTeamIsWithinRate(t *testing.T) {
+	s := newLoadedShard(t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.agreement.Rules.Teams["a"] = job.Team{Name: "a", JobsPerSecond: 0.2}
+	start := s.now()
+	for now := start; now < start+60_000; now += 10_000 {
+		assert.Assert(t, !s.isOverRate("a", false, now))
+		s.takeRate("a", now)
+		assert.Assert(t, s.isOverRate("a", false, now))
+	}
+}
+
+// TestRateOfPredecessorIsCountedOnce checks that the jobs of a new owner's state are counted for a
+// team's first submission only, not for each that is refused.
+func TestRateOfPredecessorIsCountedOnce(t *testing.T) {
+	s := newLoadedShard(t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.isOverRate("a", false, now)
+	b, known := s.buckets["a"]
+	assert.Assert(t, known)
+	assert.Equal(t, b.tokens, 30.0*burstSeconds)
+}
+
+// TestCappedGangWaitsForNoRoom checks that a gang that its team's cap holds back asks for no room on the
+// workers: their use while it waits tells nothing of what they can do.
+func TestCappedGangWaitsForNoRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		gang bool
+		want float64
+	}{
+		"gang":         {gang: true, want: 0},
+		"task by task": {gang: false, want: 0.2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newLoadedShard(t)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.openGate()
+			s.agreement.Rules.Teams["a"] = job.Team{Name: "a", Cap: job.Resources{MilliCores: 2000}}
+			s.apply(nil, job.Record{
+				Kind:  job.RecordAccept,
+				Job:   "job",
+				Team:  "a",
+				Queue: "queue",
+				Submission: &job.Submission{Steps: []job.StepSpec{{
+					Count:          3,
+					Needs:          job.Resources{MilliCores: 1000},
+					EstimateMillis: 1000,
+					Gang:           c.gang,
+				}}},
+			})
+			l := s.buildLoad("service", s.now())
+			assert.Equal(t, l.load.Demand(), c.want)
+			assert.Equal(t, l.waits, c.want > 0)
+		})
+	}
+}
+
+// TestFreeCallsHaveNoRatio observes a call for which the agreement states no time.
+func TestFreeCallsHaveNoRatio(t *testing.T) {
+	s := newLoadedShard(t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.openGate()
+	s.agreement.Rules.Queues["queue"] = job.Queue{Name: "queue", Policy: &job.Policy{}}
+	s.observeCall(job.PolicyQuery{Step: &job.Step{Job: &job.Job{Queue: "queue"}}}, time.Second, true)
+	assert.Equal(t, s.gate.pace.CallRatio(s.now()), 1.0)
+}
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -35,11 +35,16 @@
 	updatedMillis int64
 }
 
+// burstSize returns how many jobs a team may submit at once at the rate, in jobs per second.
+func burstSize(rate float64) float64 {
+	return max(1, rate*burstSeconds)
+}
+
 // filled returns the bucket with the tokens of the time since it was updated at the rate, in jobs per
 // second. The parameter now is the owner's clock in milliseconds.
 func (b tokenBucket) filled(rate float64, now int64) tokenBucket {
 	return tokenBucket{
-		tokens:        min(rate*burstSeconds, max(0, b.tokens)+rate*float64(now-b.updatedMillis)/1000),
+		tokens:        min(burstSize(rate), max(0, b.tokens)+rate*float64(now-b.updatedMillis)/1000),
 		updatedMillis: now,
 	}
 }
@@ -464,9 +469,10 @@
 	b, known := s.buckets[team]
 	if !known {
 		b = tokenBucket{
-			tokens:        t.JobsPerSecond*burstSeconds - float64(s.state.WithinRateSince(team, now-1000*burstSeconds)),
+			tokens:        burstSize(t.JobsPerSecond) - float64(s.state.WithinRateSince(team, now-1000*burstSeconds)),
 			updatedMillis: now,
 		}
+		s.buckets[team] = b
 	}
 	return b.filled(t.JobsPerSecond, now), true
 }
--- a/internal/decide/admission/decide.go
+++ b/internal/decide/admission/decide.go
@@ -78,7 +78,7 @@
 	if excess := max(ahead.Link-c.MaxIdleMillis, sum.Link-2*c.MaxIdleMillis); c.MaxIdleMillis > 0 && excess > 0 {
 		return LinkBusy, excess
 	}
-	if excess := max(ahead.Policy-c.MaxIdleMillis, sum.Policy-2*c.MaxIdleMillis); c.MaxIdleMillis > 0 && excess > 0 {
+	if excess := max(ahead.Policy-c.MaxIdleMillis, sum.Policy-2*c.MaxIdleMillis); w.Amounts.Policy > 0 && c.MaxIdleMillis > 0 && excess > 0 {
 		return PolicyBusy, excess
 	}
 	return "", 0
@@ -101,6 +101,9 @@
 		}
 		fleet += min(fleet, l.capacity.UrgentInflow[w.Priority]/share)
 	}
+	if w.Amounts.Policy == 0 {
+		all.Policy = 0
+	}
 	millis, reason := 0.0, FleetBusy
 	for _, queue := range []struct {
 		millis float64
--- a/internal/decide/admission/load.go
+++ b/internal/decide/admission/load.go
@@ -99,7 +99,7 @@
 }
 
 // NewLoad returns the load of a shard without open jobs. The teams' shares of the fleet are in
-// proportion to their weights.
+// proportion to their weights, which are 1 for teams that are not listed.
 func NewLoad(capacity Capacity, weights map[string]float64) *Load {
 	return &Load{
 		capacity: capacity,
@@ -139,16 +139,20 @@
 
 // Share returns the team's share of the fleet among the teams that have open jobs and itself.
 func (l *Load) Share(team string) float64 {
-	sum := l.weights[team]
+	sum := l.weight(team)
 	for name := range l.within {
 		if name != team {
-			sum += l.weights[name]
+			sum += l.weight(name)
 		}
 	}
-	if sum <= 0 {
-		return 1
+	return l.weight(team) / sum
+}
+
+func (l *Load) weight(team string) float64 {
+	if weight := l.weights[team]; weight > 0 {
+		return weight
 	}
-	return l.weights[team] / sum
+	return 1
 }
 
 // ahead returns the work of each team that goes before a submission.
