Admission: work that fits on no worker asks for no room

A step with a label that no worker has, or whose tasks fit on none, counted as waiting for room: while it waited, the share in use of a quiet fleet became what the fleet is taken to achieve, and submissions over the rate, and of the same team, were refused with workers idle. TestWaitsForRoom takes in TestCappedGangWaitsForNoRoom.

--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -54,15 +54,29 @@
 
 // serviceLoad is the load of the workers of one service.
 type serviceLoad struct {
-	load        *admission.Load
-	capacity    admission.Capacity
-	fleet       job.Resources
+	load     *admission.Load
+	capacity admission.Capacity
+	fleet    job.Resources
+	// sizes are the capacities of the workers that have a label, each once, and of all workers for
+	// the empty label.
+	sizes       map[string][]job.Resources
 	advisors    int // the nodes that call the policy service
 	builtMillis int64
 	// waits is set if tasks wait for room.
 	waits bool
 }
 
+func (l *serviceLoad) addSize(label string, capacity job.Resources) {
+	if !slices.Contains(l.sizes[label], capacity) {
+		l.sizes[label] = append(l.sizes[label], capacity)
+	}
+}
+
+// fits reports whether a task of the step fits on any of the workers while nothing else runs there.
+func (l *serviceLoad) fits(spec job.StepSpec) bool {
+	return slices.ContainsFunc(l.sizes[spec.Label], spec.Needs.FitsIn)
+}
+
 // openGate prepares the gate of a new term. The caller holds s.mu.
 func (s *Shard) openGate() {
 	if s.gate.pace != nil {
@@ -263,7 +277,10 @@
 
 // buildLoad sums up the open jobs of the service's queues. The caller holds s.mu.
 func (s *Shard) buildLoad(service string, now int64) *serviceLoad {
-	l := &serviceLoad{builtMillis: now}
+	l := &serviceLoad{
+		sizes:       map[string][]job.Resources{},
+		builtMillis: now,
+	}
 	if s.options.Advisors != nil {
 		l.advisors = len(s.options.Advisors())
 	}
@@ -273,6 +290,10 @@
 			continue
 		}
 		l.fleet = l.fleet.Plus(w.registration.Capacity)
+		l.addSize("", w.registration.Capacity)
+		for _, label := range w.registration.Labels {
+			l.addSize(label, w.registration.Capacity)
+		}
 		used = used.Plus(s.state.Used(w.key()))
 	}
 	weights := map[string]float64{}
@@ -340,8 +361,8 @@
 			if !known {
 				left = s.capRoom(j.Team, l.fleet)
 			}
-			if step.Spec.Gang && amounts.Demand > left {
-				amounts.Demand = 0 // it starts as a whole
+			if step.Spec.Gang && amounts.Demand > left || !l.fits(step.Spec) {
+				amounts.Demand = 0 // room alone would not let any of it start
 			}
 			amounts.Demand = min(amounts.Demand, left)
 			room[j.Team] = left - amounts.Demand
--- a/internal/cluster/shard/admission_test.go
+++ b/internal/cluster/shard/admission_test.go
@@ -190,33 +190,33 @@
 	assert.Equal(t, b.tokens, 30.0*burstSeconds)
 }
 
-// TestCappedGangWaitsForNoRoom checks that a gang that its team's cap holds back asks for no room on the
-// workers: their use while it waits tells nothing of what they can do.
-func TestCappedGangWaitsForNoRoom(t *testing.T) {
+// TestWaitsForRoom checks which waiting work asks for room on the workers: the share in use while other
+// work waits, such as a gang that its team's cap holds back, tells nothing of what the workers can do.
+func TestWaitsForRoom(t *testing.T) {
 	for name, c := range map[string]struct {
-		gang bool
+		spec job.StepSpec
 		want float64
 	}{
-		"gang":         {gang: true, want: 0},
-		"task by task": {gang: false, want: 0.2},
+		"beyond the cap":    {spec: job.StepSpec{Count: 3, Needs: job.Resources{MilliCores: 1000}}, want: 0.2},
+		"gang":              {spec: job.StepSpec{Count: 2, Needs: job.Resources{MilliCores: 1000}, Gang: true}, want: 0.2},
+		"capped gang":       {spec: job.StepSpec{Count: 3, Needs: job.Resources{MilliCores: 1000}, Gang: true}},
+		"label":             {spec: job.StepSpec{Count: 1, Needs: job.Resources{MilliCores: 1000}, Label: "large"}, want: 0.1},
+		"label of none":     {spec: job.StepSpec{Count: 1, Needs: job.Resources{MilliCores: 1000}, Label: "none"}},
+		"fits on no worker": {spec: job.StepSpec{Count: 1, Needs: job.Resources{MilliCores: 1000, MemoryMB: 1}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newLoadedShard(t)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.openGate()
+			s.links["w"].registration.Labels = []string{"large"}
 			s.agreement.Rules.Teams["a"] = job.Team{Name: "a", Cap: job.Resources{MilliCores: 2000}}
 			s.apply(nil, job.Record{
-				Kind:  job.RecordAccept,
-				Job:   "job",
-				Team:  "a",
-				Queue: "queue",
-				Submission: &job.Submission{Steps: []job.StepSpec{{
-					Count:          3,
-					Needs:          job.Resources{MilliCores: 1000},
-					EstimateMillis: 1000,
-					Gang:           c.gang,
-				}}},
+				Kind:       job.RecordAccept,
+				Job:        "job",
+				Team:       "a",
+				Queue:      "queue",
+				Submission: &job.Submission{Steps: []job.StepSpec{c.spec}},
 			})
 			l := s.buildLoad("service", s.now())
 			assert.Equal(t, l.load.Demand(), c.want)
