Short calls: decided by the owner, which knows whether the job was accepted

The adapter refused a submission with under 0.1 s left unsent. A caller that comes back after an attempt without an answer was told that its job does not run, though the earlier attempt may have been accepted. The owner now confirms a job that exists, and refuses a new one at once, unrecorded. Without its answer in time the outcome is unknown, as before.

--- a/internal/cluster/shard/admission_test.go
+++ b/internal/cluster/shard/admission_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -235,3 +236,34 @@
 	s.observeCall(job.PolicyQuery{Step: &job.Step{Job: &job.Job{Queue: "queue"}}}, time.Second, true)
 	assert.Equal(t, s.gate.pace.CallRatio(s.now()), 1.0)
 }
+
+// TestShortCall submits with too little time left for the caller to learn of an acceptance: a new job must
+// be refused without effect, and one that was accepted in an earlier call must not be.
+func TestShortCall(t *testing.T) {
+	for name, c := range map[string]struct {
+		accepted bool
+		want     caller.Status
+	}{
+		"new":      {want: caller.Refused},
+		"accepted": {accepted: true, want: caller.OK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newLoadedShard(t)
+			if c.accepted {
+				assert.Equal(t, submitJob(t, s, "a", 1, 1).Status, caller.OK)
+			}
+			ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(minDecisionTime-time.Millisecond))
+			defer cancel()
+			response := s.Serve(ctx, caller.Request{
+				Verb:       caller.Submit,
+				Host:       "jobs.example",
+				Path:       fmt.Sprintf("/queue/%016x", 1),
+				Key:        "key of a",
+				Call:       2,
+				Submission: oneSecondJob(),
+			})
+			assert.Equal(t, response.Status, c.want)
+			assert.Equal(t, s.state.Job(fmt.Sprintf("%016x", 1)) != nil, c.accepted)
+		})
+	}
+}
--- a/internal/cluster/shard/metrics.go
+++ b/internal/cluster/shard/metrics.go
@@ -18,6 +18,7 @@
 	reasonStoreUnavailable responseReason = "storeAway"
 	reasonAgreementUnknown responseReason = "agreementUnknown"
 	reasonGivenUp          responseReason = "givenUp"
+	reasonDeadline         responseReason = "deadline"
 	reasonOwnershipUnknown responseReason = "ownershipUnknown"
 	reasonUnconfirmed      responseReason = "unconfirmed"
 	reasonOverloaded       responseReason = "overloaded"
--- a/internal/cluster/shard/requests.go
+++ b/internal/cluster/shard/requests.go
@@ -23,6 +23,10 @@
 	// stallCheckInterval is how often a waiting request checks whether the store
 	// has stalled.
 	stallCheckInterval = 100 * time.Millisecond
+	// minDecisionTime is the least time in which a submission is recorded and the answer returns to
+	// the caller from another region. Of one that is accepted with less time left, the caller would
+	// mostly learn only that it may have been.
+	minDecisionTime = 60 * time.Millisecond
 	// minRetryMillis is the least delay after which a refused caller should retry;
 	// up to as much again is added at random, so that callers do not all retry at
 	// once.
@@ -269,6 +273,10 @@
 			Reason: problem,
 		}
 	}
+	if endsTooSoon(ctx) {
+		s.mu.Unlock()
+		return s.refuse(id, reasonDeadline)
+	}
 	if s.overloaded(a.route.Queue) {
 		s.mu.Unlock()
 		return s.refuse(id, reasonOverloaded)
@@ -295,6 +303,13 @@
 	return s.awaitAcceptance(ctx, id, records)
 }
 
+// endsTooSoon reports whether ctx ends before the caller can learn that a submission is accepted. The
+// owner decides this, not the entry: it knows whether an earlier attempt has been accepted.
+func endsTooSoon(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && time.Until(deadline) < minDecisionTime
+}
+
 // refuseAdmission answers a submission that admission has refused: nothing of it is recorded.
 func (s *Shard) refuseAdmission(id string, a access, d admission.Decision) caller.Response {
 	countSubmission(string(d.Reason))
