--- a/internal/cluster/settings/settings_test.go
+++ b/internal/cluster/settings/settings_test.go
@@ -22,7 +22,8 @@
 		want string // part of the error; empty if there is none
 	}{
 		"missing":                  {},
-		"empty, as a template":     {text: "memoryMB: \nlinkMbps: null\ndescriptors:\n"},
+		"empty, as a template":     {text: "memoryMB: \nlinkMbps: null\ndescriptors:\nevacuationInForceMillis:\n"},
+		"no evacuations":           {text: "evacuationInForceMillis: null\n"},
 		"usual":                    {text: "memoryMB: 284\nlinkMbps: 1000.0\ndescriptors: 4200\n"},
 		"small link":               {text: "linkMbps: 2\n"},
 		"zero memory":              {text: "memoryMB: 0\n", want: "line 7: memoryMB: 0 is not between"},
