--- a/internal/cluster/shard/evacuate.go
+++ b/internal/cluster/shard/evacuate.go
@@ -11,6 +11,10 @@
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
+// maxStartHop is how long a start order may be under way once its call has been given up: a hop
+// between regions, and the worker's start.
+const maxStartHop = 100 * time.Millisecond
+
 // evacuationLead is how long before a worker leaves its unfinished attempts are stopped. The
 // worker takes up to 900 ms to stop an attempt, and must still report the end.
 const evacuationLead = 1500 * time.Millisecond
@@ -105,7 +109,7 @@
 // maxEvacuationAge returns the age of the requests up to which tasks may start; zero if there are no
 // evacuations.
 func (s *Shard) maxEvacuationAge() time.Duration {
-	return evacuation.MaxAge(s.options.EvacuationInForce, orderTimeout)
+	return evacuation.MaxAge(s.options.EvacuationInForce, orderTimeout+maxStartHop)
 }
 
 // knowsEvacuations reports whether the requests are recent enough for tasks to start. The caller
