--- a/internal/decide/admission/decide.go
+++ b/internal/decide/admission/decide.go
@@ -22,14 +22,14 @@
 // goes with the room that the next tasks leave.
 const shortWait = 0.25
 
-// Decide decides a submission. It answers a load of more work than can be done in time: accepted
-// work is carried out to its end, so that each job which is accepted too late takes the room of
-// one that could have been in time.
+// Decide decides a submission. It answers a load of more work than can be done while it is of use:
+// accepted work is carried out to its end, so that each job which ends too late takes the room of
+// one that could have been of use.
 //
 //   - A job over its team's rate is accepted while the fleet has room for it beside all that waits.
-//   - A job within the rate is accepted if its estimate, behind the work that goes before it or in
-//     its team's share of the fleet, is nearer to its objective than to the end of its use: the work
-//     of a team beyond its share doesn't keep out those that are within theirs.
+//   - A job within the rate is accepted if it is expected to end while it is of use, behind the work
+//     that goes before it or in its team's share of the fleet: the work of a team beyond its share
+//     doesn't keep out those that are within theirs.
 //
 // RetryMillis is the time until the job could be accepted if nothing else were.
 func (l *Load) Decide(s Submission) Decision {
@@ -48,8 +48,7 @@
 	if s.Work.OverRate && l.isTaken(s) {
 		return d.refused(OverRate, wait)
 	}
-	limit := (s.ObjectiveMillis + s.UsefulMillis) / 2
-	excess := min(estimate+s.ElapsedMillis-limit, wait-shortWait*s.PathMillis)
+	excess := min(estimate+s.ElapsedMillis-s.UsefulMillis, wait-shortWait*s.PathMillis)
 	if excess <= 0 {
 		return d
 	}
