--- a/internal/decide/admission/replay_test.go
+++ b/internal/decide/admission/replay_test.go
@@ -220,8 +220,8 @@
 		gain  float64 // the least difference of the work in time, also for small teams
 		vain  float64 // the most work that ends when it is of no use, as a share of that when all is accepted
 	}{
-		"hot team":          {flows: hotTeam, vain: 0.2},
-		"hot team with cap": {flows: hotTeam, caps: map[string]float64{"large": 0.55}, vain: 0.2},
+		"hot team":              {flows: hotTeam, vain: 0.2},
+		"hot team with cap":     {flows: hotTeam, caps: map[string]float64{"large": 0.55}, vain: 0.2},
 		"class burst":           {flows: classBurst, vain: 0.9},
 		"hot team, class burst": {flows: slices.Concat(hotTeam, classBurst), caps: map[string]float64{"large": 0.55}, gain: 0.03, vain: 0.7},
 	} {
