Calls refused by a peer: also known as such when the stop comes before the close

Cause: a peer that refuses a call stops reading. If its stop arrived after the last byte was written and before the stream was closed, Close returned an error of another type than Write, and the caller took the outcome for unknown although the answer said refused. Change: the stop is read from the cause of the stream's context. TestStopOfPeerIsSeenAtClose brings the order of events about.

--- a/internal/api/peer/client.go
+++ b/internal/api/peer/client.go
@@ -326,8 +326,7 @@
 	})
 	defer stop()
 	sent, err := writeMessage(stream, frame)
-	var stopped *quic.StreamError
-	if err != nil && !(errors.As(err, &stopped) && stopped.Remote) {
+	if err != nil && !isStoppedByPeer(stream) {
 		return reply, err
 	}
 	// A peer that has stopped reading may have answered that it refuses the call.
@@ -338,3 +337,10 @@
 	}
 	return reply, err
 }
+
+// isStoppedByPeer reports whether the peer has stopped reading from the stream. Close returns another
+// error than Write then.
+func isStoppedByPeer(stream *quic.Stream) bool {
+	var stopped *quic.StreamError
+	return errors.As(context.Cause(stream.Context()), &stopped) && stopped.Remote
+}
--- a/internal/api/peer/limits_test.go
+++ b/internal/api/peer/limits_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
 	"gotest.tools/v3/assert"
 )
 
@@ -55,3 +56,51 @@
 		})
 	}
 }
+
+// TestStopOfPeerIsSeenAtClose checks that a peer that stops reading is seen after the last byte was
+// written and before the stream is closed, and that a stream that the caller cancels is told apart.
+func TestStopOfPeerIsSeenAtClose(t *testing.T) {
+	tlsConfig, err := TLSConfig(sharedSecret)
+	assert.NilError(t, err)
+	listener, closeListener, err := Listen("127.0.0.1:0", tlsConfig)
+	assert.NilError(t, err)
+	t.Cleanup(closeListener)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	t.Cleanup(cancel)
+	go func() {
+		conn, err := listener.quicListener.Accept(ctx)
+		for err == nil {
+			var stream *quic.Stream
+			if stream, err = conn.AcceptStream(ctx); err == nil {
+				stream.CancelRead(0)
+			}
+		}
+	}()
+	client := newClient(t, listener.Address(), sharedSecret)
+	conn, err := client.connect(ctx)
+	assert.NilError(t, err)
+	for name, c := range map[string]struct {
+		cancels bool
+	}{
+		"peer stops reading": {},
+		"caller cancels":     {cancels: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			stream, err := conn.OpenStreamSync(ctx)
+			assert.NilError(t, err)
+			if c.cancels {
+				stream.CancelWrite(0)
+			} else {
+				_, err = stream.Write([]byte("part of a call"))
+				assert.NilError(t, err)
+			}
+			select {
+			case <-stream.Context().Done():
+			case <-ctx.Done():
+				t.Fatal("the stream is still open")
+			}
+			assert.ErrorContains(t, stream.Close(), "canceled stream")
+			assert.Equal(t, isStoppedByPeer(stream), !c.cancels)
+		})
+	}
+}
