--- a/internal/cluster/node/evacuation_test.go
+++ b/internal/cluster/node/evacuation_test.go
@@ -107,6 +107,23 @@
 			},
 			want: []string{"b"},
 		},
+		"taken back and made again": {
+			before: map[string]string{"a": "{}"},
+			play: func(shared *sharedStore, _ *forgetfulStore) {
+				shared.setRequest("a", "")
+				shared.setRequest("a", "{}")
+			},
+			want: []string{"a"},
+		},
+		"made again, history forgotten": {
+			before: map[string]string{"a": "{}"},
+			play: func(shared *sharedStore, path *forgetfulStore) {
+				path.forgets = true
+				shared.setRequest("a", "")
+				shared.setRequest("a", "{}")
+			},
+			want: []string{"a"},
+		},
 		"value that cannot be read": {
 			before: map[string]string{"a": "\xff", "b": "{}"},
 			want:   []string{"a", "b"},
--- a/internal/cluster/shard/evacuation_test.go
+++ b/internal/cluster/shard/evacuation_test.go
@@ -160,6 +160,18 @@
 	assert.Assert(t, len(f.state.Placements(f.links["worker "+domain].key())) > 0)
 }
 
+// freezeAtOrder places a task in the failure domain "a" and stops all answers of the store before its
+// record is durable, until the owner's knowledge of the requests is too old.
+func (f *evacuatedFleet) freezeAtOrder(t *testing.T, spec job.StepSpec) {
+	t.Helper()
+	f.submit(t, spec)
+	f.store.held.Store(true)
+	f.list("a")
+	f.placed(t, "a")
+	f.setSilent(true)
+	time.Sleep(evacuatedWithin)
+}
+
 // TestNothingStartsInEvacuatedDomain guards against starts in a failure domain after the operators have
 // requested its evacuation: of tasks that were placed before, by orders that wait or are repeated, on
 // workers that restart, by an owner that has just taken over, or does not know the requests.
@@ -287,12 +299,7 @@
 		},
 		"frozen before the order": {
 			play: func(t *testing.T, f *evacuatedFleet) {
-				f.submit(t, one)
-				f.store.held.Store(true)
-				f.list("a")
-				f.placed(t, "a")
-				f.setSilent(true)
-				time.Sleep(evacuatedWithin)
+				f.freezeAtOrder(t, one)
 				f.evacuate(false, "a")
 				f.store.held.Store(false)
 				time.Sleep(time.Second)
@@ -303,12 +310,7 @@
 		},
 		"frozen, no request": {
 			play: func(t *testing.T, f *evacuatedFleet) {
-				f.submit(t, one)
-				f.store.held.Store(true)
-				f.list("a")
-				f.placed(t, "a")
-				f.setSilent(true)
-				time.Sleep(evacuatedWithin)
+				f.freezeAtOrder(t, one)
 				f.store.held.Store(false)
 				time.Sleep(time.Second)
 				f.setSilent(false)
