Tests: a frozen process has stopped before the test goes on

Cause: SIGSTOP returns before all threads have stopped, so that a frozen node may answer one more call. One test waited for it (TestCopyWithWithdrawnKeyIsNotConfirmed); TestWokenOwnerDeniesNoJob, TestPausedOwnerResumes, the soak and the tests of internal/proof/process did not. Change: package internal/proof/pause stops a process and waits for the stop of all threads; all use it. It takes no exit status, which other goroutines wait for. BenchmarkRecovery counts the time of the kill too.

--- /dev/null
+++ b/internal/proof/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause stops and continues the processes of tests.
+package pause
--- a/internal/proof/process/bench_test.go
+++ b/internal/proof/process/bench_test.go
@@ -212,10 +212,10 @@
 // BenchmarkRecovery measures the longest time until a request through another entry
 // completes after the owner is killed, frozen, or terminated with a handover.
 func BenchmarkRecovery(b *testing.B) {
-	for name, signal := range map[string]syscall.Signal{
-		"killed":     syscall.SIGKILL,
-		"frozen":     syscall.SIGSTOP,
-		"terminated": syscall.SIGTERM,
+	for name, end := range map[string]func(c *cell, owner string){
+		"killed":     (*cell).killEntry,
+		"frozen":     (*cell).freezeEntry,
+		"terminated": func(c *cell, owner string) { c.signalEntry(owner, syscall.SIGTERM) },
 	} {
 		b.Run(name, func(b *testing.B) {
 			var worst time.Duration
@@ -224,8 +224,8 @@
 				key, _ := c.createTeam("kiln", 100)
 				owner := c.owner("izmir-a")
 				other := c.otherEntry("izmir-a", owner)
-				c.signalEntry(owner, signal)
 				start := time.Now()
+				end(c, owner)
 				c.checkServed(other, key)
 				worst = max(worst, time.Since(start))
 				_ = c.entries[owner].command.Process.Kill()
--- a/internal/proof/process/cap_test.go
+++ b/internal/proof/process/cap_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"syscall"
 	"testing"
 	"time"
 
@@ -75,9 +74,9 @@
 		},
 		"frozen owner resumed after its replacement": func(c *cell) {
 			owner := c.owner("izmir-a")
-			c.signalEntry(owner, syscall.SIGSTOP)
+			c.freezeEntry(owner)
 			time.Sleep(4 * time.Second)
-			c.signalEntry(owner, syscall.SIGCONT)
+			c.thawEntry(owner)
 		},
 		"store answers lost": func(c *cell) {
 			c.platform.SetFaults(platform.Faults{LoseWriteResponses: true})
--- a/internal/proof/process/entry_test.go
+++ b/internal/proof/process/entry_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/citronbay/citronbay/internal/api/caller"
 	"github.com/citronbay/citronbay/internal/api/operator"
+	"github.com/citronbay/citronbay/internal/proof/pause"
 	"github.com/citronbay/citronbay/internal/standin/proxy"
 )
 
@@ -158,6 +159,18 @@
 	assert.NilError(c.t, c.entries[name].command.Process.Signal(s))
 }
 
+// freezeEntry stops the entry's process and returns once it has stopped.
+func (c *cell) freezeEntry(name string) {
+	c.t.Helper()
+	assert.NilError(c.t, pause.Stop(c.entries[name].command.Process))
+}
+
+// thawEntry lets a frozen entry go on.
+func (c *cell) thawEntry(name string) {
+	c.t.Helper()
+	assert.NilError(c.t, pause.Continue(c.entries[name].command.Process))
+}
+
 // killEntry kills the entry's process and waits for its exit.
 func (c *cell) killEntry(name string) {
 	c.t.Helper()
--- a/internal/proof/process/takeover_test.go
+++ b/internal/proof/process/takeover_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"syscall"
 	"testing"
 	"time"
 
@@ -36,7 +35,7 @@
 			c.startEntry(owner)
 		},
 		"frozen for longer than its lease": func(c *cell, owner string) {
-			c.signalEntry(owner, syscall.SIGSTOP)
+			c.freezeEntry(owner)
 			eventually(c.t, defaultTimeout, "a new owner", func() error {
 				next, err := c.status(c.otherEntry("izmir-a", owner))
 				if err != nil {
@@ -44,13 +43,13 @@
 				}
 				return c.checkAllLeased(next)
 			})
-			c.signalEntry(owner, syscall.SIGCONT)
+			c.thawEntry(owner)
 		},
 		"frozen twice in a row": func(c *cell, owner string) {
 			for range 2 {
-				c.signalEntry(owner, syscall.SIGSTOP)
+				c.freezeEntry(owner)
 				time.Sleep(3 * time.Second)
-				c.signalEntry(owner, syscall.SIGCONT)
+				c.thawEntry(owner)
 				time.Sleep(200 * time.Millisecond)
 			}
 		},
@@ -198,7 +197,7 @@
 	c.submitBatch(client, 16, 2500*time.Millisecond)
 	c.awaitRunning("kiln", 16, defaultTimeout)
 	job := c.submitBatch(client, 8, 4800*time.Millisecond)
-	c.signalEntry(first, syscall.SIGSTOP)
+	c.freezeEntry(first)
 	eventually(t, defaultTimeout, "job started by the successor", func() error {
 		status, err := client.Job(context.Background(), job)
 		if err == nil && (status.Running != 8 || c.runningCount("kiln") != 8) {
@@ -209,7 +208,7 @@
 	unreachable := c.busiestWorker()
 	unreachable.proxy.SetSilent(true)
 	c.killEntry(second)
-	c.signalEntry(first, syscall.SIGCONT)
+	c.thawEntry(first)
 	time.Sleep(c.taskLease() + 4*time.Second)
 	unreachable.proxy.SetSilent(false)
 	ended := awaitJob(t, c.client(first, key), job, 2*defaultTimeout)
