Entries: a peer that sends heartbeats is called at once

Cause: since connections that fail are followed by a pause of up to 2.5 s. An owner that had failed to reach an entry while it was down went on pausing after it was up, although its heartbeats arrived. The restarted entry waits 1 s for its peers, saw no owner, took the shard and superseded the live owner, which lost its calls in progress; both went on to take it from one another. internal/cluster ends the pause at a hello already. Change: a heartbeat from a peer ends the pause.

--- a/internal/entry/peer/membership.go
+++ b/internal/entry/peer/membership.go
@@ -91,12 +91,14 @@
 }
 
 // serveHeartbeat ignores a heartbeat from an entry that is not tracked, because
-// neither the settings nor the directory has listed it yet.
+// neither the settings nor the directory has listed it yet. One that is may be called
+// at once, also after connections to it have failed: it is alive.
 func (m *Membership) serveHeartbeat(_ context.Context, heartbeat Heartbeat) (HeartbeatResponse, error) {
 	m.mu.Lock()
 	t, ok := m.peers[heartbeat.Name]
 	m.mu.Unlock()
 	if ok {
+		t.client.Resume()
 		m.recordHeartbeat(t, heartbeat)
 	}
 	return HeartbeatResponse{}, nil
