Entries: a request goes on if the connection of its first call is lost

Cause: when the connection over which a request came was closed, or silent for the idle timeout of 6 s, its owner stopped the request. The entry had repeated the call meanwhile and shares the first one's outcome, so that its caller got the fate unknown, or failed, of a request that nobody had given up: as in TestSilentConnectionsAreReplaced/between_entries ("an earlier attempt may have run, and then: no attempt completed"). Change: the owner serves a request until its deadline, as entries do whose callers disconnect.

--- a/internal/entry/shard/router.go
+++ b/internal/entry/shard/router.go
@@ -111,6 +111,9 @@
 func (r *Router) Register(server *apipeer.Server) {
 	apipeer.Handle(server, methodServe, func(ctx context.Context, request upstream.ServeRequest) (caller.Answer, error) {
 		if owned := r.ownership.OwnedShard(); owned != nil {
+			// The work goes on if the connection is lost, so that a repeated call gets its answer.
+			ctx, cancel := withoutCancel(ctx)
+			defer cancel()
 			return owned.Serve(ctx, request), nil
 		}
 		return notOwnerAnswer(request), nil
@@ -135,6 +138,16 @@
 	}))
 }
 
+// withoutCancel returns a context that ends at the deadline of ctx, if it has one, but not when ctx is
+// cancelled.
+func withoutCancel(ctx context.Context) (context.Context, context.CancelFunc) {
+	detached := context.WithoutCancel(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(detached, deadline)
+	}
+	return context.WithCancel(detached)
+}
+
 // errJobsNotRead reports that a new owner does not know yet which jobs earlier owners have
 // left.
 var errJobsNotRead = errors.New("shard: the owner has not read the shard's jobs yet")
--- a/internal/proof/process/drain_test.go
+++ b/internal/proof/process/drain_test.go
@@ -1,6 +1,8 @@
 package process
 
 import (
+	"context"
+	"errors"
 	"syscall"
 	"testing"
 	"time"
@@ -128,3 +130,42 @@
 		})
 	}
 }
+
+// TestRequestOutlivesItsConnection guards against a running request that its owner stops because the
+// connection over which it came has been silent for longer than the idle timeout. The entry has repeated
+// the call meanwhile, and gets the answer of the first one.
+func TestRequestOutlivesItsConnection(t *testing.T) {
+	t.Parallel()
+	const (
+		id      = "slow"
+		runTime = 8 * time.Second // longer than the idle timeout of 6 s
+	)
+	c := startCell(t, oneDomain())
+	key, _ := c.createTeam("kiln", 100)
+	client := c.client(c.otherEntry("izmir-a", c.owner("izmir-a")), key)
+	answer := make(chan caller.Answer, 1)
+	go func() {
+		a, err := client.Request(context.Background(), caller.Request{
+			RequestID:      id,
+			Service:        service,
+			Command:        "shade",
+			Payload:        "clay",
+			RunMillis:      runTime.Milliseconds(),
+			DeadlineMillis: 2 * runTime.Milliseconds(),
+		})
+		assert.Check(t, err)
+		answer <- a
+	}()
+	eventually(t, defaultTimeout, "start of the request", func() error {
+		if c.startCount(id) == 0 {
+			return errors.New("not started")
+		}
+		return nil
+	})
+	for _, peerProxy := range c.peerProxies {
+		peerProxy.SilenceSenders()
+	}
+	a := <-answer
+	assert.Equal(t, a.Fate, caller.FateCompleted, a.Reason)
+	assert.Equal(t, c.startCount(id), 1)
+}
