Entries: a leaving upstream gets no new work after 3 s, also if starts are late

Cause: an upstream could get new work later than 3 s after the list of VMs has changed, in three ways. A start took effect up to 2 s after it was sent, so up to 3.5 s after the change (poll 1 s, its answer 0.3 s, check 0.2 s); tasks that had been placed before and waited for a record in the store were started on a leaving upstream; a new owner looked at the drains only at its second check. TestLeavingUpstreamGetsNoNewWork failed once under load; which of the three it was, or whether the list itself was not answered, is not shown. Change: starts take effect within 1.5 s or are refused; no start is prepared for a leaving upstream; a new link knows the drains.

--- a/internal/entry/upstream/dispatch.go
+++ b/internal/entry/upstream/dispatch.go
@@ -18,7 +18,7 @@
 	start, ok := s.prepareRequestStart(r, request)
 	if !ok {
 		s.freeSlot(r)
-		return notRunAnswer(answer, "the lease was lost before the start"), true
+		return notRunAnswer(answer, "the upstream took no new work any more before the start"), true
 	}
 	ctx, cancel := withStopMargin(ctx)
 	defer cancel()
@@ -58,12 +58,12 @@
 
 // prepareRequestStart returns the call that starts the request under the current
 // lease, and records in the run until when that call can take effect. It returns
-// false if the lease may have ended.
+// false if the lease may have ended or the upstream is leaving.
 func (s *Shard) prepareRequestStart(r *run, request caller.Request) (upstream.StartRequest, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if !r.isCounted() || !r.link.leaseValid(now) {
+	if !r.isCounted() || !r.link.leaseValid(now) || r.link.isLeaving() {
 		return upstream.StartRequest{}, false
 	}
 	r.notAfter = r.link.clock.lowerBound(now) + startWindow.Milliseconds()
--- a/internal/entry/upstream/lease.go
+++ b/internal/entry/upstream/lease.go
@@ -114,7 +114,7 @@
 
 // updateOpen decides whether the upstream takes new tasks.
 func (s *Shard) updateOpen(l *link, now time.Time) {
-	l.open = l.leaseValid(now) && !l.leaving && l.missingSince.IsZero() && !now.Before(l.suspectUntil) && !s.placementStopped
+	l.open = l.leaseValid(now) && !l.isLeaving() && !now.Before(l.suspectUntil) && !s.placementStopped
 	s.fleetOf(l).SetOpen(l.vm.Name, l.open)
 }
 
--- a/internal/entry/upstream/link.go
+++ b/internal/entry/upstream/link.go
@@ -24,8 +24,9 @@
 	// maxConnections bounds the connections to one upstream; a runner accepts
 	// 64.
 	maxConnections = 64
-	// startWindow is how long a start may still take effect after it was sent.
-	startWindow = 2 * time.Second
+	// startWindow is how long a start may still take effect after it was sent. A leaving upstream must
+	// get no new work after 3 s, of which the directory's poll takes one second by default.
+	startWindow = 1500 * time.Millisecond
 )
 
 // link maintains the lease on one upstream and tracks what runs there. The
@@ -108,6 +109,12 @@
 	return l.epoch != 0 && l.clock.upperBound(now) < l.leaseUntil
 }
 
+// isLeaving reports whether the upstream must get no new tasks because it leaves, is drained or is no
+// longer listed.
+func (l *link) isLeaving() bool {
+	return l.leaving || !l.missingSince.IsZero()
+}
+
 // taskLeaseExpired reports whether the upstream has certainly stopped all
 // tasks that were started under the leases that this owner requested.
 func (l *link) taskLeaseExpired(now time.Time) bool {
--- a/internal/entry/upstream/placement.go
+++ b/internal/entry/upstream/placement.go
@@ -243,12 +243,12 @@
 
 // prepareTaskStart returns the call that starts the task, and records in the run
 // until when that call can take effect. It returns false if the lease may have
-// ended, the run was lost or the job was cancelled.
+// ended, the upstream is leaving, the run was lost or the job was cancelled.
 func (s *Shard) prepareTaskStart(j *job, r *run) (upstream.StartRequest, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if !r.isCounted() || !r.link.leaseValid(now) || j.record.Cancelled {
+	if !r.isCounted() || !r.link.leaseValid(now) || r.link.isLeaving() || j.record.Cancelled {
 		return upstream.StartRequest{}, false
 	}
 	spec := j.record.Spec
--- a/internal/entry/upstream/shard.go
+++ b/internal/entry/upstream/shard.go
@@ -185,8 +185,9 @@
 		s.removeLink(l)
 		ok = false
 	}
+	leaving := machine.VM.State == apiplatform.StateLeaving || slices.Contains(s.Registry.Cell().Drained, machine.VM.Name)
 	if ok {
-		l.leaving = machine.VM.State == apiplatform.StateLeaving || slices.Contains(s.Registry.Cell().Drained, l.vm.Name)
+		l.leaving = leaving
 		l.missingSince = machine.MissingSince
 		return
 	}
@@ -201,7 +202,7 @@
 		close:   closeClient,
 		cancel:  cancel,
 		vm:      machine.VM,
-		leaving: machine.VM.State == apiplatform.StateLeaving,
+		leaving: leaving,
 		clock:   newRemoteClock(),
 		created: time.Now(),
 		runs:    map[string]*run{},
@@ -346,7 +347,7 @@
 			VM:      l.vm,
 			Owner:   s.Entry,
 			Leased:  l.leaseValid(now),
-			Leaving: l.leaving || !l.missingSince.IsZero(),
+			Leaving: l.isLeaving(),
 			Suspect: now.Before(l.suspectUntil),
 			Running: running,
 			Used:    usageText(used, l.capacity),
