Entries: a request that finds no owner takes no retry from the budget

Cause: a repeated request took a retry at each look for an owner, 20 a second, also while its shard had none and nothing was sent. A dozen requests used up the 100 saved ones within half a second of a takeover, and were then sent to the next owner at 10 a second together. Change: the owner is looked up first. Measured: go test ./internal/entry/shard -run TestRetryWithoutOwnerTakesNoRetry: 3 of 3 failed before (81 of 100 left after 4 calls in 2 s), 0 of 5 after.

--- a/internal/entry/shard/router.go
+++ b/internal/entry/shard/router.go
@@ -261,10 +261,14 @@
 			if i < len(candidates)-1 {
 				request.WaitMillis = spilloverTimeout.Milliseconds()
 			}
+			target, ok := r.findOwner(c)
+			if !ok {
+				continue
+			}
 			if attempted && !r.retryBudget.tryWithdraw(time.Now()) {
 				break
 			}
-			result, outcome := r.callServe(ctx, c, request)
+			result, outcome := r.callServe(ctx, target, request)
 			if outcome == undelivered {
 				continue
 			}
@@ -307,19 +311,29 @@
 	answerLost
 )
 
-// callServe runs the request in the shard c. An answer to another request counts as
-// lost.
-func (r *Router) callServe(ctx context.Context, c candidate, request upstream.ServeRequest) (caller.Answer, callOutcome) {
+// target is the owner of a shard: the shard itself if this entry owns it, and otherwise a peer.
+type target struct {
+	owned *upstream.Shard
+	owner peer.Status
+}
+
+// findOwner returns the owner of the shard c, and false if none is known.
+func (r *Router) findOwner(c candidate) (target, bool) {
 	if c.domain == r.self.Domain {
 		if owned := r.ownership.OwnedShard(); owned != nil {
-			return owned.Serve(ctx, request), answered
+			return target{owned: owned}, true
 		}
 	}
 	owner, ok := r.membership.Owner(c.domain)
-	if !ok {
-		return caller.Answer{}, undelivered
+	return target{owner: owner}, ok
+}
+
+// callServe runs the request at the owner. An answer to another request counts as lost.
+func (r *Router) callServe(ctx context.Context, t target, request upstream.ServeRequest) (caller.Answer, callOutcome) {
+	if t.owned != nil {
+		return t.owned.Serve(ctx, request), answered
 	}
-	answer, err := apipeer.Call[caller.Answer](ctx, owner.Client, methodServe, request)
+	answer, err := apipeer.Call[caller.Answer](ctx, t.owner.Client, methodServe, request)
 	switch {
 	case err == nil && answer.RequestID == request.Request.RequestID:
 		return answer, answered
@@ -330,7 +344,7 @@
 		RequestID: request.Request.RequestID,
 		Entry:     r.self.Name,
 		Fate:      caller.FateUnknown,
-		Reason:    fmt.Sprintf("the call to the owner %s failed before it answered", owner.Member.Name),
+		Reason:    fmt.Sprintf("the call to the owner %s failed before it answered", t.owner.Member.Name),
 	}, answerLost
 }
 
@@ -367,16 +381,14 @@
 // callSubmit sends the job to the shard c. It returns false if the job was not sent
 // to any owner.
 func (r *Router) callSubmit(ctx context.Context, c candidate, request upstream.SubmitRequest) (caller.JobStatus, bool) {
-	if c.domain == r.self.Domain {
-		if owned := r.ownership.OwnedShard(); owned != nil {
-			return owned.Submit(ctx, request), true
-		}
-	}
-	owner, ok := r.membership.Owner(c.domain)
+	t, ok := r.findOwner(c)
 	if !ok {
 		return caller.JobStatus{}, false
 	}
-	status, err := apipeer.Call[caller.JobStatus](ctx, owner.Client, methodSubmit, request)
+	if t.owned != nil {
+		return t.owned.Submit(ctx, request), true
+	}
+	status, err := apipeer.Call[caller.JobStatus](ctx, t.owner.Client, methodSubmit, request)
 	switch {
 	case err == nil:
 		return status, true
@@ -385,7 +397,7 @@
 	}
 	return caller.JobStatus{
 		Fate:   caller.FateUnknown,
-		Reason: fmt.Sprintf("the call to the owner %s failed before it answered", owner.Member.Name),
+		Reason: fmt.Sprintf("the call to the owner %s failed before it answered", t.owner.Member.Name),
 	}, true
 }
 
