Move the load of a service to a file of its own

Cause: admission.go held the decision about a submission and the sums over the open jobs; the sums change next. load.go is taken by the load of planning passes, hence service_load.go. Change: moves only; no change of behaviour.

--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -1,10 +1,8 @@
 package shard
 
 import (
-	"slices"
 	"time"
 
-	"github.com/citronbay/citronbay/internal/cluster/store"
 	"github.com/citronbay/citronbay/internal/decide/admission"
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
@@ -52,31 +50,6 @@
 	estimates map[string]int64
 }
 
-// serviceLoad is the load of the workers of one service.
-type serviceLoad struct {
-	load     *admission.Load
-	capacity admission.Capacity
-	fleet    job.Resources
-	// sizes are the capacities of the workers that have a label, each once, and of all workers for
-	// the empty label.
-	sizes       map[string][]job.Resources
-	advisors    int // the nodes that call the policy service
-	builtMillis int64
-	// waits is set if tasks wait for room.
-	waits bool
-}
-
-func (l *serviceLoad) addSize(label string, capacity job.Resources) {
-	if !slices.Contains(l.sizes[label], capacity) {
-		l.sizes[label] = append(l.sizes[label], capacity)
-	}
-}
-
-// fits reports whether a task of the step fits on any of the workers while nothing else runs there.
-func (l *serviceLoad) fits(spec job.StepSpec) bool {
-	return slices.ContainsFunc(l.sizes[spec.Label], spec.Needs.FitsIn)
-}
-
 // openGate prepares the gate of a new term. The caller holds s.mu.
 func (s *Shard) openGate() {
 	if s.gate.pace != nil {
@@ -164,72 +137,6 @@
 	return service.load, sub
 }
 
-// amountsOf returns the work of the given number of the step's tasks on workers and under the
-// team's cap. The caller holds s.mu.
-func (s *Shard) amountsOf(spec job.StepSpec, count int, ready bool, team string, fleet job.Resources, ratio float64) admission.Amounts {
-	needs := spec.Needs.Times(int64(count))
-	millis := ratio * float64(spec.EstimateMillis)
-	share := largestShare(needs, fleet)
-	amounts := admission.Amounts{
-		Fleet: share * millis,
-		Cap:   largestShare(needs, s.agreement.Rules.Teams[team].Cap) * millis,
-	}
-	if ready {
-		amounts.Demand = share
-	}
-	return amounts
-}
-
-// largestShare returns the largest share of a dimension of whole that part takes; dimensions that
-// are zero in whole don't count.
-func largestShare(part, whole job.Resources) float64 {
-	largest := 0.0
-	for _, d := range []struct{ part, whole int64 }{
-		{part: part.MilliCores, whole: whole.MilliCores},
-		{part: part.MemoryMB, whole: whole.MemoryMB},
-		{part: part.Accelerators, whole: whole.Accelerators},
-	} {
-		if d.whole > 0 {
-			largest = max(largest, float64(d.part)/float64(d.whole))
-		}
-	}
-	return largest
-}
-
-// callMillis returns the time that the agreement states for a call to the queue's policy service.
-func callMillis(q job.Queue) float64 {
-	if q.Policy == nil {
-		return 0
-	}
-	return q.Policy.FixedMillis + policyWorkers*q.Policy.PerWorkerMillis
-}
-
-// policyMillis returns the time that the calls about a step take of the given number of nodes. The
-// caller holds s.mu.
-func (s *Shard) policyMillis(q job.Queue, advisors int, now int64) float64 {
-	if q.Policy == nil || s.options.Advisors == nil {
-		return 0
-	}
-	return s.gate.pace.CallRatio(now) * callMillis(q) / float64(max(1, advisors))
-}
-
-// linkMillis returns the time that start orders of the given size take of a small link.
-func (s *Shard) linkMillis(bytes float64) float64 {
-	if !s.options.Link.IsSmall() {
-		return 0
-	}
-	return 1000 * bytes / s.startsPerSecond()
-}
-
-// openBytes returns about what the open job takes in a snapshot at most.
-func openBytes(j *job.Job) int64 {
-	bytes := jobBytes + len(j.Payload)
-	for _, step := range j.Steps {
-		bytes += stepBytes + taskBytes*len(step.Tasks)
-	}
-	return int64(bytes)
-}
-
 // submissionBytes is openBytes of the job that the submission would make.
 func submissionBytes(submission *job.Submission) int64 {
 	tasks := 0
@@ -239,162 +146,6 @@
 	return int64(jobBytes + len(submission.Payload) + stepBytes*len(submission.Steps) + taskBytes*tasks)
 }
 
-// maxOpenBytes returns the limit on the size of all open jobs: what a snapshot can hold beside the
-// jobs that have ended, and on a small link what the next owner can read before its takeover
-// fails. The caller holds s.mu.
-func (s *Shard) maxOpenBytes() int64 {
-	limit := snapshotShare * store.MaxSnapshotBytes
-	if s.options.Link.IsSmall() {
-		limit = min(limit, readShare*s.options.Link.BytesPerSecond()*recoveryTimeout.Seconds())
-	}
-	return int64(max(limit/4, limit-endedBytes*float64(s.state.EndedJobs())))
-}
-
-// loadOf returns the load of the service's workers, which is built again once it is
-// admissionInterval old. The caller holds s.mu.
-func (s *Shard) loadOf(service string, now int64) *serviceLoad {
-	l := s.gate.services[service]
-	if l != nil && now-l.builtMillis < admissionInterval.Milliseconds() {
-		return l
-	}
-	l = s.buildLoad(service, now)
-	if l.waits && s.journal.StalledFor() < storeStallLimit && now-s.openedMillis > settleTime.Milliseconds() {
-		s.gate.pace.ObserveUsage(service, l.capacity.Used, now)
-	} else {
-		s.gate.pace.SkipUsage(service, now)
-	}
-	s.gate.services[service] = l
-	return l
-}
-
-// refreshLoads builds the loads again that submissions have used, so that what is learned of the
-// fleet doesn't depend on when they come. The caller holds s.mu.
-func (s *Shard) refreshLoads(now int64) {
-	for service := range s.gate.services {
-		s.loadOf(service, now)
-	}
-}
-
-// buildLoad sums up the open jobs of the service's queues. The caller holds s.mu.
-func (s *Shard) buildLoad(service string, now int64) *serviceLoad {
-	l := &serviceLoad{
-		sizes:       map[string][]job.Resources{},
-		builtMillis: now,
-	}
-	if s.options.Advisors != nil {
-		l.advisors = len(s.options.Advisors())
-	}
-	var used job.Resources
-	for _, w := range s.links {
-		if w.registration.Service != service || !w.listed || (w.answered && !w.worker.Usable) {
-			continue
-		}
-		l.fleet = l.fleet.Plus(w.registration.Capacity)
-		l.addSize("", w.registration.Capacity)
-		for _, label := range w.registration.Labels {
-			l.addSize(label, w.registration.Capacity)
-		}
-		used = used.Plus(s.state.Used(w.key()))
-	}
-	weights := map[string]float64{}
-	for name, team := range s.agreement.Rules.Teams {
-		weights[name] = max(1, team.JobsPerSecond)
-	}
-	var priorities []int
-	for _, q := range s.agreement.Rules.Queues {
-		if q.Service == service && !slices.Contains(priorities, q.Priority) {
-			priorities = append(priorities, q.Priority)
-		}
-	}
-	l.capacity = admission.Capacity{
-		Achievable:   s.gate.pace.Achievable(service),
-		Used:         largestShare(used, l.fleet),
-		UrgentInflow: s.gate.pace.UrgentInflow(service, priorities, now),
-		MaxOpenJobs:  maxOpenJobs,
-		MaxOpenBytes: s.maxOpenBytes(),
-
-		MaxIdleMillis: float64(maxIdleWait.Milliseconds()),
-	}
-	l.load = admission.NewLoad(l.capacity, weights)
-	room := map[string]float64{}
-	placeable := 0.0
-	for _, j := range s.state.OpenJobs() {
-		q := s.agreement.Rules.Queues[j.Queue]
-		if q.Service != service {
-			l.load.Hold(openBytes(j))
-			continue
-		}
-		w, demand := s.waitingWork(j, q, l, room, now)
-		placeable += demand
-		l.load.Add(w)
-	}
-	l.waits = placeable > minMeasuredDemand
-	for id := range s.gate.estimates {
-		if s.state.Job(id) == nil {
-			delete(s.gate.estimates, id) // withdrawn
-		}
-	}
-	return l
-}
-
-// waitingWork returns the work of the job that waits, and the share of the fleet that it asks for
-// which only room keeps from starting. The map room holds, by team, the share of the fleet that its
-// cap still permits. The caller holds s.mu.
-func (s *Shard) waitingWork(j *job.Job, q job.Queue, l *serviceLoad, room map[string]float64, now int64) (admission.Work, float64) {
-	w := admission.Work{
-		Team:     j.Team,
-		Priority: q.Priority,
-		OverRate: j.OverRate,
-		Late:     j.Late(q, now),
-		Bytes:    openBytes(j),
-	}
-	ratio := s.gate.pace.Ratio(j.Queue, now)
-	placeable := 0.0
-	for _, step := range j.Steps {
-		count := step.Waiting()
-		if count == 0 {
-			continue
-		}
-		amounts := s.amountsOf(step.Spec, count, step.Ready(), j.Team, l.fleet, ratio)
-		if amounts.Demand > 0 {
-			left, known := room[j.Team]
-			if !known {
-				left = s.capRoom(j.Team, l.fleet)
-			}
-			if step.Spec.Gang && amounts.Demand > left || !l.fits(step.Spec) {
-				amounts.Demand = 0 // room alone would not let any of it start
-			}
-			amounts.Demand = min(amounts.Demand, left)
-			room[j.Team] = left - amounts.Demand
-		}
-		if step.AwaitsPolicy(q) {
-			amounts.Policy = s.policyMillis(q, l.advisors, now)
-		} else {
-			placeable += amounts.Demand
-		}
-		amounts.Link = s.linkMillis(float64(count) * startCost(j))
-		w.Amounts = w.Amounts.Plus(amounts)
-	}
-	return w, placeable
-}
-
-// capRoom returns the share of the fleet that the team's cap still permits. The caller holds s.mu.
-func (s *Shard) capRoom(team string, fleet job.Resources) float64 {
-	limit := s.agreement.Rules.Teams[team].Cap
-	left := 1.0
-	used := s.state.TeamUsed(team)
-	for _, d := range []struct{ limit, used, fleet int64 }{
-		{limit: limit.MilliCores, used: used.MilliCores, fleet: fleet.MilliCores},
-		{limit: limit.MemoryMB, used: used.MemoryMB, fleet: fleet.MemoryMB},
-		{limit: limit.Accelerators, used: used.Accelerators, fleet: fleet.Accelerators},
-	} {
-		if d.limit > 0 && d.fleet > 0 {
-			left = min(left, max(0, float64(d.limit-d.used)/float64(d.fleet)))
-		}
-	}
-	return left
-}
-
 // observeAttempt notes for how long an attempt that has ended held its worker. The caller holds
 // s.mu.
 func (s *Shard) observeAttempt(p *job.Placement, outcome job.AttemptOutcome) {
