Build the load of admission once for all services, without the jobs that only run

Cause: every 100 ms and for each service the owner summed up all open jobs under its lock; with 2,700 workers of many sizes most of the time went into the list of their sizes. Change: one build serves all services. The state keeps the numbers of open jobs, steps and tasks by team and queue, so that only jobs with tasks to place are visited. Only the largest sizes are kept, and only of labels that are asked for. Estimates of withdrawn jobs are looked for only once there are more estimates than open jobs. A load is used for 100 times as long as it took to build, from 100 to 400 ms, which bounds the cost on slow processors too. Tests: TestWaitsForRoom calls loadOf, since buildLoad has other parameters now.

--- a/internal/cluster/shard/admission_test.go
+++ b/internal/cluster/shard/admission_test.go
@@ -219,7 +219,7 @@
 				Queue:      "queue",
 				Submission: &job.Submission{Steps: []job.StepSpec{c.spec}},
 			})
-			l := s.buildLoad("service", s.now())
+			l := s.loadOf("service", s.now())
 			assert.Equal(t, l.load.Demand(), c.want)
 			assert.Equal(t, l.waits, c.want > 0)
 		})
--- a/internal/cluster/shard/preview_test.go
+++ b/internal/cluster/shard/preview_test.go
@@ -71,8 +71,8 @@
 	}
 }
 
-// dumpShard returns the records that rebuild the state, the calls in flight and the tokens of the
-// teams. Passes of the owner change what is not in the records.
+// dumpShard returns the records that rebuild the state, the sizes of its groups, the calls in flight and
+// the tokens of the teams. Passes of the owner change what is not in the records.
 func dumpShard(s *Shard) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,6 +81,9 @@
 		record, err := json.Marshal(r)
 		text += fmt.Sprintf("\n%s %v", record, err)
 	}
+	for _, g := range s.state.Groups() {
+		text += fmt.Sprintf("\n%+v", *g)
+	}
 	for team, b := range s.buckets {
 		text += fmt.Sprintf("\n%s %+v", team, b)
 	}
--- a/internal/cluster/shard/service_load.go
+++ b/internal/cluster/shard/service_load.go
@@ -1,47 +1,81 @@
 package shard
 
 import (
+	"iter"
+	"maps"
 	"slices"
+	"time"
 
 	"github.com/citronbay/citronbay/internal/cluster/store"
+	"github.com/citronbay/citronbay/internal/cluster/worker"
 	"github.com/citronbay/citronbay/internal/decide/admission"
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
+const (
+	// Loads are built again after loadPauseFactor times the time that it takes, at least
+	// admissionInterval and at most maxAdmissionInterval, which limits it to 1 % of the time in a large
+	// fleet too: it holds the lock that all requests need.
+	loadPauseFactor      = 100
+	maxAdmissionInterval = 400 * time.Millisecond
+)
+
 // serviceLoad is the load of the workers of one service.
 type serviceLoad struct {
 	load     *admission.Load
 	capacity admission.Capacity
-	fleet    job.Resources
-	// sizes are the capacities of the workers that have a label, each once, and of all workers for
-	// the empty label.
-	sizes       map[string][]job.Resources
-	advisors    int // the nodes that call the policy service
-	builtMillis int64
+	// workers are those that count; fleet is the sum of their capacities, and used what is in use.
+	workers     []*worker.Registration
+	fleet, used job.Resources
+	// sizes are the largest capacities of the workers that have a label, and of all workers for the
+	// empty label; a label is missing until it is needed.
+	sizes    map[string][]job.Resources
+	advisors int // the nodes that call the policy service
+	// untilMillis is the Unix millisecond from which the load is out of date.
+	untilMillis int64
 	// waits is set if tasks wait for room.
 	waits bool
 }
 
-func (l *serviceLoad) addSize(label string, capacity job.Resources) {
-	if !slices.Contains(l.sizes[label], capacity) {
-		l.sizes[label] = append(l.sizes[label], capacity)
+// fits reports whether a task of the step fits on any of the workers while nothing else runs there.
+func (l *serviceLoad) fits(spec *job.StepSpec) bool {
+	sizes, known := l.sizes[spec.Label]
+	if !known {
+		sizes = largestSizes(l.workers, spec.Label)
+		l.sizes[spec.Label] = sizes
 	}
+	return slices.ContainsFunc(sizes, spec.Needs.FitsIn)
 }
 
-// fits reports whether a task of the step fits on any of the workers while nothing else runs there.
-func (l *serviceLoad) fits(spec job.StepSpec) bool {
-	return slices.ContainsFunc(l.sizes[spec.Label], spec.Needs.FitsIn)
+// largestSizes returns those capacities of the workers with the label that are in no other.
+func largestSizes(workers []*worker.Registration, label string) []job.Resources {
+	var sizes []job.Resources
+	for _, w := range workers {
+		if label != "" && !slices.Contains(w.Labels, label) || slices.ContainsFunc(sizes, w.Capacity.FitsIn) {
+			continue
+		}
+		sizes = slices.DeleteFunc(sizes, func(size job.Resources) bool {
+			return size.FitsIn(w.Capacity)
+		})
+		sizes = append(sizes, w.Capacity)
+	}
+	return sizes
 }
 
 // amountsOf returns the work of the given number of the step's tasks on workers and under the
 // team's cap. The caller holds s.mu.
 func (s *Shard) amountsOf(spec job.StepSpec, count int, ready bool, team string, fleet job.Resources, ratio float64) admission.Amounts {
+	return amountsUnder(s.agreement.Rules.Teams[team].Cap, &spec, count, ready, fleet, ratio)
+}
+
+// amountsUnder is amountsOf for a team of the given cap.
+func amountsUnder(limit job.Resources, spec *job.StepSpec, count int, ready bool, fleet job.Resources, ratio float64) admission.Amounts {
 	needs := spec.Needs.Times(int64(count))
 	millis := ratio * float64(spec.EstimateMillis)
 	share := largestShare(needs, fleet)
 	amounts := admission.Amounts{
 		Fleet: share * millis,
-		Cap:   largestShare(needs, s.agreement.Rules.Teams[team].Cap) * millis,
+		Cap:   largestShare(needs, limit) * millis,
 	}
 	if ready {
 		amounts.Demand = share
@@ -90,13 +124,9 @@
 	return 1000 * bytes / s.startsPerSecond()
 }
 
-// openBytes returns about what the open job takes in a snapshot at most.
-func openBytes(j *job.Job) int64 {
-	bytes := jobBytes + len(j.Payload)
-	for _, step := range j.Steps {
-		bytes += stepBytes + taskBytes*len(step.Tasks)
-	}
-	return int64(bytes)
+// openBytes returns about what the open jobs of the group take in a snapshot at most.
+func openBytes(g *job.Group) int64 {
+	return int64(jobBytes*g.Jobs + g.PayloadBytes + stepBytes*g.Steps + taskBytes*g.Tasks)
 }
 
 // maxOpenBytes returns the limit on the size of all open jobs: what a snapshot can hold beside the
@@ -110,21 +140,34 @@
 	return int64(max(limit/4, limit-endedBytes*float64(s.state.EndedJobs())))
 }
 
-// loadOf returns the load of the service's workers, which is built again once it is
-// admissionInterval old. The caller holds s.mu.
+// loadOf returns the load of the service's workers. Once it is out of date, it is built again with those
+// of the other services, since they share most of what it costs. The caller holds s.mu.
 func (s *Shard) loadOf(service string, now int64) *serviceLoad {
-	l := s.gate.services[service]
-	if l != nil && now-l.builtMillis < admissionInterval.Milliseconds() {
+	if l := s.gate.services[service]; l != nil && now < l.untilMillis {
 		return l
 	}
-	l = s.buildLoad(service, now)
-	if l.waits && s.journal.StalledFor() < storeStallLimit && now-s.openedMillis > settleTime.Milliseconds() {
-		s.gate.pace.ObserveUsage(service, l.capacity.Used, now)
-	} else {
-		s.gate.pace.SkipUsage(service, now)
+	services := map[string]bool{service: true}
+	for name := range s.gate.services {
+		services[name] = true
+	}
+	start := time.Now()
+	s.gate.services = s.buildLoads(maps.Keys(services), maps.Values(s.state.UnplacedJobs()), now)
+	until := now + admissionPause(time.Since(start)).Milliseconds()
+	for name, l := range s.gate.services {
+		l.untilMillis = until
+		if l.waits && s.journal.StalledFor() < storeStallLimit && now-s.openedMillis > settleTime.Milliseconds() {
+			s.gate.pace.ObserveUsage(name, l.capacity.Used, now)
+		} else {
+			s.gate.pace.SkipUsage(name, now)
+		}
 	}
-	s.gate.services[service] = l
-	return l
+	s.forgetWithdrawn()
+	return s.gate.services[service]
+}
+
+// admissionPause returns for how long loads are used that took the given time to build.
+func admissionPause(took time.Duration) time.Duration {
+	return min(max(admissionInterval, loadPauseFactor*took), maxAdmissionInterval)
 }
 
 // refreshLoads builds the loads again that submissions have used, so that what is learned of the
@@ -135,107 +178,226 @@
 	}
 }
 
-// buildLoad sums up the open jobs of the service's queues. The caller holds s.mu.
-func (s *Shard) buildLoad(service string, now int64) *serviceLoad {
-	l := &serviceLoad{
-		sizes:       map[string][]job.Resources{},
-		builtMillis: now,
+// forgetWithdrawn drops the estimates of jobs that were withdrawn. All others are of open jobs, so that
+// this may wait until there are more of them. The caller holds s.mu.
+func (s *Shard) forgetWithdrawn() {
+	if len(s.gate.estimates) <= len(s.state.OpenJobs()) {
+		return
 	}
-	if s.options.Advisors != nil {
-		l.advisors = len(s.options.Advisors())
-	}
-	var used job.Resources
-	for _, w := range s.links {
-		if w.registration.Service != service || !w.listed || (w.answered && !w.worker.Usable) {
-			continue
+	for id := range s.gate.estimates {
+		if s.state.Job(id) == nil {
+			delete(s.gate.estimates, id)
 		}
-		l.fleet = l.fleet.Plus(w.registration.Capacity)
-		l.addSize("", w.registration.Capacity)
-		for _, label := range w.registration.Labels {
-			l.addSize(label, w.registration.Capacity)
+	}
+}
+
+// buildLoads sums up the open jobs for each of the services. The sequence waiting has those with tasks to
+// place. The caller holds s.mu.
+func (s *Shard) buildLoads(services iter.Seq[string], waiting iter.Seq[*job.Job], now int64) map[string]*serviceLoad {
+	loads := map[string]*serviceLoad{}
+	for service := range services {
+		loads[service] = &serviceLoad{
+			workers: make([]*worker.Registration, 0, len(s.links)),
+			sizes:   map[string][]job.Resources{},
 		}
-		used = used.Plus(s.state.Used(w.key()))
 	}
+	s.addWorkers(loads)
 	weights := map[string]float64{}
 	for name, team := range s.agreement.Rules.Teams {
 		weights[name] = max(1, team.JobsPerSecond)
 	}
-	var priorities []int
-	for _, q := range s.agreement.Rules.Queues {
-		if q.Service == service && !slices.Contains(priorities, q.Priority) {
-			priorities = append(priorities, q.Priority)
+	for service, l := range loads {
+		if s.options.Advisors != nil {
+			l.advisors = len(s.options.Advisors())
+		}
+		var priorities []int
+		for _, q := range s.agreement.Rules.Queues {
+			if q.Service == service && !slices.Contains(priorities, q.Priority) {
+				priorities = append(priorities, q.Priority)
+			}
 		}
+		l.capacity = admission.Capacity{
+			Achievable:   s.gate.pace.Achievable(service),
+			Used:         largestShare(l.used, l.fleet),
+			UrgentInflow: s.gate.pace.UrgentInflow(service, priorities, now),
+			MaxOpenJobs:  maxOpenJobs,
+			MaxOpenBytes: s.maxOpenBytes(),
+
+			MaxIdleMillis: float64(maxIdleWait.Milliseconds()),
+		}
+		l.load = admission.NewLoad(l.capacity, weights)
 	}
-	l.capacity = admission.Capacity{
-		Achievable:   s.gate.pace.Achievable(service),
-		Used:         largestShare(used, l.fleet),
-		UrgentInflow: s.gate.pace.UrgentInflow(service, priorities, now),
-		MaxOpenJobs:  maxOpenJobs,
-		MaxOpenBytes: s.maxOpenBytes(),
+	s.addJobs(loads, waiting, now)
+	return loads
+}
 
-		MaxIdleMillis: float64(maxIdleWait.Milliseconds()),
+// addWorkers adds the workers to the loads of their services. The caller holds s.mu.
+func (s *Shard) addWorkers(loads map[string]*serviceLoad) {
+	for _, w := range s.links {
+		l := loads[w.registration.Service]
+		if l == nil || !w.listed || (w.answered && !w.worker.Usable) {
+			continue
+		}
+		l.fleet = l.fleet.Plus(w.registration.Capacity)
+		l.used = l.used.Plus(s.state.Used(w.key()))
+		l.workers = append(l.workers, &w.registration)
 	}
-	l.load = admission.NewLoad(l.capacity, weights)
-	room := map[string]float64{}
-	placeable := 0.0
-	for _, j := range s.state.OpenJobs() {
-		q := s.agreement.Rules.Queues[j.Queue]
-		if q.Service != service {
-			l.load.Hold(openBytes(j))
+}
+
+// queueLoad is what the open jobs of a queue have in common.
+type queueLoad struct {
+	queue job.Queue
+	// service is the load of the queue's service, or nil if it is not asked for.
+	service *serviceLoad
+	// ratio is that of the queue, and policyMillis the time of the calls about one step.
+	ratio, policyMillis float64
+}
+
+// groupLoad is the load of the open jobs of a group.
+type groupLoad struct {
+	*queueLoad
+	// cap is the team's, and room the share of the fleet that it still permits.
+	cap  job.Resources
+	room *float64
+	// onTime and late are the work that waits of jobs that can still meet their objective, and of the
+	// others.
+	onTime, late admission.Amounts
+}
+
+// addJobs adds the open jobs to the loads. Of those that are not in waiting, which have no tasks to place,
+// only their groups' sizes matter. The caller holds s.mu.
+func (s *Shard) addJobs(loads map[string]*serviceLoad, waiting iter.Seq[*job.Job], now int64) {
+	groups := s.groupLoads(loads, now)
+	placeable := map[*serviceLoad]float64{}
+	for j := range waiting {
+		g := &groups[j.Group().Number()]
+		if g.service == nil {
 			continue
 		}
-		w, demand := s.waitingWork(j, q, l, room, now)
-		placeable += demand
-		l.load.Add(w)
+		amounts, demand := s.waitingWork(j, g)
+		if demand > 0 {
+			placeable[g.service] += demand
+		}
+		if j.Late(g.queue, now) {
+			g.late = g.late.Plus(amounts)
+		} else {
+			g.onTime = g.onTime.Plus(amounts)
+		}
 	}
-	l.waits = placeable > minMeasuredDemand
-	for id := range s.gate.estimates {
-		if s.state.Job(id) == nil {
-			delete(s.gate.estimates, id) // withdrawn
+	for n, group := range s.state.Groups() {
+		g := &groups[n]
+		for _, l := range loads {
+			if l == g.service {
+				g.addTo(l.load, group)
+			} else {
+				holdJobs(l.load, group.Jobs, openBytes(group))
+			}
 		}
 	}
-	return l
+	for l, demand := range placeable {
+		l.waits = demand > minMeasuredDemand
+	}
 }
 
-// waitingWork returns the work of the job that waits, and the share of the fleet that it asks for
-// which only room keeps from starting. The map room holds, by team, the share of the fleet that its
-// cap still permits. The caller holds s.mu.
-func (s *Shard) waitingWork(j *job.Job, q job.Queue, l *serviceLoad, room map[string]float64, now int64) (admission.Work, float64) {
-	w := admission.Work{
-		Team:     j.Team,
-		Priority: q.Priority,
-		OverRate: j.OverRate,
-		Late:     j.Late(q, now),
-		Bytes:    openBytes(j),
+// groupLoads returns the loads of all groups, by their numbers, to which no work is added yet. The
+// caller holds s.mu.
+func (s *Shard) groupLoads(loads map[string]*serviceLoad, now int64) []groupLoad {
+	queues := map[string]*queueLoad{}
+	rooms := map[*serviceLoad]map[string]*float64{}
+	for _, l := range loads {
+		rooms[l] = map[string]*float64{}
+	}
+	groups := make([]groupLoad, len(s.state.Groups()))
+	for n, group := range s.state.Groups() {
+		q := queues[group.Queue]
+		if q == nil {
+			q = s.queueLoad(group.Queue, loads, now)
+			queues[group.Queue] = q
+		}
+		g := &groups[n]
+		g.queueLoad = q
+		if q.service == nil {
+			continue
+		}
+		g.cap = s.agreement.Rules.Teams[group.Team].Cap
+		g.room = rooms[q.service][group.Team]
+		if g.room == nil {
+			room := s.capRoom(group.Team, q.service.fleet)
+			g.room, rooms[q.service][group.Team] = &room, &room
+		}
+	}
+	return groups
+}
+
+// queueLoad returns the load of the queue. The caller holds s.mu.
+func (s *Shard) queueLoad(name string, loads map[string]*serviceLoad, now int64) *queueLoad {
+	q := &queueLoad{queue: s.agreement.Rules.Queues[name]}
+	q.service = loads[q.queue.Service]
+	if q.service != nil {
+		q.ratio = s.gate.pace.Ratio(name, now)
+		q.policyMillis = s.policyMillis(q.queue, q.service.advisors, now)
+	}
+	return q
+}
+
+// addTo adds the group to the load of its service.
+func (g *groupLoad) addTo(load *admission.Load, group *job.Group) {
+	work := admission.Work{
+		Team:     group.Team,
+		Priority: g.queue.Priority,
+		OverRate: group.OverRate,
+		Late:     g.onTime == admission.Amounts{},
+		Amounts:  g.onTime.Plus(g.late),
+		Bytes:    openBytes(group),
 	}
-	ratio := s.gate.pace.Ratio(j.Queue, now)
+	if work.Late || g.late == (admission.Amounts{}) {
+		load.Add(work)
+		holdJobs(load, group.Jobs-1, 0)
+		return
+	}
+	work.Amounts = g.onTime
+	load.Add(work)
+	work.Late, work.Amounts, work.Bytes = true, g.late, 0
+	load.Add(work)
+	holdJobs(load, group.Jobs-2, 0)
+}
+
+// holdJobs counts open jobs that take the given number of bytes in total.
+func holdJobs(load *admission.Load, jobs int, bytes int64) {
+	for range jobs {
+		load.Hold(bytes)
+		bytes = 0
+	}
+}
+
+// waitingWork returns the work of the job that waits, and the share of the fleet that it asks for
+// which only room keeps from starting; it takes that from the room that its group's cap still permits.
+// The caller holds s.mu.
+func (s *Shard) waitingWork(j *job.Job, g *groupLoad) (admission.Amounts, float64) {
+	var sum admission.Amounts
 	placeable := 0.0
 	for _, step := range j.Steps {
 		count := step.Waiting()
 		if count == 0 {
 			continue
 		}
-		amounts := s.amountsOf(step.Spec, count, step.Ready(), j.Team, l.fleet, ratio)
+		amounts := amountsUnder(g.cap, &step.Spec, count, step.Ready(), g.service.fleet, g.ratio)
 		if amounts.Demand > 0 {
-			left, known := room[j.Team]
-			if !known {
-				left = s.capRoom(j.Team, l.fleet)
-			}
-			if step.Spec.Gang && amounts.Demand > left || !l.fits(step.Spec) {
+			if step.Spec.Gang && amounts.Demand > *g.room || !g.service.fits(&step.Spec) {
 				amounts.Demand = 0 // room alone would not let any of it start
 			}
-			amounts.Demand = min(amounts.Demand, left)
-			room[j.Team] = left - amounts.Demand
+			amounts.Demand = min(amounts.Demand, *g.room)
+			*g.room -= amounts.Demand
 		}
-		if step.AwaitsPolicy(q) {
-			amounts.Policy = s.policyMillis(q, l.advisors, now)
+		if step.AwaitsPolicy(g.queue) {
+			amounts.Policy = g.policyMillis
 		} else {
 			placeable += amounts.Demand
 		}
 		amounts.Link = s.linkMillis(float64(count) * startCost(j))
-		w.Amounts = w.Amounts.Plus(amounts)
+		sum = sum.Plus(amounts)
 	}
-	return w, placeable
+	return sum, placeable
 }
 
 // capRoom returns the share of the fleet that the team's cap still permits. The caller holds s.mu.
--- a/internal/decide/job/candidates.go
+++ b/internal/decide/job/candidates.go
@@ -211,6 +211,7 @@
 		return copied
 	}
 	c.open, c.unplaced, c.suspects = index(s.open), index(s.unplaced), index(s.suspects)
+	c.cloneGroups()
 	c.used, c.usedByEndless = maps.Clone(s.used), maps.Clone(s.usedByEndless)
 	c.teamUsed, c.shares = maps.Clone(s.teamUsed), maps.Clone(s.shares)
 	return &c, workerCopies
--- a/internal/decide/job/model.go
+++ b/internal/decide/job/model.go
@@ -325,6 +325,8 @@
 	// criticalPathMillis is the estimated run time of the longest chain of dependent
 	// steps.
 	criticalPathMillis int64
+	// group is nil once the job has ended.
+	group *Group
 }
 
 // Done reports whether all tasks of the step are done.
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -70,6 +70,9 @@
 type State struct {
 	jobs map[string]*Job
 	open map[string]*Job
+	// groups holds the groups that have open jobs, and groupByKey the same.
+	groups     []*Group
+	groupByKey map[groupKey]*Group
 	// unplaced indexes the open jobs with tasks that are neither done nor placed.
 	unplaced map[string]*Job
 	// suspects indexes the open jobs with tasks that are suspected of crashing workers.
@@ -106,6 +109,7 @@
 		jobs: map[string]*Job{},
 		open: map[string]*Job{},
 
+		groupByKey:    map[groupKey]*Group{},
 		unplaced:      map[string]*Job{},
 		suspects:      map[string]*Job{},
 		placements:    map[WorkerKey]map[TaskKey]*Placement{},
@@ -273,7 +277,7 @@
 	}
 	j.computeCriticalPaths()
 	s.jobs[j.ID] = j
-	s.open[j.ID] = j
+	s.addOpen(j)
 	return nil
 }
 
@@ -296,7 +300,7 @@
 
 func (s *State) removeJob(id string) {
 	delete(s.jobs, id)
-	delete(s.open, id)
+	s.removeOpen(id)
 	delete(s.unplaced, id)
 	delete(s.suspects, id)
 }
@@ -305,7 +309,7 @@
 	j.Outcome = r.Outcome
 	j.FinishedMillis = r.TimeMillis
 	j.CancelledBy = r.Call
-	delete(s.open, j.ID)
+	s.removeOpen(j.ID)
 }
 
 func (s *State) placeTask(j *Job, key TaskKey, t *Task, r Record) error {
--- a/internal/decide/job/state_test.go
+++ b/internal/decide/job/state_test.go
@@ -63,7 +63,7 @@
 }
 
 // TestStateMatchesRecomputedUsage applies random records and checks the state's sums per
-// worker and per team, its index of unplaced jobs, and that a snapshot rebuilds it.
+// worker, per team and per group, its index of unplaced jobs, and that a snapshot rebuilds it.
 func TestStateMatchesRecomputedUsage(t *testing.T) {
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
@@ -91,6 +91,7 @@
 					assert.Equal(t, state.TeamUsed(name), sum)
 				}
 				checkUnplaced(t, state, ids)
+				checkGroups(t, state, ids)
 				rebuilt := job.NewState()
 				for _, r := range state.Snapshot(0) {
 					mustApply(t, rebuilt, r)
@@ -118,6 +119,40 @@
 	}
 }
 
+// checkGroups compares the state's groups of open jobs to sums over all jobs.
+func checkGroups(t *testing.T, state *job.State, ids []string) {
+	t.Helper()
+	want := map[*job.Group]*job.Group{}
+	for _, id := range ids {
+		j := state.Job(id)
+		if j == nil || j.Outcome != job.Open {
+			assert.Assert(t, j == nil || j.Group() == nil)
+			continue
+		}
+		sum := want[j.Group()]
+		if sum == nil {
+			sum = &job.Group{
+				Team:     j.Team,
+				Queue:    j.Queue,
+				OverRate: j.OverRate,
+			}
+			want[j.Group()] = sum
+		}
+		sum.Jobs++
+		sum.PayloadBytes += len(j.Payload)
+		for _, step := range j.Steps {
+			sum.Steps++
+			sum.Tasks += len(step.Tasks)
+		}
+	}
+	assert.Equal(t, len(state.Groups()), len(want))
+	for n, g := range state.Groups() {
+		assert.Equal(t, g.Number(), n)
+		assert.Equal(t, fmt.Sprint(g.Team, g.Queue, g.OverRate), fmt.Sprint(want[g].Team, want[g].Queue, want[g].OverRate))
+		assert.Equal(t, fmt.Sprint(g.Jobs, g.Steps, g.Tasks, g.PayloadBytes), fmt.Sprint(want[g].Jobs, want[g].Steps, want[g].Tasks, want[g].PayloadBytes))
+	}
+}
+
 // acceptRandomJob applies the acceptance of a random job and returns it.
 func acceptRandomJob(t *testing.T, state *job.State, rng *rand.Rand, id string, millis int64) job.Record {
 	submission := &job.Submission{Payload: "text"}
@@ -143,6 +178,7 @@
 		TimeMillis: millis,
 		Submission: submission,
 		Call:       rng.Uint64(),
+		OverRate:   rng.IntN(4) == 0,
 	}
 	mustApply(t, state, r)
 	return r
