Explain: one preview at a time, of a copy that shares what planning only reads

Cause: a preview copied the whole state with all tickets under the owner's lock, and any number of operators could ask at once. Change: only the jobs with tasks to place are copied; tasks and placements once the trial changes them. Workers are not copied but set back, so that tickets need no new keys. Previews take turns with a pause of 20 times their duration, 0.5 s at most; one that has waited for 1 s is refused (429). TestPreviewIsWhatHappens and TestPreviewChangesNothing pass unchanged but for the context, and fail without State.own or keepWorkers. -race passes for job, shard and node but for the known red tests TestLateOrderAfterNextRestart and TestInnocentSuspectsRunSoon; TestExplainRequest passes.

--- a/internal/cluster/node/preview.go
+++ b/internal/cluster/node/preview.go
@@ -41,12 +41,12 @@
 }
 
 // previewAsOwner answers if this node is the owner, and with caller.NotOwner otherwise.
-func (n *Node) previewAsOwner(_ context.Context, r shard.PreviewRequest) (shard.PreviewResponse, error) {
+func (n *Node) previewAsOwner(ctx context.Context, r shard.PreviewRequest) (shard.PreviewResponse, error) {
 	s := n.currentShard()
 	if s == nil || r.Submission == nil {
 		return shard.PreviewResponse{Status: caller.NotOwner}, nil
 	}
-	response := s.Preview(r)
+	response := s.Preview(ctx, r)
 	response.Preview.Owner = n.options.Name
 	return response, nil
 }
--- a/internal/cluster/shard/preview.go
+++ b/internal/cluster/shard/preview.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"context"
 	"time"
 
 	"github.com/citronbay/citronbay/internal/api/operator"
@@ -10,8 +11,18 @@
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
-// maxPreviewCandidates is the maximum number of workers that a preview names for each step.
-const maxPreviewCandidates = 20
+const (
+	// maxPreviewCandidates is the maximum number of workers that a preview names for each step.
+	maxPreviewCandidates = 20
+	// previewWait is for how long a preview waits for those before it: nodes that pass one on to the
+	// owner wait little longer for the answer.
+	previewWait = time.Second
+	// The pause after a preview is previewPauseFactor times as long as the preview, but no longer than
+	// maxPreviewPause. It bounds previews, which hold the lock like planning passes, to 1/21 of the
+	// time, however many operators ask.
+	previewPauseFactor = 20
+	maxPreviewPause    = previewWait / 2
+)
 
 // PreviewRequest asks where a submission would go now, without sending it.
 type PreviewRequest struct {
@@ -30,16 +41,24 @@
 	Preview operator.Preview
 }
 
-// Preview returns where the submission would go now. It changes nothing: it plans on copies of the
-// state and the workers, and asks neither the store nor the policy service nor workers. Preview.Owner
-// is left to the node.
-func (s *Shard) Preview(r PreviewRequest) PreviewResponse {
+// Preview returns where the submission would go now. It changes nothing: it plans on a copy of the
+// state, and asks neither the store nor the policy service nor workers. Preview.Owner is left to the
+// node. Previews take turns; the status is caller.Refused if it is not this one's turn within
+// previewWait, or before the context ends.
+func (s *Shard) Preview(ctx context.Context, r PreviewRequest) PreviewResponse {
 	if err := r.Submission.Validate(); err != nil {
 		return PreviewResponse{
 			Status: caller.Invalid,
 			Reason: err.Error(),
 		}
 	}
+	if !s.beginPreview(ctx) {
+		return PreviewResponse{
+			Status: caller.Refused,
+			Reason: "the owner answers other operators who ask where requests would go; ask again later",
+		}
+	}
+	defer s.endPreview(time.Now())
 	s.mu.Lock()
 	route, id, ok := s.agreement.Resolve(r.Host, r.Path)
 	_, knownTeam := s.agreement.Rules.Teams[r.Team]
@@ -93,6 +112,30 @@
 	}
 }
 
+// beginPreview waits for the preview's turn, and reports whether it has come.
+func (s *Shard) beginPreview(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, previewWait)
+	defer cancel()
+	select {
+	case s.previews <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// endPreview lets the next preview begin after a pause.
+func (s *Shard) endPreview(start time.Time) {
+	time.AfterFunc(pauseAfterPreview(time.Since(start)), func() {
+		<-s.previews
+	})
+}
+
+// pauseAfterPreview returns the pause after a preview of the given duration.
+func pauseAfterPreview(took time.Duration) time.Duration {
+	return min(previewPauseFactor*took, maxPreviewPause)
+}
+
 // wouldAdmit returns what would be decided about the submission.
 func (s *Shard) wouldAdmit(team, queue string, submission *job.Submission) admission.Decision {
 	s.mu.Lock()
--- a/internal/cluster/shard/shard.go
+++ b/internal/cluster/shard/shard.go
@@ -94,6 +94,7 @@
 	openedAt     time.Time
 	openedMillis int64 // openedAt as a Unix millisecond
 	passRequests chan struct{}
+	previews     chan struct{}          // holds a value during a preview and the pause after it
 	starts       *rate.Limiter          // of the bytes of start orders
 	credit       startCredit            // guarded by mu
 	buckets      map[string]tokenBucket // by team; guarded by mu
@@ -152,6 +153,7 @@
 		openedAt:     time.Now(),
 		openedMillis: time.Now().UnixMilli(),
 		passRequests: make(chan struct{}, 1),
+		previews:     make(chan struct{}, 1),
 		starts:       newStartLimiter(options.Link),
 		buckets:      map[string]tokenBucket{},
 		state:        job.NewState(),
--- a/internal/decide/job/candidates.go
+++ b/internal/decide/job/candidates.go
@@ -63,10 +63,11 @@
 const trialID = "~trial"
 
 // Preview returns, for each step of the trial, where its tasks would go if it were accepted and
-// planned now. It works on copies: neither the state nor the workers change. The function configure
+// planned now. It works on a copy, and neither the state nor the workers change. The function configure
 // is applied to the planner, which it gets with the copy of the state.
 func Preview(state *State, rules Rules, workers []*Worker, trial Trial, now int64, configure func(*State, *Planner) *Planner) ([]StepPreview, error) {
-	state, workers = state.clone(workers)
+	defer keepWorkers(workers)()
+	state = state.forTrial()
 	err := state.Apply(Record{
 		Kind:       RecordAccept,
 		Job:        trialID,
@@ -170,82 +171,78 @@
 	return ""
 }
 
-// clone returns a copy of the state, as far as planning needs it, and of the workers. Jobs that have
-// ended and have no placements are left out.
-func (s *State) clone(workers []*Worker) (*State, []*Worker) {
-	copies := map[*Worker]*Worker{}
-	copyOf := func(w *Worker) *Worker {
-		if copies[w] == nil {
-			worker := *w
-			copies[w] = &worker
-		}
-		return copies[w]
-	}
-	workerCopies := make([]*Worker, len(workers))
+// keepWorkers returns the function that resets what a pass changes of the workers.
+func keepWorkers(workers []*Worker) func() {
+	kept := make([]Worker, len(workers))
 	for n, w := range workers {
-		workerCopies[n] = copyOf(w)
+		kept[n] = *w
 	}
-	c := *s
-	c.jobs, c.placements = map[string]*Job{}, map[WorkerKey]map[TaskKey]*Placement{}
-	for id, j := range s.jobs {
-		if j.Outcome != Open && !slices.ContainsFunc(j.Steps, func(step *Step) bool { return step.placed > 0 }) {
-			continue
-		}
-		c.jobs[id] = j.clone(copyOf)
-		for _, step := range c.jobs[id].Steps {
-			for _, t := range step.Tasks {
-				if p := t.Placement; p != nil {
-					if c.placements[p.Worker] == nil {
-						c.placements[p.Worker] = map[TaskKey]*Placement{}
-					}
-					c.placements[p.Worker][p.Task] = p
-				}
-			}
+	return func() {
+		for n, w := range workers {
+			*w = kept[n]
 		}
 	}
-	index := func(jobs map[string]*Job) map[string]*Job {
-		copied := map[string]*Job{}
-		for id := range jobs {
-			copied[id] = c.jobs[id]
-		}
-		return copied
+}
+
+// trialState is what a copy of a state for a trial does not share with the original.
+type trialState struct {
+	// steps are those whose tasks, and workers those whose placements are the copy's own.
+	steps   map[*Step]bool
+	workers map[WorkerKey]bool
+}
+
+// forTrial returns a copy of the state that can accept and place jobs while the original does not change.
+// It shares the jobs without tasks to place, which planning only reads, and all tasks and placements until it
+// changes them: the owner holds its lock meanwhile. The copy's open jobs are those that it accepts.
+func (s *State) forTrial() *State {
+	c := *s
+	c.trial = &trialState{
+		steps:   map[*Step]bool{},
+		workers: map[WorkerKey]bool{},
 	}
-	c.open, c.unplaced, c.suspects = index(s.open), index(s.unplaced), index(s.suspects)
-	c.cloneGroups()
+	c.open, c.groups, c.groupByKey = map[string]*Job{}, nil, map[groupKey]*Group{}
+	c.jobs, c.placements, c.suspects = maps.Clone(s.jobs), maps.Clone(s.placements), maps.Clone(s.suspects)
 	c.used, c.usedByEndless = maps.Clone(s.used), maps.Clone(s.usedByEndless)
 	c.teamUsed, c.shares = maps.Clone(s.teamUsed), maps.Clone(s.shares)
-	return &c, workerCopies
+	c.unplaced = make(map[string]*Job, len(s.unplaced))
+	for id, j := range s.unplaced {
+		copied := j.forTrial()
+		c.jobs[id], c.unplaced[id] = copied, copied
+		if c.suspects[id] != nil {
+			c.suspects[id] = copied
+		}
+	}
+	return &c
 }
 
-func (j *Job) clone(copyOf func(*Worker) *Worker) *Job {
+// forTrial returns a copy of the job and its steps, which share their tasks and tickets with the original.
+func (j *Job) forTrial() *Job {
 	c := *j
+	steps := make([]Step, len(j.Steps))
 	c.Steps = make([]*Step, len(j.Steps))
 	for n, step := range j.Steps {
-		s := *step
-		s.Job = &c
-		s.Tasks = slices.Clone(step.Tasks)
-		for k, t := range s.Tasks {
-			if t.Placement != nil {
-				p := *t.Placement
-				s.Tasks[k].Placement = &p
-			}
-		}
-		s.Advice.allowed = rekey(step.Advice.allowed, copyOf)
-		s.Advice.denied = rekey(step.Advice.denied, copyOf)
-		s.Advice.reserved = rekey(step.Advice.reserved, copyOf)
-		c.Steps[n] = &s
+		steps[n] = *step
+		steps[n].Job = &c
+		c.Steps[n] = &steps[n]
 	}
 	return &c
 }
 
-// rekey returns a copy of the map with copies of the workers as keys; nil for nil.
-func rekey[V any](m map[*Worker]V, copyOf func(*Worker) *Worker) map[*Worker]V {
-	if m == nil {
-		return nil
+// own copies what the placement changes, if the state is a copy that shares it with its original.
+func (s *State) own(place Record) {
+	if s.trial == nil {
+		return
+	}
+	if step := s.jobs[place.Job].Steps[place.Step]; !s.trial.steps[step] {
+		s.trial.steps[step] = true
+		step.Tasks = slices.Clone(step.Tasks)
+	}
+	key := WorkerKey{
+		ID:          place.Worker,
+		Incarnation: place.Incarnation,
 	}
-	c := make(map[*Worker]V, len(m))
-	for w, v := range m {
-		c[copyOf(w)] = v
+	if placements := s.placements[key]; placements != nil && !s.trial.workers[key] {
+		s.placements[key] = maps.Clone(placements)
 	}
-	return c
+	s.trial.workers[key] = true
 }
--- a/internal/decide/job/group.go
+++ b/internal/decide/job/group.go
@@ -92,16 +92,3 @@
 	s.groups[g.number], last.number = last, g.number
 	s.groups = s.groups[:len(s.groups)-1]
 }
-
-// cloneGroups gives the state, whose open jobs are copies already, copies of their groups.
-func (s *State) cloneGroups() {
-	groups, byKey := make([]*Group, len(s.groups)), make(map[groupKey]*Group, len(s.groups))
-	for n, g := range s.groups {
-		copied := *g
-		groups[n], byKey[g.key()] = &copied, &copied
-	}
-	for _, j := range s.open {
-		j.group = groups[j.group.number]
-	}
-	s.groups, s.groupByKey = groups, byKey
-}
--- a/internal/decide/job/state.go
+++ b/internal/decide/job/state.go
@@ -90,6 +90,8 @@
 	// shares holds the shares of workers that the policy service allows, by queue. They
 	// are not part of the records.
 	shares map[string]*allowedShare
+	// trial is nil unless the state is a copy for a trial.
+	trial *trialState
 }
 
 // shareOf returns the share of workers that the policy service allows to steps of the
@@ -219,6 +221,9 @@
 		Step:  r.Step,
 		Index: r.Index,
 	}
+	if s.Task(key) != nil && r.Kind == RecordPlace {
+		s.own(r)
+	}
 	t := s.Task(key)
 	if t == nil {
 		return fmt.Errorf("record of kind %d for unknown task %v", r.Kind, key)
