Admission: expect of a late job that it waits behind what arrives

In a burst of one queue within the teams' rates nothing was refused: a job that would be late was expected to end after what waits before it (24 s), while the planner puts it behind the late work of its priority and behind everything that arrives and can still be in time (it ended after 48 s).

Such a job now waits for the late work too, for as much of its priority as arrived lately, and on the part of the fleet that usual arrivals leave.

New: TestReplayedBursts (14 bursts of one queue: no less in time or of use, no more in vain), TestUsualInflow, cases of TestDecide. The setup of the replay's flows has moved into functions; no bound or case is changed.

--- a/internal/decide/admission/decide.go
+++ b/internal/decide/admission/decide.go
@@ -22,6 +22,10 @@
 // goes with the room that the next tasks leave.
 const shortWait = 0.25
 
+// minDrainShare is the least part of the fleet on which late work is expected to be done beside what
+// arrives: an overload ends.
+const minDrainShare = 0.25
+
 // Decide decides a submission. It answers a load of more work than can be done while it is of use:
 // accepted work is carried out to its end, so that each job which ends too late takes the room of
 // one that could have been of use.
@@ -36,7 +40,7 @@
 	if reason, retry := l.full(s.Work); reason != "" {
 		return Decision{}.refused(reason, retry)
 	}
-	wait, reason := l.wait(s.Work)
+	wait, reason := l.wait(s)
 	estimate := wait + s.runMillis(l.capacity)
 	d := Decision{
 		Accepted:       true,
@@ -83,24 +87,14 @@
 	return "", 0
 }
 
-// wait returns the time that the work would wait, and for what it would wait longest.
-func (l *Load) wait(w Work) (float64, Reason) {
-	teams := l.ahead(w)
+// wait returns the time that the submission would wait, and for what it would wait longest.
+func (l *Load) wait(s Submission) (float64, Reason) {
+	teams := l.ahead(s.Work)
 	var all Amounts
 	for _, amounts := range teams {
 		all = all.Plus(amounts)
 	}
-	own := teams[w.Team]
-	fleet := 0.0
-	if free := l.capacity.free(); all.Demand > free {
-		share := l.capacity.Achievable
-		fleet = drainMillis(teams, share) * (1 - free/all.Demand)
-		if !w.OverRate {
-			fleet = min(fleet, own.Fleet/(share*l.Share(w.Team)))
-		}
-		fleet += min(fleet, l.capacity.UrgentInflow[w.Priority]/share)
-	}
-	if w.Amounts.Policy == 0 {
+	if s.Work.Amounts.Policy == 0 {
 		all.Policy = 0
 	}
 	millis, reason := 0.0, FleetBusy
@@ -108,8 +102,8 @@
 		millis float64
 		reason Reason
 	}{
-		{millis: fleet, reason: FleetBusy},
-		{millis: own.Cap, reason: TeamCap},
+		{millis: l.fleetWait(s), reason: FleetBusy},
+		{millis: teams[s.Work.Team].Cap, reason: TeamCap},
 		{millis: all.Policy, reason: PolicyBusy},
 		{millis: all.Link, reason: LinkBusy},
 	} {
@@ -120,6 +114,53 @@
 	return millis, reason
 }
 
+// fleetWait returns the time that the submission would wait for workers. If it would be late by then,
+// the planner puts it behind the late work of its priority, and behind what arrives until it starts.
+func (l *Load) fleetWait(s Submission) float64 {
+	inflow := l.capacity.UrgentInflow[s.Work.Priority]
+	wait := l.queueMillis(s.Work, inflow.Urgent)
+	slack := s.ObjectiveMillis - s.ElapsedMillis - s.PathMillis
+	if s.Work.OverRate || s.ObjectiveMillis == 0 || wait <= slack {
+		return wait
+	}
+	if slack > 0 && l.mayOvertake(s.Work) {
+		return slack
+	}
+	late := s.Work
+	late.Late = true
+	left := max(minDrainShare, 1-inflow.Usual/l.capacity.Achievable)
+	return max(wait, l.queueMillis(late, inflow.Urgent+inflow.Peers)/left)
+}
+
+// mayOvertake reports whether the work is likelier than not to start in time though more is ahead of
+// it than can be done by then. What becomes late makes way for what is due later, so that this is so
+// while at most twice as much of its priority is accepted as can be done, of all teams or of its own.
+func (l *Load) mayOvertake(w Work) bool {
+	inflow := l.capacity.UrgentInflow[w.Priority]
+	most := 2 * flowMillis * (l.capacity.Achievable - inflow.UsualUrgent)
+	return inflow.Peers > 0 && (inflow.Peers <= most || inflow.Teams[w.Team] <= l.Share(w.Team)*most)
+}
+
+// queueMillis returns the time until workers have carried out what goes before the work, and as much
+// of the inflow as comes before it.
+func (l *Load) queueMillis(w Work, inflow float64) float64 {
+	teams := l.ahead(w)
+	demand := 0.0
+	for _, amounts := range teams {
+		demand += amounts.Demand
+	}
+	free := l.capacity.free()
+	if demand <= free {
+		return 0
+	}
+	share := l.capacity.Achievable
+	millis := drainMillis(teams, share) * (1 - free/demand)
+	if !w.OverRate {
+		millis = min(millis, teams[w.Team].Fleet/(share*l.Share(w.Team)))
+	}
+	return millis + min(millis, inflow/share)
+}
+
 // isTaken reports whether there is no room for a job over its team's rate beside what waits.
 func (l *Load) isTaken(s Submission) bool {
 	return l.Demand()+s.Work.Amounts.Demand > l.capacity.free() ||
--- a/internal/decide/admission/decide_test.go
+++ b/internal/decide/admission/decide_test.go
@@ -27,6 +27,15 @@
 	}
 	late := waiting("other", 1, backlog(50_000))
 	late.Late = true
+	lateOwn := waiting("team", 1, backlog(5000))
+	lateOwn.Late = true
+	arriving := func(in Inflow) Capacity {
+		return Capacity{
+			Achievable:   1,
+			Used:         1,
+			UrgentInflow: map[int]Inflow{1: in},
+		}
+	}
 	for name, c := range map[string]struct {
 		capacity Capacity
 		waiting  []Work
@@ -53,7 +62,14 @@
 		"policy service not needed":       {capacity: full, waiting: []Work{waiting("other", 0, Amounts{Policy: 9000})}, estimate: 2000},
 		"too much for the policy service": {capacity: Capacity{Achievable: 1, MaxIdleMillis: 1000}, waiting: []Work{waiting("other", 1, Amounts{Policy: 1001})}, policy: 1, want: PolicyBusy},
 		"others' policy service":          {capacity: Capacity{Achievable: 1, MaxIdleMillis: 1000}, waiting: []Work{waiting("other", 0, Amounts{Policy: 90_000})}, estimate: 2000},
-		"urgent work is expected":         {capacity: Capacity{Achievable: 1, Used: 1, UrgentInflow: map[int]float64{1: 4000}}, waiting: []Work{waiting("team", 1, backlog(5000))}, estimate: 11_000, want: FleetBusy},
+		"urgent work is expected":         {capacity: Capacity{Achievable: 1, Used: 1, UrgentInflow: map[int]Inflow{1: {Urgent: 4000}}}, waiting: []Work{waiting("team", 1, backlog(5000))}, estimate: 11_000, want: FleetBusy},
+		"late behind late work":           {capacity: full, waiting: []Work{waiting("team", 1, backlog(4000)), lateOwn}, estimate: 11_000, want: FleetBusy},
+		"late behind what usually comes":  {capacity: arriving(Inflow{Usual: 0.5}), waiting: []Work{waiting("team", 1, backlog(4500))}, estimate: 11_000, want: FleetBusy},
+		"late behind a burst":             {capacity: arriving(Inflow{Peers: 4500, Teams: map[string]float64{"team": 4500}}), waiting: []Work{waiting("team", 1, backlog(4500))}, estimate: 11_000, want: FleetBusy},
+		"an overload that ends":           {capacity: arriving(Inflow{Usual: 2}), waiting: []Work{waiting("team", 1, backlog(3500))}, estimate: 16_000, want: FleetBusy},
+		"what is ahead makes way":         {capacity: arriving(Inflow{Peers: 3500}), waiting: []Work{waiting("team", 1, backlog(9000)), lateOwn}, estimate: 5000},
+		"way for urgent work only":        {capacity: arriving(Inflow{Peers: 3500, UsualUrgent: 0.5, Teams: map[string]float64{"team": 3500}}), waiting: []Work{waiting("team", 1, backlog(4500))}, estimate: 10_000},
+		"way for the team's share":        {capacity: arriving(Inflow{Peers: 9000, Teams: map[string]float64{"team": 1500}}), waiting: []Work{waiting("team", 1, backlog(9000))}, estimate: 5000},
 		"over rate with room":             {capacity: Capacity{Achievable: 1, Used: 0.5}, overRate: true, estimate: 2000},
 		"over rate without room":          {capacity: Capacity{Achievable: 1, Used: 0.95}, overRate: true, estimate: 2000, want: OverRate},
 		"over rate, others need the room": {capacity: Capacity{Achievable: 1, Used: 0.5}, waiting: []Work{waiting("other", 9, Amounts{Fleet: 900, Demand: 0.45})}, overRate: true, estimate: 2000, want: OverRate},
@@ -133,6 +149,38 @@
 	assert.Equal(t, p.Achievable("other"), firstAchievable)
 }
 
+// TestUsualInflow learns what arrives beside bursts: a flow that takes two fifths of the fleet, then a
+// burst of five times the fleet, then nothing.
+func TestUsualInflow(t *testing.T) {
+	const flow, burst = 0.4, 5.0
+	p := NewPace(0)
+	now := int64(0)
+	arrive := func(share float64, millis int64) Inflow {
+		for end := now + millis; now < end; now += 100 {
+			if share > 0 {
+				p.ObserveAccepted("service", Work{
+					Team:     "team",
+					Priority: 1,
+					Amounts:  Amounts{Fleet: share * 100},
+				}, now)
+			}
+		}
+		return p.UrgentInflow("service", []int{1}, now)[1]
+	}
+	usual := arrive(flow, 60_000)
+	assert.Assert(t, usual.Usual > 0.9*flow && usual.Usual < 1.1*flow, "%+v", usual)
+	during := arrive(burst, 4000)
+	assert.Assert(t, during.Usual < 2*flow, "%+v", during)
+	assert.Assert(t, during.Peers > burst*flowMillis/2, "%+v", during)
+	assert.Equal(t, during.Teams["team"], during.Peers)
+	long := arrive(burst, 200_000)
+	assert.Assert(t, long.Usual > 0.99 && long.Usual <= 1, "%+v", long)
+	assert.Assert(t, arrive(0, 60_000).Usual < 0.1)
+	urgent := p.UrgentInflow("service", []int{2}, now)[2]
+	assert.Equal(t, urgent.Peers, 0.0)
+	assert.Equal(t, urgent.UsualUrgent, urgent.Usual)
+}
+
 // TestUnlistedTeam decides a job of callers without a key, whose team no agreement lists, behind their own
 // backlog and behind that of others.
 func TestUnlistedTeam(t *testing.T) {
--- a/internal/decide/admission/load.go
+++ b/internal/decide/admission/load.go
@@ -44,14 +44,27 @@
 	Bytes int64
 }
 
+// Inflow is the work that is expected to arrive and go before waiting work of a priority: as much as
+// was accepted lately, in milliseconds of the fleet, and the usual share for as long as work waits.
+type Inflow struct {
+	// Urgent is the more urgent work, and Peers that of the same priority, which goes before what
+	// is late.
+	Urgent, Peers float64
+	// Teams is what each team has of Peers.
+	Teams map[string]float64
+	// UsualUrgent is the share of the fleet that the more urgent work takes beside bursts, and Usual
+	// that of both.
+	UsualUrgent, Usual float64
+}
+
 // Capacity is what carries work out at present.
 type Capacity struct {
 	// Achievable is the share of the fleet that is in use when work waits, and Used the share
 	// that is in use.
 	Achievable, Used float64
 	// UrgentInflow is the work that is expected to arrive and go before waiting work of a
-	// priority, by that priority, in milliseconds of the fleet.
-	UrgentInflow map[int]float64
+	// priority, by that priority.
+	UrgentInflow map[int]Inflow
 	// MaxOpenJobs and MaxOpenBytes limit the open jobs; zero means no limit.
 	MaxOpenJobs  int
 	MaxOpenBytes int64
@@ -75,11 +88,12 @@
 // queued is the work of a team that waits, by rank.
 type queued map[rank]Amounts
 
-// before returns the work that goes before new work of the priority, as far as deadlines permit.
-func (q queued) before(priority int) Amounts {
+// before returns the work that goes before new work of the priority, as far as deadlines permit, or
+// before work that has just become late.
+func (q queued) before(priority int, late bool) Amounts {
 	var sum Amounts
 	for r, amounts := range q {
-		if r.priority < priority || r.priority == priority && !r.late {
+		if r.priority < priority || r.priority == priority && (late || !r.late) {
 			sum = sum.Plus(amounts)
 		}
 	}
@@ -155,12 +169,12 @@
 	return 1
 }
 
-// ahead returns the work of each team that goes before a submission.
+// ahead returns the work of each team that goes before a submission, which may be late.
 func (l *Load) ahead(w Work) map[string]Amounts {
 	teams := map[string]Amounts{}
 	if !w.OverRate {
 		for name, q := range l.within {
-			teams[name] = q.before(w.Priority)
+			teams[name] = q.before(w.Priority, w.Late)
 		}
 		return teams
 	}
--- a/internal/decide/admission/pace.go
+++ b/internal/decide/admission/pace.go
@@ -14,6 +14,10 @@
 	fallMillis = 10_000
 	// flowMillis is the same time for what arrives.
 	flowMillis = 2_000
+	// usualRiseMillis and usualFallMillis are the same time for the share of the fleet that arriving
+	// work takes beside bursts, as it rises and falls.
+	usualRiseMillis = 20_000
+	usualFallMillis = 5_000
 	// firstAchievable is the share of the fleet that can be in use, until it is measured.
 	firstAchievable = 0.85
 )
@@ -68,7 +72,7 @@
 	started int64
 	// accepted is the work that was accepted within the rates, in milliseconds of the service's
 	// workers.
-	accepted map[inflow]decaying
+	accepted map[inflow]arrived
 }
 
 // NewPace returns the pace of an owner that has seen nothing yet.
@@ -77,7 +81,7 @@
 		queues:   map[string]spent{},
 		usage:    map[string]usage{},
 		started:  now,
-		accepted: map[inflow]decaying{},
+		accepted: map[inflow]arrived{},
 	}
 }
 
@@ -148,26 +152,68 @@
 	priority int
 }
 
+// arrived is what was accepted lately, in all and by team, and the share of the fleet that work takes
+// which arrives beside bursts.
+type arrived struct {
+	lately decaying
+	teams  map[string]decaying
+	usual  float64
+}
+
+// usualAt follows the share that arrives, at most the whole fleet: slowly as it rises, which may be a
+// burst, and fast as it falls.
+func (a arrived) usualAt(now int64) float64 {
+	share := min(1, a.lately.at(now, flowMillis)/flowMillis)
+	span := float64(usualRiseMillis)
+	if share < a.usual {
+		span = usualFallMillis
+	}
+	return a.usual + (1-math.Exp(-max(0, float64(now-a.lately.updated))/span))*(share-a.usual)
+}
+
 // ObserveAccepted notes work of the service that was accepted within its team's rate.
 func (p *Pace) ObserveAccepted(service string, w Work, now int64) {
 	key := inflow{
 		service:  service,
 		priority: w.Priority,
 	}
-	p.accepted[key] = p.accepted[key].plus(w.Amounts.Fleet, now, flowMillis)
+	a, ok := p.accepted[key]
+	if !ok {
+		a = arrived{
+			lately: decaying{updated: now},
+			teams:  map[string]decaying{},
+		}
+	}
+	a.usual = a.usualAt(now)
+	a.lately = a.lately.plus(w.Amounts.Fleet, now, flowMillis)
+	a.teams[w.Team] = a.teams[w.Team].plus(w.Amounts.Fleet, now, flowMillis)
+	p.accepted[key] = a
 }
 
 // UrgentInflow returns the work that is expected to arrive and go before waiting work of a
-// priority, by that priority: as much as was accepted lately. Bursts are short, so that no more is
-// expected of what arrives now.
-func (p *Pace) UrgentInflow(service string, priorities []int, now int64) map[int]float64 {
-	urgent := map[int]float64{}
+// priority, by that priority: as much as was accepted lately, since bursts are short, and for as long
+// as it waits what usually arrives.
+func (p *Pace) UrgentInflow(service string, priorities []int, now int64) map[int]Inflow {
+	urgent := map[int]Inflow{}
 	for _, priority := range priorities {
+		in := Inflow{Teams: map[string]float64{}}
 		for key, work := range p.accepted {
-			if key.service == service && key.priority < priority {
-				urgent[priority] += work.at(now, flowMillis)
+			if key.service != service || key.priority > priority {
+				continue
+			}
+			lately, usual := work.lately.at(now, flowMillis), work.usualAt(now)
+			in.Usual += usual
+			if key.priority < priority {
+				in.Urgent += lately
+				in.UsualUrgent += usual
+				continue
+			}
+			in.Peers += lately
+			for team, sum := range work.teams {
+				in.Teams[team] = sum.at(now, flowMillis)
 			}
 		}
+		urgent[priority] = in
 	}
 	return urgent
 }
--- a/internal/decide/admission/replay_test.go
+++ b/internal/decide/admission/replay_test.go
@@ -179,41 +179,49 @@
 	return j.flow.fleet / j.flow.pathMillis
 }
 
-// TestReplayedOverload replays loads of more work than the fleet can do, against accepting all, with a
-// planner that nothing holds up. Less must be carried out late, and that must not cost the others:
-// neither all together nor the small teams.
-func TestReplayedOverload(t *testing.T) {
-	// A fleet at four fifths, of which a large team has a third and ten small ones the rest.
-	usual := func(team string, part float64) []flow {
-		return []flow{
-			{team: team, priority: 0, perSecond: 100 * part, to: 40_000, fleet: 1.2, pathMillis: 800, objective: 1700},
-			{team: team, priority: 1, perSecond: 4 * part, to: 40_000, fleet: 90, pathMillis: 5500, objective: 14_000},
-			{team: team, priority: 2, perSecond: 9 * part, to: 40_000, fleet: 31, pathMillis: 4000, objective: 19_000},
-		}
-	}
-	base := usual("large", 0.33)
-	rates := map[string]float64{"large": 70}
+// usualFlows is a fleet at four fifths, of which a large team has a third and ten small ones the rest.
+// It also returns the teams' rates.
+func usualFlows() (flows []flow, rates map[string]float64) {
+	flows = teamFlows("large", 0.33)
+	rates = map[string]float64{"large": 70}
 	for n := range 10 {
 		team := fmt.Sprint("small", n)
-		base = append(base, usual(team, 0.067)...)
+		flows = append(flows, teamFlows(team, 0.067)...)
 		rates[team] = 14
 	}
-	times := func(flows []flow, factor float64, from, to int64) []flow {
-		more := slices.Clone(flows)
-		for n := range more {
-			more[n].perSecond *= factor
-			more[n].from, more[n].to = from, to
-		}
-		return more
+	return flows, rates
+}
+
+func teamFlows(team string, part float64) []flow {
+	return []flow{
+		{team: team, priority: 0, perSecond: 100 * part, to: 40_000, fleet: 1.2, pathMillis: 800, objective: 1700},
+		{team: team, priority: 1, perSecond: 4 * part, to: 40_000, fleet: 90, pathMillis: 5500, objective: 14_000},
+		{team: team, priority: 2, perSecond: 9 * part, to: 40_000, fleet: 31, pathMillis: 4000, objective: 19_000},
 	}
-	var burst []flow
-	for _, f := range base {
-		if f.priority == 1 {
-			burst = append(burst, f)
-		}
+}
+
+// times returns flows of the factor's size between two times.
+func times(flows []flow, factor float64, from, to int64) []flow {
+	more := slices.Clone(flows)
+	for n := range more {
+		more[n].perSecond *= factor
+		more[n].from, more[n].to = from, to
 	}
-	hotTeam := times(usual("large", 0.33), 5, 2000, 14_000)
-	classBurst := times(burst, 9, 3000, 13_000)
+	return more
+}
+
+// ofPriority returns the flows of the priority.
+func ofPriority(flows []flow, priority int) []flow {
+	return slices.DeleteFunc(slices.Clone(flows), func(f flow) bool { return f.priority != priority })
+}
+
+// TestReplayedOverload replays loads of more work than the fleet can do, against accepting all, with a
+// planner that nothing holds up. Less must be carried out late, and that must not cost the others:
+// neither all together nor the small teams.
+func TestReplayedOverload(t *testing.T) {
+	base, rates := usualFlows()
+	hotTeam := times(teamFlows("large", 0.33), 5, 2000, 14_000)
+	classBurst := times(ofPriority(base, 1), 9, 3000, 13_000)
 	for name, c := range map[string]struct {
 		flows []flow
 		caps  map[string]float64
@@ -241,10 +249,42 @@
 	})
 }
 
-// outcome is the work within the rates that was done in time, of all teams and of the small ones, as a
-// share of what was submitted, and the work that was done late in milliseconds of the fleet.
+// TestReplayedBursts replays bursts of one queue within the teams' rates, of many sizes and lengths: what
+// is refused there must be of no use anyway.
+func TestReplayedBursts(t *testing.T) {
+	const tolerance = 0.02
+	base, rates := usualFlows()
+	for _, priority := range []int{1, 2} {
+		for _, c := range []struct {
+			factor   float64
+			from, to int64
+		}{
+			{factor: 2.5, from: 3000, to: 30_000},
+			{factor: 4, from: 3000, to: 25_000},
+			{factor: 7, from: 3000, to: 13_000},
+			{factor: 9, from: 3000, to: 13_000},
+			{factor: 9, from: 8000, to: 14_000},
+			{factor: 9, from: 3000, to: 20_000},
+			{factor: 13, from: 3000, to: 10_000},
+		} {
+			t.Run(fmt.Sprintf("priority %d, %+v", priority, c), func(t *testing.T) {
+				flows := slices.Concat(base, times(ofPriority(base, priority), c.factor, c.from, c.to))
+				plain, gated := countInTime(replay(flows, rates, nil, false)), countInTime(replay(flows, rates, nil, true))
+				t.Logf("accepting all: %+v, gated: %+v", plain, gated)
+				assert.Assert(t, gated.all >= plain.all-tolerance)
+				assert.Assert(t, gated.small >= plain.small-tolerance)
+				assert.Assert(t, gated.ofUse >= plain.ofUse-tolerance)
+				assert.Assert(t, gated.vain <= plain.vain)
+			})
+		}
+	}
+}
+
+// outcome is the work within the rates that was done in time, of all teams and of the small ones, and
+// that which was done while it was of use, as shares of what was submitted, and the work that was done
+// late in milliseconds of the fleet.
 type outcome struct {
-	all, small, vain float64
+	all, small, ofUse, vain float64
 }
 
 func countInTime(jobs []*replayed) outcome {
@@ -259,6 +299,9 @@
 			continue
 		}
 		asked.all += j.flow.fleet
+		if ofUse {
+			done.ofUse += j.flow.fleet
+		}
 		if inTime {
 			done.all += j.flow.fleet
 		}
@@ -273,6 +316,7 @@
 	return outcome{
 		all:   done.all / asked.all,
 		small: done.small / asked.small,
+		ofUse: done.ofUse / asked.all,
 		vain:  done.vain,
 	}
 }
