Admission: one measurement of the use counts for a second at most

ObserveUsage weighted a sample by the time since the one before: after a freeze of the process one sample got the weight of the whole gap, so that a fleet seen idle once was expected to do little for ten seconds. The gap is limited to 1 s. TestUsageAfterFreeze, red before.

--- a/internal/decide/admission/decide_test.go
+++ b/internal/decide/admission/decide_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -149,6 +150,20 @@
 	assert.Equal(t, p.Achievable("other"), firstAchievable)
 }
 
+// TestUsageAfterFreeze observes the share in use once after the process has been stopped for a minute: that
+// sample must not count for the minute.
+func TestUsageAfterFreeze(t *testing.T) {
+	p := NewPace(0)
+	for now := int64(0); now <= 60_000; now += 100 {
+		p.ObserveUsage("service", 0.9, now)
+	}
+	before := p.Achievable("service")
+	p.ObserveUsage("service", 0, 120_000)
+	after := p.Achievable("service")
+	assert.Assert(t, after > before*math.Exp(-1.01*maxGapMillis/fallMillis), "%v after %v", after, before)
+	assert.Assert(t, after < before)
+}
+
 // TestUsualInflow learns what arrives beside bursts: a flow that takes two fifths of the fleet, then a
 // burst of five times the fleet, then nothing.
 func TestUsualInflow(t *testing.T) {
--- a/internal/decide/admission/pace.go
+++ b/internal/decide/admission/pace.go
@@ -12,6 +12,9 @@
 	// as it rises and falls: a fleet that stood still for a while can do as much as before.
 	riseMillis = 2_000
 	fallMillis = 10_000
+	// maxGapMillis is the most time for which one measurement of the share in use counts: after a
+	// longer gap the process was stopped.
+	maxGapMillis = 1_000
 	// flowMillis is the same time for what arrives.
 	flowMillis = 2_000
 	// usualRiseMillis and usualFallMillis are the same time for the share of the fleet that arriving
@@ -116,7 +119,7 @@
 	if share > u.achievable {
 		span = riseMillis
 	}
-	weight := 1 - math.Exp(-float64(now-u.measured)/span)
+	weight := 1 - math.Exp(-float64(min(now-u.measured, maxGapMillis))/span)
 	p.usage[service] = usage{
 		achievable: u.achievable + weight*(share-u.achievable),
 		measured:   now,
