Admission: a job over its rate is accepted while its tasks could start

In calm such jobs were refused once more than Achievable (.85 until it is measured) was in use, though workers were free: nothing waits, so that the share reached while tasks wait tells nothing. All that is not in use is free then. And all tasks of a wide job counted as its demand, though its team's cap permits only some of them at a time: only these count, beside those of the team that wait. Gangs count whole, as before.

--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -150,10 +150,17 @@
 		ObjectiveMillis: float64(objective.DueMillis),
 		UsefulMillis:    float64(objective.UsefulMillis),
 		ElapsedMillis:   float64(now - first),
+		Calm:            !service.waits,
 	}
+	capped := s.agreement.Rules.Teams[team].Cap != (job.Resources{})
+	room := max(0, s.capRoom(team, service.fleet)-service.load.TeamDemand(team))
 	bytes := float64(startBytes + len(submission.Payload))
 	for _, spec := range submission.Steps {
 		amounts := s.amountsOf(spec, spec.Count, len(spec.After) == 0, team, service.fleet, ratio)
+		if !spec.Gang && capped {
+			amounts.Demand = min(amounts.Demand, room)
+			room -= amounts.Demand
+		}
 		amounts.Policy = s.policyMillis(q, service.advisors, now)
 		amounts.Link = s.linkMillis(float64(spec.Count) * bytes)
 		sub.Work.Amounts = sub.Work.Amounts.Plus(amounts)
--- a/internal/decide/admission/decide.go
+++ b/internal/decide/admission/decide.go
@@ -11,6 +11,8 @@
 	ObjectiveMillis, UsefulMillis float64
 	// ElapsedMillis is the time since the job was first submitted.
 	ElapsedMillis float64
+	// Calm is set if no task waits for room: then tasks can start wherever workers are not in use.
+	Calm bool
 }
 
 // IsLate reports whether so much time has passed since a first refusal that the job cannot meet its objective.
@@ -163,8 +165,11 @@
 
 // isTaken reports whether there is no room for a job over its team's rate beside what waits.
 func (l *Load) isTaken(s Submission) bool {
-	return l.Demand()+s.Work.Amounts.Demand > l.capacity.free() ||
-		l.ahead(s.Work)[s.Work.Team].Cap > shortWait*s.PathMillis
+	demand := l.Demand() + s.Work.Amounts.Demand
+	if s.Calm && l.capacity.Used+demand > 1 || !s.Calm && demand > l.capacity.free() {
+		return true
+	}
+	return l.ahead(s.Work)[s.Work.Team].Cap > shortWait*s.PathMillis
 }
 
 // runMillis returns the time that the job takes once nothing is ahead of it.
--- a/internal/decide/admission/decide_test.go
+++ b/internal/decide/admission/decide_test.go
@@ -41,6 +41,7 @@
 		capacity Capacity
 		waiting  []Work
 		overRate bool
+		calm     bool
 		elapsed  float64
 		policy   float64
 		want     Reason
@@ -73,6 +74,9 @@
 		"way for the team's share":        {capacity: arriving(Inflow{Peers: 9000, Teams: map[string]float64{"team": 1500}}), waiting: []Work{waiting("team", 1, backlog(9000))}, estimate: 5000},
 		"over rate with room":             {capacity: Capacity{Achievable: 1, Used: 0.5}, overRate: true, estimate: 2000},
 		"over rate without room":          {capacity: Capacity{Achievable: 1, Used: 0.95}, overRate: true, estimate: 2000, want: OverRate},
+		"over rate in calm":               {capacity: Capacity{Achievable: 0.85, Used: 0.9}, overRate: true, calm: true, estimate: 2000},
+		"over rate in a full fleet":       {capacity: Capacity{Achievable: 0.85, Used: 0.95}, overRate: true, calm: true, estimate: 2000, want: OverRate},
+		"over rate, no room is reached":   {capacity: Capacity{Achievable: 0.85, Used: 0.9}, overRate: true, estimate: 2000, want: OverRate},
 		"over rate, others need the room": {capacity: Capacity{Achievable: 1, Used: 0.5}, waiting: []Work{waiting("other", 9, Amounts{Fleet: 900, Demand: 0.45})}, overRate: true, estimate: 2000, want: OverRate},
 		"too many open jobs":              {capacity: Capacity{Achievable: 1, MaxOpenJobs: 1}, waiting: []Work{waiting("other", 9, Amounts{})}, want: OpenWork},
 		"too large open jobs":             {capacity: Capacity{Achievable: 1, MaxOpenBytes: 99}, want: OpenWork},
@@ -97,6 +101,7 @@
 				ObjectiveMillis: 5000,
 				UsefulMillis:    10_000,
 				ElapsedMillis:   c.elapsed,
+				Calm:            c.calm,
 			})
 			assert.Equal(t, d.Reason, c.want)
 			assert.Equal(t, d.Accepted, c.want == "")
--- a/internal/decide/admission/load.go
+++ b/internal/decide/admission/load.go
@@ -128,6 +128,17 @@
 	return total(l.within).Demand + total(l.over).Demand
 }
 
+// TeamDemand is Demand of the team's tasks.
+func (l *Load) TeamDemand(team string) float64 {
+	sum := 0.0
+	for _, q := range []queued{l.within[team], l.over[team]} {
+		for _, amounts := range q {
+			sum += amounts.Demand
+		}
+	}
+	return sum
+}
+
 // Hold counts an open job of another service, which the owner holds too.
 func (l *Load) Hold(bytes int64) {
 	l.openJobs++
