Admission: expect more of attempts that run longer than estimated

The ratio of real to estimated run times was learned from attempts that had ended: while all attempts of a queue ran four times as long as estimated, nothing was known of it until the first ended, and work behind them was accepted as if they were over. Those that still run now count too, with a conditional expectation: as long again as they are over the estimate, at most the estimate again, and at most four times the estimate in all, so that one that hangs tells little of the others. Attempts that an earlier owner ordered (start unknown) and endless ones don't count.

--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -50,6 +50,8 @@
 	// estimates holds the Unix millisecond at which a job that was accepted in this term was
 	// expected to be done, by its ID.
 	estimates map[string]int64
+	// overrunsMillis is when attempts that run longer than estimated were last observed.
+	overrunsMillis int64
 }
 
 // serviceLoad is the load of the workers of one service.
@@ -138,6 +140,7 @@
 // caller holds s.mu.
 func (s *Shard) admissionOf(team, queue string, submission *job.Submission, first, now int64) (*admission.Load, admission.Submission) {
 	q := s.agreement.Rules.Queues[queue]
+	s.observeOverruns(now)
 	service := s.loadOf(q.Service, now)
 	objective := submission.Objective(q)
 	ratio := s.gate.pace.Ratio(queue, now)
@@ -417,6 +420,31 @@
 	s.gate.pace.ObserveAttempt(j.Queue, float64(now-p.OrderedMillis), estimate, now)
 }
 
+// observeOverruns notes the attempts that run longer than estimated, once in admissionInterval. The
+// caller holds s.mu.
+func (s *Shard) observeOverruns(now int64) {
+	if now-s.gate.overrunsMillis < admissionInterval.Milliseconds() {
+		return
+	}
+	s.gate.overrunsMillis = now
+	overruns := map[string]admission.Overruns{}
+	for _, j := range s.state.OpenJobs() {
+		for _, step := range j.Steps {
+			estimate := step.Spec.EstimateMillis
+			if step.Placed() == 0 || step.Spec.Endless || estimate <= 0 {
+				continue
+			}
+			for n := range step.Tasks {
+				p := step.Tasks[n].Placement
+				if p != nil && p.OrderedMillis > 0 && now-p.OrderedMillis > estimate {
+					overruns[j.Queue] = overruns[j.Queue].Plus(float64(now-p.OrderedMillis), float64(estimate))
+				}
+			}
+		}
+	}
+	s.gate.pace.ObserveOverruns(overruns)
+}
+
 // observeCall notes a call to the policy service that took the given time, for which its node made no
 // other. The caller holds s.mu.
 func (s *Shard) observeCall(q job.PolicyQuery, took time.Duration, ok bool) {
--- a/internal/decide/admission/decide_test.go
+++ b/internal/decide/admission/decide_test.go
@@ -155,6 +155,36 @@
 	assert.Equal(t, p.Achievable("other"), firstAchievable)
 }
 
+// TestOverruns learns from attempts that run longer than their estimate of a second: what is expected of
+// them grows with the time that they are over it, and is limited.
+func TestOverruns(t *testing.T) {
+	const estimate, attempts = 1000.0, 1000
+	for name, c := range map[string]struct {
+		held, want float64
+	}{
+		"just over":           {held: 1100, want: 1200},
+		"half over":           {held: 1500, want: 2000},
+		"twice the estimate":  {held: 2000, want: 3000},
+		"longer":              {held: 2500, want: 3500},
+		"limit":               {held: 3500, want: 4000},
+		"hangs":               {held: 3_600_000, want: 4000},
+		"as long as expected": {held: 1000, want: 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := Overruns{}
+			for range attempts {
+				o = o.Plus(c.held, estimate)
+			}
+			p := NewPace(0)
+			p.ObserveOverruns(map[string]Overruns{"queue": o})
+			assert.Equal(t, p.Ratio("queue", 0), (attempts*c.want+priorMillis)/(attempts*estimate+priorMillis))
+			assert.Equal(t, p.Ratio("other", 0), 1.0)
+			p.ObserveOverruns(nil)
+			assert.Equal(t, p.Ratio("queue", 0), 1.0)
+		})
+	}
+}
+
 // TestUsageAfterFreeze observes the share in use once after the process has been stopped for a minute: that
 // sample must not count for the minute.
 func TestUsageAfterFreeze(t *testing.T) {
--- a/internal/decide/admission/pace.go
+++ b/internal/decide/admission/pace.go
@@ -23,6 +23,9 @@
 	usualFallMillis = 5_000
 	// firstAchievable is the share of the fleet that can be in use, until it is measured.
 	firstAchievable = 0.85
+	// maxOverrun is the longest expected run time of an attempt that still runs, as a multiple of its
+	// estimate: one that hangs tells nothing of the others.
+	maxOverrun = 4
 )
 
 // decaying is a sum that loses its weight with time.
@@ -54,9 +57,27 @@
 	}
 }
 
-// ratio returns the time spent as a multiple of the estimates.
-func (s spent) ratio(now int64) float64 {
-	return (s.held.at(now, ratioMillis) + priorMillis) / (s.estimated.at(now, ratioMillis) + priorMillis)
+// ratio returns the time spent, and that of what still runs, as a multiple of the estimates.
+func (s spent) ratio(running Overruns, now int64) float64 {
+	held, estimated := s.held.at(now, ratioMillis)+running.held, s.estimated.at(now, ratioMillis)+running.estimated
+	return (held + priorMillis) / (estimated + priorMillis)
+}
+
+// Overruns are attempts that still run though they have held their workers for longer than estimated.
+// The zero value is none.
+type Overruns struct {
+	held, estimated float64
+}
+
+// Plus returns the attempts and one that has held its worker for heldMillis, which is more than its
+// estimate. It is expected to run for as long again as it is over that, which is what run times of many
+// magnitudes have in common, but at most for the estimate again.
+func (o Overruns) Plus(heldMillis, estimateMillis float64) Overruns {
+	expected := heldMillis + min(heldMillis-estimateMillis, estimateMillis)
+	return Overruns{
+		held:      o.held + min(expected, maxOverrun*estimateMillis),
+		estimated: o.estimated + estimateMillis,
+	}
 }
 
 // usage is the share of a service's workers that is in use while work waits, and when it was last
@@ -69,10 +90,11 @@
 // Pace is what an owner has learned of the speed at which work arrives and is carried out. Create
 // it with NewPace.
 type Pace struct {
-	queues  map[string]spent
-	calls   spent
-	usage   map[string]usage // by service
-	started int64
+	queues   map[string]spent
+	overruns map[string]Overruns // by queue
+	calls    spent
+	usage    map[string]usage // by service
+	started  int64
 	// accepted is the work that was accepted within the rates, in milliseconds of the service's
 	// workers.
 	accepted map[inflow]arrived
@@ -103,13 +125,19 @@
 // CallRatio returns the time of the calls about a step, also of those that failed or renewed its
 // tickets, as a multiple of what the agreement states for one.
 func (p *Pace) CallRatio(now int64) float64 {
-	return p.calls.ratio(now)
+	return p.calls.ratio(Overruns{}, now)
+}
+
+// ObserveOverruns notes the attempts that run longer than estimated now, by queue. Without them nothing
+// would be learned of long run times until they are over.
+func (p *Pace) ObserveOverruns(byQueue map[string]Overruns) {
+	p.overruns = byQueue
 }
 
 // Ratio returns the time for which tasks of the queue hold workers until they are done, also in
 // attempts that did not complete, as a multiple of their callers' estimates.
 func (p *Pace) Ratio(queue string, now int64) float64 {
-	return p.queues[queue].ratio(now)
+	return p.queues[queue].ratio(p.overruns[queue], now)
 }
 
 // ObserveUsage notes the share of the service's workers in use while tasks wait that need room.
