--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -48,6 +48,8 @@
 	// estimates holds the Unix millisecond at which a job that was accepted in this term was
 	// expected to be done, by its ID.
 	estimates map[string]int64
+	// overrunsMillis is when attempts that run longer than estimated were last observed.
+	overrunsMillis int64
 }
 
 // openGate prepares the gate of a new term. The caller holds s.mu.
@@ -111,6 +113,7 @@
 // caller holds s.mu.
 func (s *Shard) admissionOf(team, queue string, submission *job.Submission, first, now int64) (*admission.Load, admission.Submission) {
 	q := s.agreement.Rules.Queues[queue]
+	s.observeOverruns(now)
 	service := s.loadOf(q.Service, now)
 	objective := submission.Objective(q)
 	ratio := s.gate.pace.Ratio(queue, now)
@@ -123,10 +126,17 @@
 		ObjectiveMillis: float64(objective.DueMillis),
 		UsefulMillis:    float64(objective.UsefulMillis),
 		ElapsedMillis:   float64(now - first),
+		Calm:            !service.waits,
 	}
+	capped := s.agreement.Rules.Teams[team].Cap != (job.Resources{})
+	room := max(0, s.capRoom(team, service.fleet)-service.load.TeamDemand(team))
 	bytes := float64(startBytes + len(submission.Payload))
 	for _, spec := range submission.Steps {
 		amounts := s.amountsOf(spec, spec.Count, len(spec.After) == 0, team, service.fleet, ratio)
+		if !spec.Gang && capped {
+			amounts.Demand = min(amounts.Demand, room)
+			room -= amounts.Demand
+		}
 		amounts.Policy = s.policyMillis(q, service.advisors, now)
 		amounts.Link = s.linkMillis(float64(spec.Count) * bytes)
 		sub.Work.Amounts = sub.Work.Amounts.Plus(amounts)
@@ -161,6 +171,31 @@
 	s.gate.pace.ObserveAttempt(j.Queue, float64(now-p.OrderedMillis), estimate, now)
 }
 
+// observeOverruns notes the attempts that run longer than estimated, once in admissionInterval. The
+// caller holds s.mu.
+func (s *Shard) observeOverruns(now int64) {
+	if now-s.gate.overrunsMillis < admissionInterval.Milliseconds() {
+		return
+	}
+	s.gate.overrunsMillis = now
+	overruns := map[string]admission.Overruns{}
+	for _, j := range s.state.OpenJobs() {
+		for _, step := range j.Steps {
+			estimate := step.Spec.EstimateMillis
+			if step.Placed() == 0 || step.Spec.Endless || estimate <= 0 {
+				continue
+			}
+			for n := range step.Tasks {
+				p := step.Tasks[n].Placement
+				if p != nil && p.OrderedMillis > 0 && now-p.OrderedMillis > estimate {
+					overruns[j.Queue] = overruns[j.Queue].Plus(float64(now-p.OrderedMillis), float64(estimate))
+				}
+			}
+		}
+	}
+	s.gate.pace.ObserveOverruns(overruns)
+}
+
 // observeCall notes a call to the policy service that took the given time, for which its node made no
 // other. The caller holds s.mu.
 func (s *Shard) observeCall(q job.PolicyQuery, took time.Duration, ok bool) {
