Admission: what makes way is limited to what was of use before

A submission that is likelier than not in time, since what is ahead of it makes way, was accepted behind any queue. Now only if it would be of use behind what waits before it, as before: nothing is accepted within the rates that wasn't then.

--- a/internal/decide/admission/decide.go
+++ b/internal/decide/admission/decide.go
@@ -20,6 +20,11 @@
 	return s.ObjectiveMillis > 0 && s.ElapsedMillis > 0 && s.ElapsedMillis+s.PathMillis > s.ObjectiveMillis
 }
 
+// isOfUse reports whether the job's result is of use if it is done after the given time.
+func (s Submission) isOfUse(millis float64) bool {
+	return s.ElapsedMillis+millis <= s.UsefulMillis
+}
+
 // shortWait is the part of the run time for which a job may wait even if it is late by then: it
 // goes with the room that the next tasks leave.
 const shortWait = 0.25
@@ -125,7 +130,7 @@
 	if s.Work.OverRate || s.ObjectiveMillis == 0 || wait <= slack {
 		return wait
 	}
-	if slack > 0 && l.mayOvertake(s.Work) {
+	if slack > 0 && s.isOfUse(wait+s.PathMillis) && l.mayOvertake(s.Work) {
 		return slack
 	}
 	late := s.Work
