Strangers at the peers' port: each proved address has a share of the handshakes

Cause: handshakes that have not proved the secret were counted together, so that strangers at one address that prove it, stop and come again kept all peers out. Change: they count for the address that is proved (of IPv6 for its network of 64 bits), and those without proof as one. An address may begin another while it has less than a quarter of what is free: a fifth of the limit alone, less the more others come. A proof of the address is asked for beyond a fifth of the limit, was a quarter, so that none of those without proof is refused.

--- a/internal/api/peer/limits.go
+++ b/internal/api/peer/limits.go
@@ -5,8 +5,8 @@
 	"errors"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
-	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/quic-go/quic-go"
@@ -18,8 +18,9 @@
 
 // Limits are those of a Listener and of the calls that a Server serves. Zero means no limit.
 type Limits struct {
-	// Handshakes is the most handshakes that may be incomplete at once. Beyond a quarter of
-	// them, a peer first has to prove its address (RFC 9000, section 8.1.2).
+	// Handshakes is the most handshakes that may be incomplete at once. Beyond a fifth of them, a
+	// peer first has to prove its address (RFC 9000, section 8.1.2), and those of one address may take
+	// a quarter of what is free.
 	Handshakes int
 	// Bytes is the memory that the bodies of calls may hold, of the methods that Limit names and of
 	// all while they are read.
@@ -34,44 +35,76 @@
 	callBytes = 8 << 10
 	// decodedCost is what a byte of a body takes beside the body once it is decoded.
 	decodedCost = 2
-	// retryFraction is the part of the handshakes beyond which addresses have to be proved.
-	retryFraction = 4
+	// networkBits is the length of an IPv6 network, all of whose addresses one host may have.
+	networkBits = 64
 )
 
 var (
 	callsRefused      = metrics.GetOrCreateCounter(`citronbay_peer_shed_total{reason="memory"}`)
 	handshakesRefused = metrics.GetOrCreateCounter(`citronbay_peer_shed_total{reason="handshakes"}`)
-	errHandshakes     = errors.New("peer: too many incomplete handshakes")
+	errHandshakes     = errors.New("peer: too many incomplete handshakes of all peers or of one address")
 )
 
-// handshakes counts the connections whose peers have not proved the secret.
+// handshakes counts the connections whose peers have not proved the secret, by the network that has
+// proved to be theirs. Those that have proved none count as one network, the zero value: a stranger could
+// send the first packet from the address of any peer.
 type handshakes struct {
-	limit      int64
-	incomplete atomic.Int64
+	mu         sync.Mutex
+	incomplete *shares[netip.Prefix]
 }
 
 type handshakeKey struct{}
 
-// limit makes the transport refuse handshakes beyond the limit.
-func (h *handshakes) limitTransport(t *quic.Transport) {
-	if h.limit <= 0 {
+// limitTransport makes the transport refuse handshakes beyond the limit.
+func limitTransport(t *quic.Transport, limit int) {
+	if limit <= 0 {
 		return
 	}
+	h := &handshakes{incomplete: newShares[netip.Prefix](limit)}
 	t.VerifySourceAddress = func(net.Addr) bool {
-		return h.incomplete.Load() >= h.limit/retryFraction
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.incomplete.isBeyondOne()
 	}
-	t.ConnContext = func(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
-		if h.incomplete.Add(1) > h.limit {
-			h.incomplete.Add(-1)
+	t.ConnContext = func(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
+		network := provedNetwork(info)
+		if !h.begin(network) {
 			handshakesRefused.Inc()
 			return nil, errHandshakes
 		}
-		end := sync.OnceFunc(func() { h.incomplete.Add(-1) })
+		end := sync.OnceFunc(func() { h.end(network) })
 		context.AfterFunc(ctx, end)
 		return context.WithValue(ctx, handshakeKey{}, end), nil
 	}
 }
 
+func (h *handshakes) begin(network netip.Prefix) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.incomplete.take(network)
+}
+
+func (h *handshakes) end(network netip.Prefix) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.incomplete.giveBack(network)
+}
+
+// provedNetwork returns the network of the address that the peer has proved to be its own, or the zero
+// value if it has proved none.
+func provedNetwork(info *quic.ClientInfo) netip.Prefix {
+	udp, ok := info.RemoteAddr.(*net.UDPAddr)
+	if !ok || !info.AddrVerified {
+		return netip.Prefix{}
+	}
+	address := udp.AddrPort().Addr().Unmap().WithZone("")
+	network, err := address.Prefix(min(networkBits, address.BitLen()))
+	if err != nil { // not an address; it counts as one without proof
+		return netip.Prefix{}
+	}
+	return network
+}
+
 // completeHandshake notes that the peer of an accepted connection has proved the secret.
 func completeHandshake(conn *quic.Conn) {
 	if end, ok := conn.Context().Value(handshakeKey{}).(func()); ok {
--- a/internal/api/peer/server.go
+++ b/internal/api/peer/server.go
@@ -87,8 +87,7 @@
 		Conn:              socket,
 		StatelessResetKey: statelessResetKey(tlsConfig),
 	}
-	h := &handshakes{limit: int64(limits.Handshakes)}
-	h.limitTransport(transport)
+	limitTransport(transport, limits.Handshakes)
 	listener, err := transport.Listen(tlsConfig, quicConfig())
 	if err != nil {
 		_ = socket.Close()
--- a/internal/cluster/settings/clients.go
+++ b/internal/cluster/settings/clients.go
@@ -30,7 +30,8 @@
 	defaultClientStallSeconds = 10
 	// handshakeBytes is what an incomplete handshake with a peer takes.
 	handshakeBytes = 32 << 10
-	// maxPeerHandshakes is more than the nodes of the largest deployments.
+	// maxPeerHandshakes is more than the nodes of the largest deployments, and a fifth of it, the share
+	// of one address, more than those of one site.
 	maxPeerHandshakes = 512
 )
 
