Limits of the ready and metrics addresses and of sockets are settings

Cause: what the small doors hold, their heads and requests, the time of a head and the kernel's buffers were constants in platform/run.go. Change: readyMemoryMB, metricsMemoryMB, readyHeaderBytes, metricsHeaderBytes, metricsRequests, clientHeaderSeconds and socketBufferBytes, checked at load with line and key; the defaults are the values of before.

--- a/internal/cluster/settings/clients.go
+++ b/internal/cluster/settings/clients.go
@@ -20,6 +20,16 @@
 	leastSockets = 16
 	// The ready and metrics addresses have a few callers each, which are the platform's own.
 	defaultReadyConnections, defaultMetricsConnections = 64, 16
+	// smallDoorShare is the memory for what callers of the ready and of the metrics address hold, as a
+	// part of that for clients beside it; defaultSmallHeaderBytes is the size of their requests' heads.
+	smallDoorShare          = 0.1
+	defaultSmallHeaderBytes = 1 << 10
+	// defaultMetricsRequests is small because profiles and metrics are built in memory.
+	defaultMetricsRequests = 3
+	// defaultClientHeaderSeconds lets a head arrive whose packets are lost once or twice.
+	defaultClientHeaderSeconds = 3
+	// defaultSocketBufferBytes is the usual size of a window on links between data centres.
+	defaultSocketBufferBytes = 64 << 10
 	// defaultClientConnections applies where descriptors is not set.
 	defaultClientConnections = 8192
 	// defaultClientHeaderBytes is the size of a head that most servers and proxies accept.
@@ -86,6 +96,48 @@
 	return cmp.Or(s.MetricsConnections, min(defaultMetricsConnections, s.smallShare()))
 }
 
+// ReadyBytes returns the memory that connections and unfinished requests of readiness checks may hold.
+func (s Settings) ReadyBytes() int64 {
+	return s.smallDoorBytes(s.ReadyMemoryMB)
+}
+
+// MetricsBytes returns the memory that connections and unfinished requests to the metrics port may hold.
+func (s Settings) MetricsBytes() int64 {
+	return s.smallDoorBytes(s.MetricsMemoryMB)
+}
+
+func (s Settings) smallDoorBytes(memoryMB float64) int64 {
+	if memoryMB > 0 {
+		return int64(memoryMB * (1 << 20))
+	}
+	return int64(smallDoorShare * float64(s.ClientBytes()))
+}
+
+// MaxReadyHeaderBytes returns the size that the head of a readiness check may have.
+func (s Settings) MaxReadyHeaderBytes() int {
+	return cmp.Or(s.ReadyHeaderBytes, defaultSmallHeaderBytes)
+}
+
+// MaxMetricsHeaderBytes returns the size that the head of a request to the metrics port may have.
+func (s Settings) MaxMetricsHeaderBytes() int {
+	return cmp.Or(s.MetricsHeaderBytes, defaultSmallHeaderBytes)
+}
+
+// MaxMetricsRequests returns the number of requests to the metrics port that are served at once.
+func (s Settings) MaxMetricsRequests() int {
+	return cmp.Or(s.MetricsRequests, defaultMetricsRequests)
+}
+
+// MaxHeaderTime returns how long the head of a request may take to arrive.
+func (s Settings) MaxHeaderTime() time.Duration {
+	return time.Duration(cmp.Or(s.ClientHeaderSeconds, defaultClientHeaderSeconds) * float64(time.Second))
+}
+
+// MaxSocketBuffer returns the size in bytes of each of a connection's two buffers in the kernel.
+func (s Settings) MaxSocketBuffer() int {
+	return cmp.Or(s.SocketBufferBytes, defaultSocketBufferBytes)
+}
+
 // smallShare returns a number of connections that leaves most sockets to others.
 func (s Settings) smallShare() int {
 	const most, part = 64, 8
--- a/internal/cluster/settings/settings.go
+++ b/internal/cluster/settings/settings.go
@@ -55,14 +55,24 @@
 	// ClientMemoryMB and PeerMemoryMB are in MiB: for connections and unfinished requests of
 	// clients, and for requests that other nodes pass on. ClientBytesPerSecond is the least rate
 	// of a request's body, ClientStallSeconds how long a client may make no progress beyond that,
-	// and PeerHandshakes the number of peers that have not proved the secret.
+	// ClientHeaderSeconds how long a request's head may take, at any address, SocketBufferBytes
+	// what the kernel may hold for a connection each way, and PeerHandshakes the number of peers that have
+	// not proved the secret. Those of readiness checks and of the metrics port are for these alone, in
+	// MiB as well; MetricsRequests is the number of requests that are served at once.
 	ClientMemoryMB       float64 `yaml:"clientMemoryMB"`
 	ClientConnections    int     `yaml:"clientConnections"`
 	ClientHeaderBytes    int     `yaml:"clientHeaderBytes"`
 	ClientBytesPerSecond int64   `yaml:"clientBytesPerSecond"`
 	ClientStallSeconds   float64 `yaml:"clientStallSeconds"`
+	ClientHeaderSeconds  float64 `yaml:"clientHeaderSeconds"`
+	SocketBufferBytes    int     `yaml:"socketBufferBytes"`
 	ReadyConnections     int     `yaml:"readyConnections"`
+	ReadyMemoryMB        float64 `yaml:"readyMemoryMB"`
+	ReadyHeaderBytes     int     `yaml:"readyHeaderBytes"`
 	MetricsConnections   int     `yaml:"metricsConnections"`
+	MetricsMemoryMB      float64 `yaml:"metricsMemoryMB"`
+	MetricsHeaderBytes   int     `yaml:"metricsHeaderBytes"`
+	MetricsRequests      int     `yaml:"metricsRequests"`
 	PeerMemoryMB         float64 `yaml:"peerMemoryMB"`
 	PeerHandshakes       int     `yaml:"peerHandshakes"`
 	// JobStateRetentionSeconds is how long the state of an ended job is kept; zero means
@@ -125,8 +135,15 @@
 	"clientHeaderBytes":    {least: 1024, most: 1 << 20},
 	"clientBytesPerSecond": {least: 1, most: 1 << 30},
 	"clientStallSeconds":   {least: 0.1, most: 3600},
+	"clientHeaderSeconds":  {least: 0.1, most: 3600},
+	"socketBufferBytes":    {least: 4 << 10, most: 1 << 28},
 	"readyConnections":     {least: 4, most: 1 << 20},
+	"readyMemoryMB":        {least: 0.5, most: 1 << 24},
+	"readyHeaderBytes":     {least: 256, most: 1 << 20},
 	"metricsConnections":   {least: 4, most: 1 << 20},
+	"metricsMemoryMB":      {least: 0.5, most: 1 << 24},
+	"metricsHeaderBytes":   {least: 256, most: 1 << 20},
+	"metricsRequests":      {least: 1, most: 1 << 10},
 	"peerMemoryMB":         {least: 2, most: 1 << 24},
 	"peerHandshakes":       {least: 8, most: 1 << 20},
 }
