Ownership: while the store does not answer, renewals stay apart

Cause: with four renewals without an answer the next one was tried at the next step of 0.1 s. Each of the four slots slipped by a step or not whenever a renewal timed out at the same instant as a step, so that several came to start together and the next only 0.4 s later or more: the lease was regained later than the 0.3 s of docs/design/store-away.md. Change: the next renewal starts when one of the four ends.

--- a/internal/cluster/store/election.go
+++ b/internal/cluster/store/election.go
@@ -188,18 +188,21 @@
 }
 
 // renewLoop starts a renewal every renewInterval without waiting for the response to
-// the previous one, so that one lost or slow response does not cost the lease.
+// the previous one, so that one lost or slow response does not cost the lease. With
+// maxRenewalsInFlight without a response it starts the next one as soon as one of them ends: in
+// steps of an interval they would come to end together, with a longer wait until the next ones.
 func (t *Term) renewLoop() {
 	inFlight := make(chan struct{}, maxRenewalsInFlight)
-	for t.ctx.Err() == nil {
+	for {
 		select {
 		case inFlight <- struct{}{}:
-			go func() {
-				t.renewOnce()
-				<-inFlight
-			}()
-		default:
+		case <-t.ctx.Done():
+			return
 		}
+		go func() {
+			t.renewOnce()
+			<-inFlight
+		}()
 		interval := renewInterval
 		if t.renewalsFailing.Load() {
 			interval = failingRenewInterval
