Tests: processes of a cell end with the test's process

Cause: a test process that was killed, or ended by its timeout, left its entries and nodes running. They go on calling the ephemeral ports of their test, which another test gets later: entries left by a process of internal/proof/process that was killed at 01:56 took the leases of the four upstreams of a cell of TestLeavingUpstreamGetsNoNewWork at 02:13:45 (their logs show the claims), whose owner then leased none for 30 s. Such a cell sees its owner lose all leases.

--- a/internal/proof/pause/pause_test.go
+++ b/internal/proof/child/child_test.go
@@ -1,4 +1,4 @@
-package pause
+package child
 
 import (
 	"bufio"
@@ -7,22 +7,80 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
-// countsEnvironment makes this test's binary a process that counts in many threads.
-const countsEnvironment = "CITRONBAY_TEST_COUNTS"
+// roleEnvironment makes this test's binary another process: one that counts in many threads, or one that
+// starts such a process and waits.
+const roleEnvironment = "CITRONBAY_TEST_ROLE"
 
 func TestMain(m *testing.M) {
-	if os.Getenv(countsEnvironment) != "" {
+	switch os.Getenv(roleEnvironment) {
+	case "counter":
 		count()
+	case "parent":
+		command := self("counter")
+		if err := Start(command); err != nil {
+			fmt.Println(err)
+			os.Exit(1)
+		}
+		fmt.Println(command.Process.Pid)
+		select {}
 	}
 	os.Exit(m.Run())
 }
 
+// self returns a command that runs this test's binary in the role.
+func self(role string) *exec.Cmd {
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), roleEnvironment+"="+role, "GOMAXPROCS=16")
+	return command
+}
+
+// startSelf starts this test's binary in the role and returns the first line that it prints.
+func startSelf(t *testing.T, role string) (*exec.Cmd, string) {
+	t.Helper()
+	command := self(role)
+	out, err := command.StdoutPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, Start(command))
+	t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	line, err := bufio.NewReader(out).ReadString('\n')
+	assert.NilError(t, err)
+	return command, strings.TrimSpace(line)
+}
+
+// TestChildEndsWithItsParent kills a process that has started another.
+func TestChildEndsWithItsParent(t *testing.T) {
+	parent, line := startSelf(t, "parent")
+	pid, err := strconv.Atoi(line)
+	assert.NilError(t, err, line)
+	assert.Assert(t, isAlive(pid))
+	assert.NilError(t, parent.Process.Kill())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if isAlive(pid) {
+			return poll.Continue("process %d is alive", pid)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+}
+
+// isAlive reports whether the process exists and is no zombie.
+func isAlive(pid int) bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	_, afterName, _ := strings.Cut(string(text), ") ")
+	return err == nil && !strings.HasPrefix(afterName, "Z")
+}
+
 func count() {
 	for range 16 {
 		go func() {
@@ -37,17 +95,7 @@
 
 // TestStopAwaitsAllThreads checks that no thread of a busy process runs once Stop has returned.
 func TestStopAwaitsAllThreads(t *testing.T) {
-	command := exec.Command(os.Args[0])
-	command.Env = append(os.Environ(), countsEnvironment+"=1", "GOMAXPROCS=16")
-	out, err := command.StdoutPipe()
-	assert.NilError(t, err)
-	assert.NilError(t, command.Start())
-	defer func() {
-		_ = command.Process.Kill()
-		_ = command.Wait()
-	}()
-	_, err = bufio.NewReader(out).ReadString('\n')
-	assert.NilError(t, err)
+	command, _ := startSelf(t, "counter")
 	for range 100 {
 		assert.NilError(t, Stop(command.Process))
 		states := threadStates(t, command.Process.Pid)
@@ -78,7 +126,7 @@
 	command := exec.Command(os.Args[0], "-test.run=^$")
 	out, err := command.StdoutPipe()
 	assert.NilError(t, err)
-	assert.NilError(t, command.Start())
+	assert.NilError(t, Start(command))
 	_, err = io.Copy(io.Discard, out) // until it exits
 	assert.NilError(t, err)
 	for Stop(command.Process) == nil {
--- /dev/null
+++ b/internal/proof/child/doc.go
@@ -0,0 +1,2 @@
+// Package child runs the processes of tests.
+package child
--- a/internal/proof/pause/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package pause stops and continues the processes of tests.
-package pause
--- a/internal/proof/process/binarycell_test.go
+++ b/internal/proof/process/binarycell_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/citronbay/citronbay/internal/api/caller"
 	"github.com/citronbay/citronbay/internal/api/operator"
+	"github.com/citronbay/citronbay/internal/proof/child"
 )
 
 // binaryCell is a cell whose platform, entries and upstreams each run as a process
@@ -33,7 +34,7 @@
 	command := exec.Command(binary, arguments...)
 	var errors bytes.Buffer
 	command.Stderr = &errors
-	assert.NilError(c.t, command.Start())
+	assert.NilError(c.t, child.Start(command))
 	c.t.Cleanup(func() {
 		_ = command.Process.Kill()
 		_ = command.Wait()
--- a/internal/proof/process/entry_test.go
+++ b/internal/proof/process/entry_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/citronbay/citronbay/internal/api/caller"
 	"github.com/citronbay/citronbay/internal/api/operator"
-	"github.com/citronbay/citronbay/internal/proof/pause"
+	"github.com/citronbay/citronbay/internal/proof/child"
 	"github.com/citronbay/citronbay/internal/standin/proxy"
 )
 
@@ -125,7 +125,7 @@
 	assert.NilError(c.t, err)
 	p.command = exec.Command(binary, "entry", "--settings", file)
 	p.command.Stderr = logs
-	assert.NilError(c.t, p.command.Start())
+	assert.NilError(c.t, child.Start(p.command))
 	done := make(chan struct{})
 	p.exited = done
 	command := p.command
@@ -162,13 +162,13 @@
 // freezeEntry stops the entry's process and returns once it has stopped.
 func (c *cell) freezeEntry(name string) {
 	c.t.Helper()
-	assert.NilError(c.t, pause.Stop(c.entries[name].command.Process))
+	assert.NilError(c.t, child.Stop(c.entries[name].command.Process))
 }
 
 // thawEntry lets a frozen entry go on.
 func (c *cell) thawEntry(name string) {
 	c.t.Helper()
-	assert.NilError(c.t, pause.Continue(c.entries[name].command.Process))
+	assert.NilError(c.t, child.Continue(c.entries[name].command.Process))
 }
 
 // killEntry kills the entry's process and waits for its exit.
