Entries: a job that an earlier owner saves late is adopted

Cause: an owner accepts jobs as long as it holds a lease, also while the next owner claims the others, and saves them in the store. The next owner had read the jobs when it took over, so that one that was saved after that was known to nobody until the owner changed again, although its caller had been told that it is durable. Seen in TestLeavingUpstreamGetsNoNewWork on one core, beside a load average of 22: both entries took the shard within 4 ms; a job was accepted 47 ms later by the one that stepped down 0.1 s later, and had no task for 30 s. Change: the owner reads the jobs again once all links are reconciled, after the time that a save takes. A task that the earlier owner started and that ended before is run again, unless it must run at most once.

--- a/internal/entry/upstream/save.go
+++ b/internal/entry/upstream/save.go
@@ -23,6 +23,10 @@
 	flushInterval = 500 * time.Millisecond
 	// maxParallelSaves bounds the number of jobs that are saved at the same time.
 	maxParallelSaves = 8
+	// lateSaveCalls is how many calls of the store, one after the other, an earlier owner may make after
+	// it has lost its leases until a job is saved that it had accepted before: a write and a read of its
+	// outcome, when the job is submitted and again when the owner stops.
+	lateSaveCalls = 4
 	// commitTimeout bounds the save before the start of a task that must not
 	// be repeated.
 	commitTimeout = 2 * time.Second
@@ -32,9 +36,27 @@
 	return jobsPrefix + s.Name + "/" + id
 }
 
-// readJobs reads the jobs that an earlier owner left in the store, and retries
-// until it succeeds or the context ends.
+// readJobs reads the jobs that earlier owners have left, twice: an earlier owner goes on accepting jobs
+// until it has lost its leases, and saves them for a while after that.
 func (s *Shard) readJobs(ctx context.Context) {
+	s.readJobsOnce(ctx)
+	for !s.reconciled() && ctx.Err() == nil {
+		sleep(ctx, superviseInterval)
+	}
+	sleep(ctx, lateSaveCalls*s.timings.StoreTimeout)
+	s.readJobsOnce(ctx)
+}
+
+// reconciled reports whether all links are reconciled, so that no earlier owner holds a lease.
+func (s *Shard) reconciled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.allReconciled()
+}
+
+// readJobsOnce reads the jobs from the store and adds those that are not known yet. It repeats a read that
+// fails until the context ends.
+func (s *Shard) readJobsOnce(ctx context.Context) {
 	for ctx.Err() == nil {
 		listing, err := s.Store.List(ctx, jobsPrefix+s.Name+"/")
 		if err != nil {
