Build the load of admission every 100 ms, however long it takes

Cause: a pause of 100 times the build's duration made decisions depend on how busy the machine is: under load most of that duration is other processes' time.

--- a/internal/cluster/shard/admission.go
+++ b/internal/cluster/shard/admission.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// admissionInterval is the least age of the loads from which they are built again.
+	// admissionInterval is the age of the load from which it is built again.
 	admissionInterval = 100 * time.Millisecond
 	// policyWorkers is the number of workers that a call to the policy service names, as far as
 	// the estimate is concerned.
--- a/internal/cluster/shard/service_load.go
+++ b/internal/cluster/shard/service_load.go
@@ -4,7 +4,6 @@
 	"iter"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/citronbay/citronbay/internal/cluster/store"
 	"github.com/citronbay/citronbay/internal/cluster/worker"
@@ -12,14 +11,6 @@
 	"github.com/citronbay/citronbay/internal/decide/job"
 )
 
-const (
-	// Loads are built again after loadPauseFactor times the time that it takes, at least
-	// admissionInterval and at most maxAdmissionInterval, which limits it to 1 % of the time in a large
-	// fleet too: it holds the lock that all requests need.
-	loadPauseFactor      = 100
-	maxAdmissionInterval = 400 * time.Millisecond
-)
-
 // serviceLoad is the load of the workers of one service.
 type serviceLoad struct {
 	load     *admission.Load
@@ -29,10 +20,9 @@
 	fleet, used job.Resources
 	// sizes are the largest capacities of the workers that have a label, and of all workers for the
 	// empty label; a label is missing until it is needed.
-	sizes    map[string][]job.Resources
-	advisors int // the nodes that call the policy service
-	// untilMillis is the Unix millisecond from which the load is out of date.
-	untilMillis int64
+	sizes       map[string][]job.Resources
+	advisors    int // the nodes that call the policy service
+	builtMillis int64
 	// waits is set if tasks wait for room.
 	waits bool
 }
@@ -140,21 +130,18 @@
 	return int64(max(limit/4, limit-endedBytes*float64(s.state.EndedJobs())))
 }
 
-// loadOf returns the load of the service's workers. Once it is out of date, it is built again with those
-// of the other services, since they share most of what it costs. The caller holds s.mu.
+// loadOf returns the load of the service's workers. Once it is admissionInterval old, it is built again
+// with those of the other services, since they share most of what it costs. The caller holds s.mu.
 func (s *Shard) loadOf(service string, now int64) *serviceLoad {
-	if l := s.gate.services[service]; l != nil && now < l.untilMillis {
+	if l := s.gate.services[service]; l != nil && now-l.builtMillis < admissionInterval.Milliseconds() {
 		return l
 	}
 	services := map[string]bool{service: true}
 	for name := range s.gate.services {
 		services[name] = true
 	}
-	start := time.Now()
 	s.gate.services = s.buildLoads(maps.Keys(services), maps.Values(s.state.UnplacedJobs()), now)
-	until := now + admissionPause(time.Since(start)).Milliseconds()
 	for name, l := range s.gate.services {
-		l.untilMillis = until
 		if l.waits && s.journal.StalledFor() < storeStallLimit && now-s.openedMillis > settleTime.Milliseconds() {
 			s.gate.pace.ObserveUsage(name, l.capacity.Used, now)
 		} else {
@@ -165,11 +152,6 @@
 	return s.gate.services[service]
 }
 
-// admissionPause returns for how long loads are used that took the given time to build.
-func admissionPause(took time.Duration) time.Duration {
-	return min(max(admissionInterval, loadPauseFactor*took), maxAdmissionInterval)
-}
-
 // refreshLoads builds the loads again that submissions have used, so that what is learned of the
 // fleet doesn't depend on when they come. The caller holds s.mu.
 func (s *Shard) refreshLoads(now int64) {
@@ -197,8 +179,9 @@
 	loads := map[string]*serviceLoad{}
 	for service := range services {
 		loads[service] = &serviceLoad{
-			workers: make([]*worker.Registration, 0, len(s.links)),
-			sizes:   map[string][]job.Resources{},
+			workers:     make([]*worker.Registration, 0, len(s.links)),
+			sizes:       map[string][]job.Resources{},
+			builtMillis: now,
 		}
 	}
 	s.addWorkers(loads)
