--- a/internal/cluster/door/door_test.go
+++ b/internal/cluster/door/door_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -22,6 +23,11 @@
 // clients have to make progress, and answers with as many bytes as the path says. The number
 // counts the requests that it has served.
 func startServer(t *testing.T, limits Limits) (address string, served *atomic.Int64) {
+	address, served, _ = startDoor(t, limits)
+	return address, served
+}
+
+func startDoor(t *testing.T, limits Limits) (address string, served *atomic.Int64, door *Door) {
 	t.Helper()
 	served = &atomic.Int64{}
 	limits.BytesPerSecond, limits.Stall, limits.HeaderBytes = 1000, stall, 1<<13
@@ -50,7 +56,24 @@
 	assert.NilError(t, err)
 	go func() { _ = server.Serve(d.Listen(l)) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return l.Addr().String(), served
+	return l.Addr().String(), served, d
+}
+
+// awaitStalled waits until all connections of the door have stalled: a busy server still reads what a client
+// has sent long before.
+func awaitStalled(d *Door) {
+	for {
+		quiet := time.Duration(math.MaxInt64)
+		d.mu.Lock()
+		for c := range d.connections {
+			quiet = min(quiet, time.Since(c.moved))
+		}
+		d.mu.Unlock()
+		if quiet >= intake.Stalled {
+			return
+		}
+		time.Sleep(intake.Stalled - quiet)
+	}
 }
 
 // send sends the pieces of a request, with the pause after each, and returns the status of the answer,
@@ -97,7 +120,7 @@
 // clients that hold all of it and have stalled.
 func TestOneRequestIsServed(t *testing.T) {
 	const bodyBytes = 256 << 10
-	address, _ := startServer(t, Limits{
+	address, _, d := startDoor(t, Limits{
 		Connections: 10,
 		Bytes:       2 << 20,
 	})
@@ -109,7 +132,7 @@
 		defer func() { _ = conn.Close() }()
 		_, _ = io.WriteString(conn, whole[:len(whole)-1])
 	}
-	time.Sleep(intake.Stalled) // until then they may be honest
+	awaitStalled(d) // until then they may be honest
 	assert.Equal(t, send(t, address, 0, whole), http.StatusOK)
 }
 
