--- a/internal/cluster/shard/service_load_bench_test.go
+++ b/internal/cluster/shard/service_load_bench_test.go
@@ -185,3 +185,31 @@
 		})
 	}
 }
+
+// BenchmarkObserveOverruns measures the look at the attempts that run, all of them for longer than estimated.
+func BenchmarkObserveOverruns(b *testing.B) {
+	for _, fleet := range loadedFleets() {
+		b.Run(fleet.String(), func(b *testing.B) {
+			s := fleet.newShard(b)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			now, running := s.now(), 0
+			for _, j := range s.state.OpenJobs() {
+				for _, step := range j.Steps {
+					for n := range step.Tasks {
+						if p := step.Tasks[n].Placement; p != nil {
+							p.OrderedMillis = now
+							running++
+						}
+					}
+				}
+			}
+			const overrun = 1 << 30
+			b.ResetTimer()
+			for n := range b.N {
+				s.observeOverruns(now + overrun + int64(n+1)*admissionInterval.Milliseconds())
+			}
+			b.ReportMetric(float64(running), "running")
+		})
+	}
+}
